--- /dev/null
+++ b/src/app/main.cpp
@@ -0,0 +1,98 @@
+// The daemon: reads the settings, wires the parts together and runs the loop.
+#include <ev.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdlib>
+#include <iostream>
+
+#include "base/settings.hpp"
+#include "cloud/client.hpp"
+#include "control/node.hpp"
+#include "net/client.hpp"
+#include "net/reactor.hpp"
+#include "net/server.hpp"
+#include "store/client.hpp"
+
+namespace {
+
+using cranklock::base::Settings;
+
+void set_up_log() {
+  auto logger = spdlog::stderr_logger_st("cranklock");
+  logger->set_pattern("%L %v");
+  logger->flush_on(spdlog::level::trace);
+  spdlog::set_default_logger(logger);
+  const char* level = std::getenv("LOG_LEVEL");
+  const std::string name = level != nullptr ? level : "info";
+  spdlog::set_level(name == "debug"   ? spdlog::level::debug
+                    : name == "error" ? spdlog::level::err
+                                      : spdlog::level::info);
+}
+
+int serve(const Settings& settings) {
+  using namespace cranklock;
+  net::EvReactor reactor;
+  // Answers hold at most a page of 512 KiB, or a watch's news.
+  constexpr std::size_t kMostAnswer = 4 * 1024 * 1024;
+  net::HttpClient client(reactor, kMostAnswer, static_cast<std::size_t>(settings.fd_limit) / 4);
+  store::Client store(reactor, client, settings);
+  cloud::Client cloud(reactor, client, settings);
+  const control::Services services{reactor, client, settings, store, cloud};
+  control::Node node(services);
+
+  net::ServerLimits limits;
+  limits.connections = static_cast<std::size_t>(settings.fd_limit) * 6 / 10;
+  limits.idle_s = 4 * settings.lease_s;
+  net::HttpServer server(reactor, limits, [&](net::Request request) {
+    return node.handle(std::move(request));
+  });
+  if (!server.listen(settings.listen)) {
+    spdlog::error("{} can't be listened on", settings.listen);
+    return 1;
+  }
+  // Orderly end where the platform asks for one: the scope cancels every routine.
+  ev_signal on_term, on_int;
+  const auto stop = [](struct ev_loop* loop, ev_signal*, int) { ev_break(loop, EVBREAK_ALL); };
+  ev_signal_init(&on_term, stop, SIGTERM);
+  ev_signal_init(&on_int, stop, SIGINT);
+  ev_signal_start(reactor.raw(), &on_term);
+  ev_signal_start(reactor.raw(), &on_int);
+
+  net::Scope routines;
+  routines.spawn(server.run());
+  routines.spawn(node.learn_types());
+  routines.spawn(node.feel_state());
+  routines.spawn(node.run());
+  spdlog::info("{} listens on {}", settings.name, settings.listen);
+  reactor.run();
+  spdlog::info("{} ends", settings.name);
+  return 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  CLI::App app{"Schedules fleets that serve language models.", "cranklock"};
+  std::string config, operators;
+  bool check = false;
+  app.set_version_flag("--version", "cranklock 0.1.0");
+  app.add_option("--config", config, "the platform's settings (TOML)")->required();
+  app.add_option("--operator", operators, "the operator's own settings (XML)");
+  app.add_flag("--check", check, "check the settings and exit");
+  CLI11_PARSE(app, argc, argv);
+  Settings settings;
+  try {
+    settings = cranklock::base::load_settings(config, operators);
+  } catch (const cranklock::base::SettingsError& e) {
+    std::cerr << e.what() << '\n';
+    return 2;
+  }
+  if (check) {
+    std::cout << "the settings are valid\n";
+    return 0;
+  }
+  set_up_log();
+  return serve(settings);
+}
--- /dev/null
+++ b/src/base/settings.cpp
@@ -0,0 +1,198 @@
+#include "base/settings.hpp"
+
+#include <pugixml.hpp>
+#include <toml++/toml.h>
+
+#include <functional>
+#include <map>
+
+namespace cranklock::base {
+namespace {
+
+class TomlReader {
+ public:
+  TomlReader(const toml::table& table, std::string file, std::string prefix)
+      : table_(table), file_(std::move(file)), prefix_(std::move(prefix)) {}
+
+  [[noreturn]] void fail(const std::string& field, const std::string& expected) const {
+    throw SettingsError(file_ + ": " + prefix_ + field + ": expected " + expected);
+  }
+  std::string text(const char* field) const {
+    const auto v = table_[field].value_exact<std::string>();
+    if (!v || v->empty()) fail(field, "a non-empty string");
+    return *v;
+  }
+  double number(const char* field, double least, bool above = false) const {
+    const auto v = table_[field].value<double>();
+    if (!v || *v < least || (above && *v <= least)) {
+      fail(field, std::string("a number ") + (above ? "above " : "of at least ") +
+                      std::to_string(least));
+    }
+    return *v;
+  }
+  int count(const char* field, int least) const {
+    const auto v = table_[field].value<std::int64_t>();
+    if (!v || *v < least || *v > 1'000'000'000) {
+      fail(field, "a whole number of at least " + std::to_string(least));
+    }
+    return static_cast<int>(*v);
+  }
+  TomlReader table(const char* field) const {
+    const auto* t = table_[field].as_table();
+    if (t == nullptr) fail(field, "a table");
+    return {*t, file_, prefix_ + field + "."};
+  }
+  void each(const char* field, const std::function<void(const TomlReader&)>& use) const {
+    const auto node = table_[field];
+    if (!node) return;
+    const auto* list = node.as_array();
+    if (list == nullptr) fail(field, "a list of tables");
+    int index = 0;
+    for (const auto& item : *list) {
+      const auto* t = item.as_table();
+      const std::string here = std::string(field) + "[" + std::to_string(index++) + "]";
+      if (t == nullptr) fail(here, "a table");
+      use(TomlReader(*t, file_, prefix_ + here + "."));
+    }
+  }
+  std::vector<std::string> texts(const char* field) const {
+    const auto* list = table_[field].as_array();
+    if (list == nullptr) fail(field, "a list of strings");
+    std::vector<std::string> out;
+    for (const auto& item : *list) {
+      const auto v = item.value_exact<std::string>();
+      if (!v) fail(field, "a list of strings");
+      out.push_back(*v);
+    }
+    return out;
+  }
+  bool has(const char* field) const { return static_cast<bool>(table_[field]); }
+
+ private:
+  const toml::table& table_;
+  std::string file_, prefix_;
+};
+
+void read_toml(const std::string& path, Settings& s) {
+  toml::table root;
+  try {
+    root = toml::parse_file(path);
+  } catch (const toml::parse_error& e) {
+    throw SettingsError(path + ": line " + std::to_string(e.source().begin.line) +
+                        ": expected TOML: " + std::string(e.description()));
+  }
+  const TomlReader top(root, path, "");
+  s.name = top.text("member");
+  s.zone = top.text("zone");
+  s.listen = top.text("listen");
+  s.peer_listen = top.text("peer_listen");
+  top.each("others", [&](const TomlReader& r) {
+    s.others.push_back({r.text("member"), r.text("zone"), r.text("address")});
+  });
+  const auto external = top.table("external");
+  s.cloud = external.text("cloud");
+  s.state = external.text("state");
+  const auto facts = top.table("facts");
+  s.nodes = facts.count("nodes", 1);
+  s.zones = facts.texts("zones");
+  s.clock_error_s = facts.number("clock_error_ms", 0) / 1000.0;
+  facts.each("teams", [&](const TomlReader& r) {
+    s.teams.push_back({r.text("name"), r.number("cpus", 0), r.number("cpus_max", 0),
+                       r.number("gpus", 0), r.number("gpus_max", 0)});
+  });
+  facts.each("objectives", [&](const TomlReader& r) {
+    s.objectives.push_back({r.text("kind"), r.has("class") ? r.text("class") : "",
+                            r.has("within_s") ? r.number("within_s", 0) : 0,
+                            r.has("share") ? r.number("share", 0) : 0});
+  });
+  const auto workers = facts.table("workers");
+  s.report_s = workers.number("report_s", 0, true);
+  s.lease_s = workers.number("lease_s", 0, true);
+  s.gang_wait_s = workers.number("gang_wait_s", 0, true);
+  s.gang_peer_s = workers.number("gang_peer_s", 0, true);
+  s.cancel_s = workers.number("cancel_s", 0, true);
+  if (s.cancel_s <= s.lease_s) workers.fail("cancel_s", "a number above lease_s");
+  const auto state = facts.table("state");
+  s.state_rps = state.number("rps", 0, true);
+  s.state_write_rps = state.number("write_rps", 0, true);
+  s.value_kb = state.number("value_kb", 1);
+  s.txn_ops = state.count("txn_ops", 2);
+  const auto cloud = facts.table("cloud");
+  s.cloud_rps = cloud.number("rps", 0, true);
+  s.list_lag_s = cloud.number("list_lag_s", 0);
+  s.fd_limit = facts.table("resources").count("fd_limit", 32);
+}
+
+/// <cranklock><scaler every_s="5" high="0.9" .../><machines boot_patience="3"/></cranklock>
+void read_xml(const std::string& path, OperatorSettings& o) {
+  pugi::xml_document doc;
+  const auto parsed = doc.load_file(path.c_str());
+  if (!parsed) throw SettingsError(path + ": expected XML: " + parsed.description());
+  const auto root = doc.document_element();
+  if (std::string(root.name()) != "cranklock") {
+    throw SettingsError(path + ": " + root.name() + ": expected the element cranklock");
+  }
+  ScalerSettings& sc = o.scaler;
+  struct Field {
+    std::function<void(double)> set;
+    double least;
+    bool whole = false;
+  };
+  const auto real = [](double& d) { return [&d](double v) { d = v; }; };
+  const auto whole = [](int& d) { return [&d](double v) { d = static_cast<int>(v); }; };
+  const std::map<std::string, std::map<std::string, Field>> known = {
+      {"scaler",
+       {{"every_s", {real(sc.every_s), 0.1}},
+        {"high", {real(sc.high), 0.0}},
+        {"low", {real(sc.low), 0.0}},
+        {"up_window_s", {real(sc.up_window_s), 0.0}},
+        {"down_window_s", {real(sc.down_window_s), 1.0}},
+        {"up_cooldown_s", {real(sc.up_cooldown_s), 0.0}},
+        {"down_cooldown_s", {real(sc.down_cooldown_s), 0.0}},
+        {"step_machines", {whole(sc.step_machines), 1, true}},
+        {"step_share", {real(sc.step_share), 0.0}},
+        {"step_waiting", {real(sc.step_waiting), 0.0}},
+        {"most_step", {whole(sc.most_step), 1, true}},
+        {"least_machines", {whole(sc.least_machines), 0, true}},
+        {"most_machines", {whole(sc.most_machines), 1, true}}}},
+      {"machines", {{"boot_patience", {real(o.boot_patience), 1.0}}}}};
+  for (const auto& element : root.children()) {
+    if (element.type() != pugi::node_element) continue;
+    const auto section = known.find(element.name());
+    if (section == known.end()) {
+      throw SettingsError(path + ": " + element.name() + ": expected scaler or machines");
+    }
+    for (const auto& attribute : element.attributes()) {
+      const std::string here = std::string(element.name()) + "/" + attribute.name();
+      const auto field = section->second.find(attribute.name());
+      if (field == section->second.end()) {
+        throw SettingsError(path + ": " + here + ": expected a known attribute");
+      }
+      char* end = nullptr;
+      const double v = std::strtod(attribute.value(), &end);
+      const bool bad = end == attribute.value() || *end != 0 || !(v >= field->second.least) ||
+                       (field->second.whole && v != static_cast<int>(v));
+      if (bad) {
+        throw SettingsError(path + ": " + here + ": expected a " +
+                            (field->second.whole ? "whole " : "") + "number of at least " +
+                            std::to_string(field->second.least));
+      }
+      field->second.set(v);
+    }
+  }
+  if (sc.low >= sc.high) throw SettingsError(path + ": scaler/low: expected a number below high");
+  if (sc.least_machines > sc.most_machines) {
+    throw SettingsError(path + ": scaler/least_machines: expected at most most_machines");
+  }
+}
+
+}  // namespace
+
+Settings load_settings(const std::string& toml_path, const std::string& xml_path) {
+  Settings s;
+  read_toml(toml_path, s);
+  if (!xml_path.empty()) read_xml(xml_path, s.operators);
+  return s;
+}
+
+}  // namespace cranklock::base
--- /dev/null
+++ b/src/base/settings.hpp
@@ -0,0 +1,80 @@
+// The platform's settings (TOML) and the operator's own (XML).
+#pragma once
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace cranklock::base {
+
+/// Names the file, the field and what was expected.
+class SettingsError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Team {
+  std::string name;
+  double cpus = 0, cpus_max = 0, gpus = 0, gpus_max = 0;  ///< 0: that amount is not looked at
+};
+
+struct Peer {
+  std::string name, zone, address;
+};
+
+struct Objective {
+  std::string kind, job_class;
+  double within_s = 0, share = 0;
+};
+
+/// The scaler's figures. DESIGN gives the first defaults; docs/design.md says which were measured
+/// and changed.
+struct ScalerSettings {
+  double every_s = 5.0;
+  double high = 0.9, low = 0.5;
+  double up_window_s = 10.0, down_window_s = 60.0;
+  double up_cooldown_s = 20.0, down_cooldown_s = 90.0;
+  int step_machines = 1;       ///< a step is the larger of this and
+  double step_share = 0.2;     ///< this share of the pool
+  double step_waiting = 0.0;   ///< and this share of the machines that waiting work asks for
+  int most_step = 50;          ///< and never more than this
+  int least_machines = 0;      ///< per pool
+  int most_machines = 1000;    ///< per pool
+};
+
+struct OperatorSettings {
+  ScalerSettings scaler;
+  double boot_patience = 3.0;  ///< times ReadyS after which a boot is given up
+};
+
+struct Settings {
+  std::string name, zone, listen, peer_listen;
+  std::vector<Peer> others;
+  std::string cloud, state;
+  int nodes = 1;
+  std::vector<std::string> zones;
+  double clock_error_s = 1.0;
+  std::vector<Team> teams;
+  std::vector<Objective> objectives;
+  double report_s = 3, lease_s = 30, gang_wait_s = 45, gang_peer_s = 4, cancel_s = 50;
+  double state_rps = 100, state_write_rps = 30, value_kb = 8;
+  int txn_ops = 12;
+  double cloud_rps = 5, list_lag_s = 8;
+  int fd_limit = 500;
+  OperatorSettings operators;
+
+  const Team* team(const std::string& team_name) const {
+    for (const auto& t : teams) {
+      if (t.name == team_name) return &t;
+    }
+    return nullptr;
+  }
+};
+
+/// Throws SettingsError.
+Settings load_settings(const std::string& toml_path, const std::string& xml_path);
+
+/// The share by which steady clocks of two machines may drift apart.
+inline constexpr double kClockDrift = 0.0005;
+
+}  // namespace cranklock::base
--- /dev/null
+++ b/src/cloud/client.cpp
@@ -0,0 +1,79 @@
+#include "cloud/client.hpp"
+
+namespace cranklock::cloud {
+namespace {
+constexpr double kTimeout = 5.0;
+constexpr int kPage = 500;
+}  // namespace
+
+Client::Client(net::Reactor& reactor, net::Transport& transport, const base::Settings& settings)
+    : reactor_(reactor),
+      transport_(transport),
+      settings_(settings),
+      rentals_(reactor, settings.cloud_rps / 2),
+      others_(reactor, settings.cloud_rps / 2) {}
+
+net::Task<net::Reply> Client::send(net::Request request, store::Budget& budget) {
+  for (double wait = 0; (wait = budget.take(1)) > 0;) {
+    net::Sleep pause(reactor_, wait);
+    co_await pause;
+  }
+  auto calling = transport_.call(settings_.cloud, std::move(request), kTimeout);
+  auto reply = co_await calling;
+  co_return reply;
+}
+
+net::Task<std::optional<std::vector<wire::MachineType>>> Client::types() {
+  net::Request request{"GET", "/machine_types", "", "", true};
+  auto sending = send(std::move(request), others_);
+  const auto reply = co_await sending;
+  if (reply.status() != 200) co_return std::nullopt;
+  co_return wire::parse_machine_types(reply.response.body);
+}
+
+net::Task<RentResult> Client::rent(wire::Rental rental) {
+  net::Request request{"POST", "/rentals", "", wire::rental_request(rental), true};
+  auto sending = send(std::move(request), rentals_);
+  const auto reply = co_await sending;
+  RentResult result;
+  if (reply.kind == net::Reply::Kind::not_sent || reply.status() == 429) {
+    result.kind = RentResult::Kind::refused;
+  } else if (reply.status() == 200) {
+    if (auto machines = wire::parse_rented(reply.response.body)) {
+      result.kind = RentResult::Kind::rented;
+      result.machines = std::move(*machines);
+    }
+  } else if (reply.status() == 503) {
+    const bool trouble = reply.response.body.find("trouble") != std::string::npos;
+    result.kind = trouble ? RentResult::Kind::refused : RentResult::Kind::no_capacity;
+  } else if (reply.status() == 400) {
+    result.kind = RentResult::Kind::no_capacity;
+  }
+  co_return result;
+}
+
+net::Task<bool> Client::remove(std::vector<std::string> machines) {
+  net::Request request{"POST", "/rentals/delete", "", wire::delete_request(machines), true};
+  auto sending = send(std::move(request), others_);
+  const auto reply = co_await sending;
+  co_return reply.status() == 200;
+}
+
+net::Task<std::optional<std::vector<wire::ListedMachine>>> Client::list() {
+  std::vector<wire::ListedMachine> all;
+  for (;;) {
+    net::Request request{"GET", "/rentals",
+                         wire::machine_page_query(all.empty() ? "" : all.back().id, kPage), "",
+                         true};
+    auto sending = send(std::move(request), others_);
+    const auto reply = co_await sending;
+    if (reply.status() != 200) co_return std::nullopt;
+    auto page = wire::parse_machine_page(reply.response.body);
+    if (!page) co_return std::nullopt;
+    const bool more = page->more && !page->machines.empty();
+    for (auto& m : page->machines) all.push_back(std::move(m));
+    if (!more) co_return all;
+  }
+}
+
+}  // namespace cranklock::cloud
--- /dev/null
+++ b/src/cloud/client.hpp
@@ -0,0 +1,42 @@
+// The cloud: machine types, rentals and deletions, inside its call rate.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/settings.hpp"
+#include "net/client.hpp"
+#include "store/client.hpp"
+#include "wire/messages.hpp"
+
+namespace cranklock::cloud {
+
+struct RentResult {
+  enum class Kind { rented, no_capacity, refused, unknown };
+  Kind kind = Kind::unknown;
+  std::vector<std::string> machines;
+};
+
+class Client {
+ public:
+  Client(net::Reactor& reactor, net::Transport& transport, const base::Settings& settings);
+
+  net::Task<std::optional<std::vector<wire::MachineType>>> types();
+  /// `unknown` must be asked again under the same name: it may have been, or yet be, carried out.
+  net::Task<RentResult> rent(wire::Rental rental);
+  /// True only on the 200 that proves the machines gone.
+  net::Task<bool> remove(std::vector<std::string> machines);
+  net::Task<std::optional<std::vector<wire::ListedMachine>>> list();
+
+ private:
+  net::Task<net::Reply> send(net::Request request, store::Budget& budget);
+
+  net::Reactor& reactor_;
+  net::Transport& transport_;
+  const base::Settings& settings_;
+  store::Budget rentals_;  ///< DESIGN: rentals start at half the cloud's call rate
+  store::Budget others_;
+};
+
+}  // namespace cranklock::cloud
--- /dev/null
+++ b/src/control/node.cpp
@@ -0,0 +1,235 @@
+#include "control/node.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace cranklock::control {
+
+using net::Request;
+using net::Response;
+using net::Sleep;
+using net::Task;
+using store::Outcome;
+
+namespace {
+constexpr double kStoreTimeout = 2.0;
+}
+
+Node::Node(Services services)
+    : services_(services), users_(services), lost_(services.reactor) {}
+
+Node::~Node() { duties_.clear(); }
+
+bool Node::ready() const {
+  const double patience = services_.settings.lease_s / 5 + 2.0;
+  return users_.knows_types() && services_.reactor.now() - state_heard_ < patience;
+}
+
+Task<void> Node::learn_types() {
+  bool stored = false;
+  for (;;) {
+    auto asking = services_.cloud.types();
+    auto types = co_await asking;
+    if (!types || types->empty()) {
+      // The cloud may be down just when this node starts; another may have kept what it said.
+      auto reading = services_.store.read(kTypesKey, kStoreTimeout);
+      const auto kept = co_await reading;
+      if (kept.outcome == Outcome::ok) types = wire::parse_machine_types(kept.value.data);
+    } else if (!stored) {
+      wire::JsonWriter w;
+      wire::write_machine_types(w, *types);
+      std::vector<wire::Condition> conditions{{kTypesKey, 0}};
+      std::vector<wire::Change> changes{{kTypesKey, w.take(), 0}};
+      auto writing =
+          services_.store.transact(std::move(conditions), std::move(changes), kStoreTimeout);
+      const auto written = co_await writing;
+      stored = written.outcome == Outcome::ok || written.outcome == Outcome::failed;
+    }
+    if (types && !types->empty()) users_.set_types(std::move(*types));
+    Sleep pause(services_.reactor,
+                users_.knows_types() && stored ? 60.0 : services_.settings.report_s / 3);
+    co_await pause;
+  }
+}
+
+Task<void> Node::feel_state() {
+  for (;;) {
+    auto reading = services_.store.read(kLeaderKey, 1.0);
+    const auto found = co_await reading;
+    if (found.outcome == Outcome::ok || found.outcome == Outcome::failed) {
+      state_heard_ = services_.reactor.now();
+      leader_.clear();
+      if (found.outcome == Outcome::ok) {
+        if (const auto leader = read_leader(found.value.data)) leader_ = leader->name;
+      }
+    }
+    Sleep pause(services_.reactor, 1.0);
+    co_await pause;
+  }
+}
+
+Task<Node::Taken> Node::take_office() {
+  Taken taken;
+  const double life = Office::lease_life(services_.settings);
+  taken.sent = services_.reactor.now();
+  auto granting = services_.store.grant_lease(life, life / 3);
+  const auto lease = co_await granting;
+  if (!lease) co_return taken;
+  taken.lease = *lease;
+  const LeaderRecord record{services_.settings.name,
+                            std::to_string(services_.reactor.wall_ms()) + "-" +
+                                std::to_string(++nonce_) + "-" + std::to_string(*lease)};
+  const std::string text = write_leader(record);
+  for (int tries = 0; tries < 3; ++tries) {
+    std::vector<wire::Condition> conditions{{kLeaderKey, 0}};
+    std::vector<wire::Change> changes{{kLeaderKey, text, *lease}};
+    auto writing =
+        services_.store.transact(std::move(conditions), std::move(changes), life / 3);
+    const auto written = co_await writing;
+    if (written.outcome == Outcome::ok) {
+      taken.ok = true;
+      taken.token = written.revision;
+      co_return taken;
+    }
+    // Unanswered, it may be applied later: what is stored decides, and asking again under the same
+    // condition lets only one of the two through.
+    auto reading = services_.store.read(kLeaderKey, life / 3);
+    const auto found = co_await reading;
+    if (found.outcome == Outcome::ok) {
+      const auto holder = read_leader(found.value.data);
+      if (holder && holder->nonce == record.nonce) {
+        taken.ok = true;
+        taken.token = found.value.revision;
+      }
+      break;
+    }
+    if (written.outcome == Outcome::refused) break;
+  }
+  if (!taken.ok) {
+    auto dropping = services_.store.drop_lease(*lease, life / 3);
+    co_await dropping;
+  }
+  co_return taken;
+}
+
+Task<void> Node::run() {
+  const double life = Office::lease_life(services_.settings);
+  for (;;) {
+    auto reading = services_.store.read(kLeaderKey, kStoreTimeout);
+    const auto found = co_await reading;
+    if (found.outcome == Outcome::ok) {
+      const auto holder = read_leader(found.value.data);
+      leader_ = holder ? holder->name : "";
+      state_heard_ = services_.reactor.now();
+      // A former run of this node may still be named; its lease then ends by itself.
+      auto watching = services_.store.watch(kLeaderKey, found.value.revision, 2 * life);
+      const auto news = co_await watching;
+      if (news.outcome != Outcome::ok) {
+        Sleep pause(services_.reactor, life / 8);
+        co_await pause;
+      }
+      continue;
+    }
+    const bool free = found.outcome == Outcome::failed;
+    if (free) leader_.clear();
+    if (!free || services_.reactor.now() < abstain_until_) {
+      Sleep pause(services_.reactor, life / 8);
+      co_await pause;
+      continue;
+    }
+    auto taking = take_office();
+    const auto taken = co_await taking;
+    if (!taken.ok) {
+      Sleep pause(services_.reactor, life / 8);
+      co_await pause;
+      continue;
+    }
+    auto serving = serve_term(taken);
+    co_await serving;
+  }
+}
+
+Task<void> Node::serve_term(Taken taken) {
+  const double life = Office::lease_life(services_.settings);
+  spdlog::info("office taken, token {}", taken.token);
+  leader_ = services_.settings.name;
+  services_.store.set_leading(true);
+  office_ = std::make_unique<Office>(services_.settings, taken.token, taken.sent);
+  term_ = std::make_unique<Term>(services_, *office_, lost_);
+  auto loading = term_->load();
+  bool keeps = co_await loading;
+  if (keeps) {
+    serving_ = true;
+    term_->start(duties_);
+    spdlog::info("serving with token {}: {} jobs", taken.token, term_->picture().jobs().size());
+  }
+  while (keeps && !term_->is_lost()) {
+    const double sent = services_.reactor.now();
+    auto renewing = services_.store.renew_lease(taken.lease, life / 3);
+    const auto renewed = co_await renewing;
+    if (renewed == Outcome::ok) {
+      office_->confirm(sent);
+    } else if (renewed == Outcome::failed) {
+      spdlog::info("office lost, token {}: its lease has ended", taken.token);
+      break;
+    }
+    if (term_->deaf() && !term_->picture().machines().empty() && services_.settings.nodes > 1) {
+      // Another node may hear the workers where this one can't.
+      spdlog::info("office given up, token {}: no worker is heard", taken.token);
+      abstain_until_ = services_.reactor.now() + 2 * services_.settings.lease_s;
+      break;
+    }
+    const bool doubtful = renewed != Outcome::ok;
+    net::Signal::Wait wait(lost_, doubtful ? life / 10 : life / 4);
+    co_await wait;
+  }
+  serving_ = false;
+  leader_.clear();
+  duties_.clear();
+  term_.reset();
+  office_.reset();
+  services_.store.set_leading(false);
+  auto dropping = services_.store.drop_lease(taken.lease, life / 3);
+  co_await dropping;
+}
+
+Response Node::checkin(const Request& request) {
+  const auto report = wire::parse_report(request.body);
+  if (!report) {
+    spdlog::error("a malformed report was refused");
+    return plain_answer(400, wire::error_answer("malformed report"));
+  }
+  if (leads()) return term_->checkin(*report);
+  if (term_ != nullptr) return come_back("taking over");
+  // Never itself: it doesn't lead.
+  const bool other = leader_ != services_.settings.name;
+  return plain_answer(421, wire::misdirected_answer(other ? leader_ : ""));
+}
+
+Task<Response> Node::handle(Request request) {
+  constexpr std::string_view kJobs = "/v1/jobs";
+  const auto& path = request.path;
+  const auto only = [&](const char* method) {
+    Response r = plain_answer(405, wire::error_answer("method not allowed"));
+    r.allow = method;
+    return r;
+  };
+  if (path == "/checkin") {
+    if (request.method != "POST") co_return only("POST");
+    co_return checkin(request);
+  }
+  if (path == "/ready") {
+    if (request.method != "GET") co_return only("GET");
+    if (!ready()) co_return come_back("not ready");
+    co_return plain_answer(200, "{}");
+  }
+  if (path.starts_with(kJobs) && (path.size() == kJobs.size() || path[kJobs.size()] == '/')) {
+    auto work = users_.handle(std::move(request));
+    auto response = co_await work;
+    co_return response;
+  }
+  co_return plain_answer(404, wire::error_answer("no such path"));
+}
+
+}  // namespace cranklock::control
--- /dev/null
+++ b/src/control/node.hpp
@@ -0,0 +1,55 @@
+// One controller: elections, and which part answers what.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "control/term.hpp"
+#include "control/users.hpp"
+
+namespace cranklock::control {
+
+class Node {
+ public:
+  explicit Node(Services services);
+  ~Node();
+
+  /// Runs elections and terms for ever.
+  net::Task<void> run();
+  /// Learns the machine types for users' submissions.
+  net::Task<void> learn_types();
+  /// Keeps in touch with the state service, so that /ready is true to fact.
+  net::Task<void> feel_state();
+
+  /// Answers whatever comes on the public address.
+  net::Task<net::Response> handle(net::Request request);
+
+  bool ready() const;
+  bool leads() const { return term_ != nullptr && serving_; }
+  Term* term() { return term_.get(); }
+
+ private:
+  struct Taken {
+    bool ok = false;
+    std::uint64_t lease = 0, token = 0;
+    double sent = 0;
+  };
+  net::Task<Taken> take_office();
+  net::Task<void> serve_term(Taken taken);
+  net::Response checkin(const net::Request& request);
+
+  Services services_;
+  Users users_;
+  net::Signal lost_;
+  std::unique_ptr<Office> office_;
+  std::unique_ptr<Term> term_;
+  net::Scope duties_;
+  bool serving_ = false;  ///< the term has loaded its picture
+  std::string leader_;    ///< believed to lead; empty: unknown
+  double leader_seen_ = 0;
+  double abstain_until_ = 0;
+  double state_heard_ = 0;
+  std::uint64_t nonce_ = 0;
+};
+
+}  // namespace cranklock::control
--- /dev/null
+++ b/src/control/record.cpp
@@ -0,0 +1,150 @@
+#include "control/record.hpp"
+
+namespace cranklock::control {
+
+using wire::Json;
+using wire::JsonDocument;
+using wire::JsonWriter;
+
+std::string job_key(const std::string& id) { return kJobsPrefix + id; }
+std::string ended_key(const std::string& id) { return "ended/" + id; }
+std::string part_key(const std::string& id, int part) {
+  return "parts/" + id + "/" + std::to_string(part);
+}
+
+namespace {
+
+bool read_lists(const Json& o, sched::Job& job) {
+  const Json* done = wire::find(o, "d");
+  const Json* places = wire::find(o, "p");
+  if (done != nullptr) {
+    if (!done->IsArray()) return false;
+    for (const auto& r : done->GetArray()) {
+      if (!r.IsArray() || r.Size() != 2 || !r[0].IsUint() || !r[1].IsUint()) return false;
+      job.done.add_range({r[0].GetUint(), r[1].GetUint()});
+    }
+  }
+  if (places == nullptr) return true;
+  if (!places->IsArray()) return false;
+  for (const auto& p : places->GetArray()) {
+    if (!p.IsArray() || p.Size() != 3 || !p[0].IsUint() || !p[1].IsUint64() || !p[2].IsString()) {
+      return false;
+    }
+    sched::Place place;
+    place.task = p[0].GetUint();
+    place.attempt = p[1].GetUint64();
+    place.machine = p[2].GetString();
+    place.durable = true;
+    job.places.push_back(std::move(place));
+  }
+  return true;
+}
+
+}  // namespace
+
+std::vector<std::string> write_record(const sched::Job& job, std::size_t most_bytes) {
+  std::vector<std::string> done, places;
+  for (const auto& [from, to] : job.done.ranges()) {
+    done.push_back("[" + std::to_string(from) + "," + std::to_string(to) + "]");
+  }
+  for (const auto& p : job.places) {
+    if (p.ended) continue;
+    places.push_back("[" + std::to_string(p.task) + "," + std::to_string(p.attempt) + ",\"" +
+                     p.machine + "\"]");
+  }
+  JsonWriter head;
+  head.begin().key("job");
+  wire::write_job(head, job.spec);
+  head.key("at").integer(job.created_ms).key("w").integer(job.withdrawn_ms);
+  head.key("n").count(job.last_attempt).end();
+  std::string main = head.take();
+  main.pop_back();  // its closing brace, put back below
+
+  constexpr std::size_t kFrame = 48;  // brackets, names and the count of parts
+  std::size_t next_done = 0, next_place = 0;
+  const auto fill = [&](std::string text, bool first) {
+    const auto add = [&](const char* name, const std::vector<std::string>& from, std::size_t& next) {
+      if (!first) text += ",";
+      first = false;
+      text.append("\"").append(name).append("\":[");
+      bool begun = false;
+      while (next < from.size() && text.size() + from[next].size() + kFrame < most_bytes) {
+        if (begun) text += ",";
+        begun = true;
+        text += from[next++];
+      }
+      text += "]";
+    };
+    add("d", done, next_done);
+    add("p", places, next_place);
+    return text;
+  };
+  std::vector<std::string> out;
+  out.push_back(fill(std::move(main), false));
+  while (next_done < done.size() || next_place < places.size()) {
+    out.push_back(fill("{", true) + "}");
+  }
+  out.front() += ",\"parts\":" + std::to_string(out.size() - 1) + "}";
+  return out;
+}
+
+std::optional<sched::Job> read_record(const std::string& text, int& parts) {
+  const JsonDocument document(text);
+  if (!document.is_object()) return std::nullopt;
+  const Json& o = document.root();
+  const Json* spec = wire::find(o, "job");
+  const auto at = wire::read_amount(o, "at"), withdrawn = wire::read_amount(o, "w");
+  const auto attempt = wire::read_count(o, "n"), count = wire::read_count(o, "parts");
+  if (spec == nullptr || !at || !withdrawn || !attempt || !count || *count > 64) {
+    return std::nullopt;
+  }
+  auto parsed = wire::parse_job(*spec);
+  if (!std::holds_alternative<wire::JobSpec>(parsed)) return std::nullopt;
+  sched::Job job;
+  job.spec = std::move(std::get<wire::JobSpec>(parsed));
+  job.created_ms = static_cast<std::int64_t>(*at);
+  job.withdrawn_ms = static_cast<std::int64_t>(*withdrawn);
+  job.last_attempt = *attempt;
+  job.stored_parts = parts = static_cast<int>(*count);
+  if (!read_lists(o, job)) return std::nullopt;
+  return job;
+}
+
+bool read_part(const std::string& text, sched::Job& job) {
+  const JsonDocument document(text);
+  return document.is_object() && read_lists(document.root(), job);
+}
+
+std::string write_ending(const Ending& ending) {
+  JsonWriter w;
+  w.begin().key("s").text(ending.state == wire::JobState::done ? "done" : "withdrawn");
+  w.key("n").count(ending.tasks).end();
+  return w.take();
+}
+
+std::optional<Ending> read_ending(const std::string& text) {
+  const JsonDocument document(text);
+  if (!document.is_object()) return std::nullopt;
+  const auto state = wire::read_text(document.root(), "s");
+  const auto tasks = wire::read_count(document.root(), "n");
+  if (!state || !tasks || (*state != "done" && *state != "withdrawn")) return std::nullopt;
+  return Ending{*state == "done" ? wire::JobState::done : wire::JobState::withdrawn,
+                static_cast<std::uint32_t>(*tasks)};
+}
+
+std::string write_leader(const LeaderRecord& leader) {
+  JsonWriter w;
+  w.begin().key("node").text(leader.name).key("nonce").text(leader.nonce).end();
+  return w.take();
+}
+
+std::optional<LeaderRecord> read_leader(const std::string& text) {
+  const JsonDocument document(text);
+  if (!document.is_object()) return std::nullopt;
+  const auto name = wire::read_text(document.root(), "node");
+  const auto nonce = wire::read_text(document.root(), "nonce");
+  if (!name || !nonce) return std::nullopt;
+  return LeaderRecord{*name, *nonce};
+}
+
+}  // namespace cranklock::control
--- /dev/null
+++ b/src/control/record.hpp
@@ -0,0 +1,46 @@
+// How jobs stand in the state service.
+//   jobs/<id>      a live job: what was submitted, what is done, where its tasks are
+//   parts/<id>/<n> what does not fit there; written in the same transaction, so of the same revision
+//   ended/<id>     how it ended; kept for ever and never changed
+//   leader         who leads, under a lease; its revision is the token
+//   pools/<name>   the scaler's count and scale time
+//   types          the machine types last heard of
+#pragma once
+
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sched/picture.hpp"
+#include "wire/messages.hpp"
+
+namespace cranklock::control {
+
+inline constexpr const char* kLeaderKey = "leader";
+inline constexpr const char* kTypesKey = "types";
+inline constexpr const char* kJobsPrefix = "jobs/";
+inline constexpr const char* kPoolsPrefix = "pools/";
+std::string job_key(const std::string& id);
+std::string ended_key(const std::string& id);
+std::string part_key(const std::string& id, int part);
+
+/// The texts of the main value and of its parts, none longer than `most_bytes`.
+std::vector<std::string> write_record(const sched::Job& job, std::size_t most_bytes);
+/// Reads the main value; `parts` says how many more there are.
+std::optional<sched::Job> read_record(const std::string& text, int& parts);
+bool read_part(const std::string& text, sched::Job& job);
+
+struct Ending {
+  wire::JobState state = wire::JobState::done;
+  std::uint32_t tasks = 0;  ///< that were done
+};
+std::string write_ending(const Ending& ending);
+std::optional<Ending> read_ending(const std::string& text);
+
+struct LeaderRecord {
+  std::string name, nonce;
+};
+std::string write_leader(const LeaderRecord& leader);
+std::optional<LeaderRecord> read_leader(const std::string& text);
+
+}  // namespace cranklock::control
--- /dev/null
+++ b/src/control/term.hpp
@@ -0,0 +1,129 @@
+// One term of leadership: everything the leader knows and does, from the transaction that took the
+// office until it is lost. Destroying it cancels its routines.
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/settings.hpp"
+#include "cloud/client.hpp"
+#include "net/client.hpp"
+#include "net/reactor.hpp"
+#include "net/task.hpp"
+#include "sched/picture.hpp"
+#include "sched/scaler.hpp"
+#include "store/client.hpp"
+
+namespace cranklock::control {
+
+/// What every part of a node works with.
+struct Services {
+  net::Reactor& reactor;
+  net::Transport& transport;
+  const base::Settings& settings;
+  store::Client& store;
+  cloud::Client& cloud;
+};
+
+/// How long an office is good for; all on the steady clock, judged at the moment of sending.
+class Office {
+ public:
+  Office(const base::Settings& settings, std::uint64_t token, double confirmed_sent)
+      : settings_(settings), token_(token), confirmed_sent_(confirmed_sent) {}
+
+  static double lease_life(const base::Settings& settings) { return settings.lease_s / 5; }
+
+  std::uint64_t token() const { return token_; }
+  /// A renewal that was sent at this time has succeeded.
+  void confirm(double sent) { confirmed_sent_ = std::max(confirmed_sent_, sent); }
+  /// Nobody else can hold office now.
+  bool certain(double now) const {
+    return now < confirmed_sent_ + lease_life(settings_) * (1 - 2 * base::kClockDrift);
+  }
+  /// Reports may be answered 200: even if a successor has promised a cancellation meanwhile, the
+  /// lease of every worker answered until now ends within cancel_s of that promise.
+  bool may_answer(double now) const {
+    const double span = settings_.cancel_s - settings_.lease_s;
+    return now < confirmed_sent_ + span * 0.9;
+  }
+
+ private:
+  const base::Settings& settings_;
+  std::uint64_t token_;
+  double confirmed_sent_;
+};
+
+class Term {
+ public:
+  /// `lost` is set when a higher token or a failed condition shows that the office is gone.
+  Term(Services services, Office& office, net::Signal& lost);
+
+  /// Reads pools, machine types and live jobs; false when the state service did not let it.
+  net::Task<bool> load();
+  /// Starts the duties.
+  void start(net::Scope& scope);
+
+  net::Response checkin(const wire::Report& report);
+  bool is_lost() const { return is_lost_; }
+  /// Nothing was heard of any worker for so long that this node may be cut off from them.
+  bool deaf() const;
+  sched::Picture& picture() { return picture_; }
+
+ private:
+  // Duties, each a routine.
+  net::Task<void> decide();          // news, placement, writing, starts
+  net::Task<void> follow_jobs();     // other nodes' acceptances and cancellations
+  net::Task<void> follow_cloud();    // the machine list
+  net::Task<void> follow_types();    // machine types and prices
+  net::Task<void> scale();
+  net::Task<void> keep_house();      // leases, notices, cancellations, faulty machines
+  net::Task<void> delete_machines();
+
+  struct Batch;
+  net::Task<void> write_jobs();
+  void add_to_batch(sched::Job& job, Batch& batch);
+  void settle_written(Batch& batch, std::uint64_t revision);
+  net::Task<void> settle_unknown(Batch& batch, bool retry_same);
+  net::Task<bool> reload(std::string id);
+  net::Task<bool> read_parts(sched::Job& job, std::uint64_t revision, int parts);
+  void take_news();
+  void push_starts();
+  net::Task<void> push_to(std::string machine);
+  net::Task<void> rent(sched::MachineKind kind, int count);
+  void grow(const std::string& pool, int machines);
+  int shrink(const std::string& pool, int machines);
+  net::Task<void> write_pool(std::string name);
+  void give_back(sched::Machine& machine, const char* why);
+  void watch_machine(sched::Machine& machine, double now);
+  void lose(const char* why);
+  double now() const { return services_.reactor.now(); }
+
+  Services services_;
+  Office& office_;
+  net::Signal& lost_;
+  bool is_lost_ = false;
+  sched::Picture picture_;
+  net::Signal work_;
+  net::Signal deletions_;
+  double began_;
+  double last_heard_;
+  std::uint64_t loaded_revision_ = 0;
+  bool first_ever_ = false;
+
+  std::deque<wire::StoredValue> news_;
+  std::set<std::string> to_reload_;
+  std::set<std::string> pushing_;
+  std::map<std::string, sched::Pool> pools_;
+  std::map<std::string, std::uint64_t> pool_revisions_;
+  std::map<sched::MachineKind, double> refused_until_;
+  sched::Shortfall shortfall_;
+  std::set<std::string> deleted_;  ///< names never come back; a lagging list still shows them
+  std::uint64_t rental_sequence_ = 0;
+  net::Scope scope_;  ///< last, so that its routines end before what they use
+};
+
+}  // namespace cranklock::control
--- /dev/null
+++ b/src/net/client.hpp
@@ -0,0 +1,54 @@
+// HTTP client with kept-alive connections, and the interface that tests replace.
+#pragma once
+
+#include <list>
+#include <map>
+#include <string>
+
+#include "net/http.hpp"
+#include "net/reactor.hpp"
+#include "net/task.hpp"
+
+namespace cranklock::net {
+
+/// What became of a call. Only `not_sent` proves that the other side never got it.
+struct Reply {
+  enum class Kind { answered, not_sent, unknown };
+  Kind kind = Kind::unknown;
+  Response response;
+
+  bool answered() const { return kind == Kind::answered; }
+  int status() const { return answered() ? response.status : 0; }
+};
+
+class Transport {
+ public:
+  virtual ~Transport() = default;
+  virtual Task<Reply> call(std::string address, Request request, double timeout_s) = 0;
+};
+
+class HttpClient : public Transport {
+ public:
+  /// `max_body` bounds what an answer may hold, `max_idle` the kept connections in all.
+  HttpClient(EvReactor& reactor, std::size_t max_body, std::size_t max_idle)
+      : reactor_(reactor), max_body_(max_body), max_idle_(max_idle) {}
+  ~HttpClient() override;
+  Task<Reply> call(std::string address, Request request, double timeout_s) override;
+
+ private:
+  struct Idle {
+    std::string address;
+    int fd;
+    double since;
+  };
+  Task<int> connect(std::string address, double until);
+  int take_idle(const std::string& address);
+  void keep(const std::string& address, int fd);
+
+  EvReactor& reactor_;
+  std::size_t max_body_;
+  std::size_t max_idle_;
+  std::list<Idle> idle_;
+};
+
+}  // namespace cranklock::net
--- /dev/null
+++ b/src/sched/picture.cpp
@@ -0,0 +1,481 @@
+#include "sched/picture.hpp"
+
+#include <algorithm>
+
+namespace cranklock::sched {
+
+using wire::Cause;
+using wire::TaskState;
+
+void TaskSet::add(std::uint32_t task) {
+  auto it = std::lower_bound(ranges_.begin(), ranges_.end(), task,
+                             [](const Range& r, std::uint32_t t) { return r.second < t; });
+  if (it != ranges_.end() && it->first <= task && task < it->second) return;
+  if (it != ranges_.end() && it->second == task) {
+    ++it->second;
+    if (auto next = it + 1; next != ranges_.end() && next->first == it->second) {
+      it->second = next->second;
+      ranges_.erase(next);
+    }
+  } else if (it != ranges_.end() && it->first == task + 1) {
+    it->first = task;
+  } else {
+    ranges_.insert(it, {task, task + 1});
+  }
+}
+
+void TaskSet::merge(const TaskSet& other) {
+  for (const auto& [from, to] : other.ranges_) {
+    for (std::uint32_t t = from; t < to; ++t) add(t);
+  }
+}
+
+bool TaskSet::contains(std::uint32_t task) const {
+  const auto it = std::upper_bound(ranges_.begin(), ranges_.end(), task,
+                                   [](std::uint32_t t, const Range& r) { return t < r.second; });
+  return it != ranges_.end() && it->first <= task;
+}
+
+std::uint32_t TaskSet::size() const {
+  std::uint32_t n = 0;
+  for (const auto& [from, to] : ranges_) n += to - from;
+  return n;
+}
+
+std::size_t Job::live() const {
+  return static_cast<std::size_t>(
+      std::count_if(places.begin(), places.end(), [](const Place& p) { return !p.ended; }));
+}
+
+Place* Job::find(std::uint32_t task, std::uint64_t attempt) {
+  for (auto& p : places) {
+    if (p.task == task && p.attempt == attempt) return &p;
+  }
+  return nullptr;
+}
+
+std::vector<std::uint32_t> Job::pending(std::size_t most) const {
+  std::set<std::uint32_t> placed;
+  for (const auto& p : places) {
+    if (!p.ended) placed.insert(p.task);
+  }
+  std::vector<std::uint32_t> out;
+  std::uint32_t next = 0;
+  auto range = done.ranges().begin();
+  while (next < spec.tasks && out.size() < most) {
+    if (range != done.ranges().end() && next >= range->first) {
+      next = std::max(next, range->second);
+      ++range;
+      continue;
+    }
+    if (!placed.contains(next)) out.push_back(next);
+    ++next;
+  }
+  return out;
+}
+
+std::uint32_t Job::pending_count() const {
+  std::uint32_t placed = 0;
+  for (const auto& p : places) placed += !p.ended && !done.contains(p.task) ? 1 : 0;
+  return spec.tasks - std::min(spec.tasks, done.size() + placed);
+}
+
+bool Machine::holds_image(const std::string& image) const {
+  return std::any_of(images.begin(), images.end(),
+                     [&](const auto& held) { return held.first == image; });
+}
+
+bool allows(const wire::JobSpec& spec, const MachineKind& kind) {
+  if (kind.spot && !spec.spot) return false;
+  if (!spec.zone.empty() && spec.zone != kind.zone) return false;
+  return spec.types.empty() ||
+         std::find(spec.types.begin(), spec.types.end(), kind.type) != spec.types.end();
+}
+
+double Picture::lease_bound() const {
+  // Both clocks may be off, in opposite directions; a report interval covers the time between our
+  // stamping an answer and its leaving.
+  return settings_.lease_s * (1 + 4 * base::kClockDrift) + settings_.report_s / 4;
+}
+
+Job* Picture::job(const std::string& id) {
+  const auto it = jobs_.find(id);
+  return it == jobs_.end() ? nullptr : &it->second;
+}
+
+Machine* Picture::machine(const std::string& id) {
+  const auto it = machines_.find(id);
+  return it == machines_.end() ? nullptr : &it->second;
+}
+
+const wire::MachineType* Picture::type(const std::string& name) const {
+  const auto it = types_.find(name);
+  return it == types_.end() ? nullptr : &it->second;
+}
+
+void Picture::set_types(std::vector<wire::MachineType> types) {
+  types_.clear();
+  for (auto& t : types) {
+    auto name = t.name;
+    types_.emplace(std::move(name), std::move(t));
+  }
+}
+
+const wire::Room& Picture::team_use(const std::string& team) const {
+  static const wire::Room none;
+  const auto it = team_use_.find(team);
+  return it == team_use_.end() ? none : it->second;
+}
+
+void Picture::attach(Job& job, Place& place) {
+  if (place.ended) return;
+  team_use_[job.spec.team] += job.spec.room;
+  // A record may name a machine that neither list nor report has shown yet.
+  if (Machine* m = machine(place.machine)) {
+    m->used += job.spec.room;
+    m->tasks.emplace_back(job.spec.id, place.task);
+  }
+}
+
+void Picture::detach(Job& job, const Place& place, double now) {
+  team_use_[job.spec.team] -= job.spec.room;
+  Machine* m = machine(place.machine);
+  if (m == nullptr) return;
+  const auto it =
+      std::find(m->tasks.begin(), m->tasks.end(), std::make_pair(job.spec.id, place.task));
+  if (it == m->tasks.end()) return;
+  m->tasks.erase(it);
+  m->used -= job.spec.room;
+  if (m->tasks.empty()) {
+    m->used = {};
+    m->idle_since = now;
+  }
+}
+
+Job& Picture::put_job(Job job, double now) {
+  changed_ = true;
+  const auto id = job.spec.id;
+  if (Job* old = this->job(id)) {
+    // The stored record decides which places there are; what was learnt of each is kept.
+    job.known_since = old->known_since;
+    job.backoff_until = old->backoff_until;
+    job.failures = old->failures;
+    job.failed_on = old->failed_on;
+    job.succeeded = old->succeeded;
+    job.withdrawn_since = old->withdrawn_since;
+    job.done.merge(old->done);  // learnt, perhaps not written yet; it stays true
+    for (auto& p : job.places) {
+      if (const Place* known = old->find(p.task, p.attempt)) {
+        const bool ended = known->ended;
+        p = *known;
+        p.durable = true;
+        p.ended = ended;
+      }
+    }
+    for (const auto& p : old->places) {
+      if (!p.ended) detach(*old, p, now);
+    }
+    jobs_.erase(id);
+    // Something it knew may be missing in the record, so it is written again.
+    job.dirty = true;
+  } else {
+    job.known_since = now;
+  }
+  if (job.withdrawn() && job.withdrawn_since == 0) job.withdrawn_since = now;
+  Job& put = jobs_.emplace(id, std::move(job)).first->second;
+  for (auto& p : put.places) attach(put, p);
+  return put;
+}
+
+void Picture::drop_job(const std::string& id) {
+  Job* j = job(id);
+  if (j == nullptr) return;
+  for (const auto& p : j->places) {
+    if (!p.ended) detach(*j, p, j->known_since);
+  }
+  jobs_.erase(id);
+  changed_ = true;
+}
+
+Place& Picture::add_place(Job& job, std::uint32_t task, std::uint64_t attempt,
+                          const std::string& machine_id, double now) {
+  Place place;
+  place.task = task;
+  place.attempt = attempt;
+  place.machine = machine_id;
+  place.decided_at = now;
+  job.last_attempt = std::max(job.last_attempt, attempt);
+  job.dirty = true;
+  job.places.push_back(std::move(place));
+  attach(job, job.places.back());
+  return job.places.back();
+}
+
+void Picture::end_place(Job& job, Place& place, double now) {
+  if (place.ended) return;
+  place.ended = true;
+  job.dirty = true;
+  changed_ = true;
+  detach(job, place, now);
+}
+
+void Picture::request_stop(Job& job, Place& place, double grace_s, double now) {
+  if (place.ended || place.stop) return;
+  (void)job;
+  place.stop = true;
+  place.grace_s = grace_s;
+  place.stop_since = now;
+}
+
+void Picture::forget_ended(Job& job,
+                           const std::vector<std::pair<std::uint32_t, std::uint64_t>>& which) {
+  std::erase_if(job.places, [&](const Place& p) {
+    return p.ended &&
+           std::find(which.begin(), which.end(), std::make_pair(p.task, p.attempt)) != which.end();
+  });
+}
+
+Machine& Picture::put_machine(const std::string& id, const MachineKind& kind, double now) {
+  if (Machine* known = machine(id)) return *known;
+  Machine m;
+  m.id = id;
+  m.kind = kind;
+  m.known_since = m.idle_since = m.rented_at = m.last_listed = now;
+  Machine& put = machines_.emplace(id, std::move(m)).first->second;
+  for (auto& [job_id, j] : jobs_) {
+    for (const auto& p : j.places) {
+      if (p.ended || p.machine != id) continue;
+      put.used += j.spec.room;
+      put.tasks.emplace_back(job_id, p.task);
+    }
+  }
+  changed_ = true;
+  return put;
+}
+
+void Picture::remove_machine(const std::string& id, double now) {
+  for (auto& [job_id, j] : jobs_) {
+    std::set<std::uint64_t> broken;
+    for (auto& p : j.places) {
+      if (p.machine != id || p.ended) continue;
+      end_place(j, p, now);
+      broken.insert(p.attempt);
+    }
+    for (const auto attempt : broken) break_gang(j, attempt, now);
+  }
+  machines_.erase(id);
+  changed_ = true;
+}
+
+void Picture::break_gang(Job& job, std::uint64_t attempt, double now) {
+  if (job.spec.shape != wire::Shape::gang) return;
+  for (auto& p : job.places) {
+    if (p.attempt == attempt && !p.ended) request_stop(job, p, 0, now);
+  }
+}
+
+void Picture::used_image(Machine& m, const wire::JobSpec& spec) {
+  std::erase_if(m.images, [&](const auto& held) { return held.first == spec.image; });
+  m.images.emplace_back(spec.image, spec.image_gb);
+  const auto* t = type(m.kind.type);
+  double total = 0;
+  for (const auto& held : m.images) total += held.second;
+  while (t != nullptr && total > t->cache_gb && m.images.size() > 1) {
+    total -= m.images.front().second;
+    m.images.erase(m.images.begin());
+  }
+}
+
+void Picture::task_failed(Job& job, Machine& machine, double now) {
+  machine.failed_jobs.insert(job.spec.id);
+  job.failed_on.insert(machine.id);
+  // Jobs of several users fail on one machine, or a job that works elsewhere: the machine is at
+  // fault. One job fails on several machines: the job is, and its retries are spaced out.
+  if (machine.failed_jobs.size() >= 2 || job.succeeded) {
+    machine.quarantined = true;
+  }
+  if (job.failed_on.size() >= 2) {
+    ++job.failures;
+    const double pause = settings_.report_s * (1 << std::min(job.failures, 5));
+    job.backoff_until = now + pause;
+  }
+}
+
+void Picture::task_exited(Job& job, Place& place, const wire::TaskReport& t, Machine& m,
+                          double now) {
+  place.seen = true;
+  place.state = TaskState::exited;
+  const auto attempt = place.attempt;
+  switch (t.cause) {
+    case Cause::done:
+      job.done.add(place.task);
+      job.succeeded = true;
+      m.failed_jobs.clear();
+      break;
+    case Cause::error:
+      if (!job.withdrawn()) task_failed(job, m, now);
+      break;
+    case Cause::no_room:
+    case Cause::busy:
+    case Cause::unknown:
+      job.backoff_until = now + settings_.report_s;
+      break;
+    default:
+      break;
+  }
+  end_place(job, place, now);
+  if (t.cause != Cause::done) break_gang(job, attempt, now);
+}
+
+Picture::Freshness Picture::apply_report(const wire::Report& r, bool checkin, double now) {
+  Machine& m = put_machine(r.machine, {r.type, r.zone, r.spot}, now);
+  const std::pair when(r.session, r.tick);
+  if (checkin) {
+    if (when <= std::pair(m.own_session, m.own_tick)) return Freshness::late_copy;
+    m.own_session = r.session;
+    m.own_tick = r.tick;
+  }
+  if (m.reported && when <= std::pair(m.session, m.tick)) return Freshness::overtaken;
+  const bool was_usable = m.reported && !m.silent;
+  if (r.session != m.session) {
+    // What an earlier session was told can't be executed in this one.
+    m.doubtful.clear();
+    if (m.reported) m.images.clear(), m.shown_token = false;
+  }
+  m.address = r.address;
+  m.session = r.session;
+  m.tick = r.tick;
+  m.reported = true;
+  m.silent = false;
+  m.last_report = now;
+  m.shown_token = m.shown_token || r.token == token_;
+  if (r.notice_s) {
+    const double at = now + *r.notice_s;
+    if (!m.taken_at) changed_ = true;
+    m.taken_at = m.taken_at ? std::min(*m.taken_at, at) : at;
+  }
+  if (!was_usable) changed_ = true;
+
+  std::set<std::pair<wire::TaskName, std::uint64_t>> reported;
+  int strangers = 0;
+  for (const auto& t : r.tasks) {
+    reported.insert({t.task, t.attempt});
+    Job* j = job(t.task.job);
+    Place* p = j != nullptr ? j->find(t.task.index, t.attempt) : nullptr;
+    if (p == nullptr || p->machine != m.id) {
+      if (t.state != TaskState::exited) ++strangers;
+      continue;
+    }
+    if (p->ended) continue;
+    if (t.state == TaskState::exited) {
+      task_exited(*j, *p, t, m, now);
+      continue;
+    }
+    if (!p->seen || (p->state != t.state && t.state == TaskState::running)) {
+      used_image(m, j->spec);
+      if (t.state == TaskState::running) {
+        p->running_since = now;
+      }
+    }
+    p->seen = true;
+    p->state = t.state;
+  }
+  if (m.strangers != strangers) changed_ = true;
+  m.strangers = strangers;
+
+  // Absences. Only a report of the worker's own that shows our token counts, and only one newer
+  // than what carried the start: the token shuts out a former leader's commands still under way,
+  // the order shuts out late copies and answers crossing on the way.
+  if (!checkin || r.token != token_) return Freshness::fresh;
+  const auto tasks = m.tasks;  // ending a place changes the list
+  for (const auto& [job_id, task] : tasks) {
+    Job* j = job(job_id);
+    if (j == nullptr) continue;
+    for (auto& p : j->places) {
+      if (p.task != task || p.machine != m.id || p.ended) continue;
+      if (reported.contains({{job_id, task}, p.attempt})) continue;
+      if (p.doubtful_session == r.session) continue;  // may still be executed
+      const bool carried = p.carried_session != 0;
+      if (carried && std::pair(r.session, r.tick) <= std::pair(p.carried_session, p.carried_tick)) {
+        continue;
+      }
+      const bool lost = p.seen || (carried && p.carried_session != r.session) ||
+                        (p.doubtful_session != 0 && p.doubtful_session != r.session);
+      if (!lost && !p.stop && !j->withdrawn()) continue;  // its start is sent (again)
+      const auto attempt = p.attempt;
+      end_place(*j, p, now);
+      break_gang(*j, attempt, now);
+    }
+  }
+  return Freshness::fresh;
+}
+
+std::vector<wire::Order> Picture::orders(const wire::Report& r, bool may_start, double now) {
+  std::vector<wire::Order> out;
+  Machine* m = machine(r.machine);
+  if (m == nullptr) return out;
+  std::set<std::pair<wire::TaskName, std::uint64_t>> reported;
+  for (const auto& t : r.tasks) {
+    reported.insert({t.task, t.attempt});
+    Job* j = job(t.task.job);
+    const Place* p = j != nullptr ? j->find(t.task.index, t.attempt) : nullptr;
+    const bool ours = p != nullptr && p->machine == m->id;
+    if (t.state == TaskState::exited) {
+      // A place still kept has not been written as ended yet: `done` is durable before `forget`.
+      // A start in doubt would run once more if it came after a forget.
+      if (!ours && !m->doubtful.contains({t.task, t.attempt})) {
+        out.push_back({wire::Verb::forget, t.task, t.attempt, 0});
+      }
+    } else if (!ours || p->ended || j->withdrawn()) {
+      out.push_back({wire::Verb::stop, t.task, t.attempt, 0});
+    } else if (p->stop) {
+      // Past its grace it is ended for good.
+      const bool late = now > p->stop_since + p->grace_s + 2 * settings_.report_s;
+      if (t.state != TaskState::saving || late) {
+        out.push_back({wire::Verb::stop, t.task, t.attempt, late ? 0 : p->grace_s});
+      }
+    }
+  }
+  if (!may_start || m->removing) return out;
+  for (const auto& [job_id, task] : m->tasks) {
+    Job* j = job(job_id);
+    if (j == nullptr || j->withdrawn()) continue;
+    for (auto& p : j->places) {
+      if (p.task != task || p.machine != m->id || p.ended || !p.durable || p.stop) continue;
+      if (reported.contains({{job_id, task}, p.attempt})) continue;
+      out.push_back({wire::Verb::start, {job_id, task}, p.attempt, 0});
+      p.carried_session = r.session;
+      p.carried_tick = r.tick;
+    }
+  }
+  return out;
+}
+
+void Picture::note_answered(const std::string& id, double now) {
+  if (Machine* m = machine(id)) m->last_answered = now;
+}
+
+std::vector<std::string> Picture::expire_leases(double now) {
+  std::vector<std::string> out;
+  for (auto& [id, m] : machines_) {
+    // Only a worker that has shown our token has a lease that nobody but us can prolong.
+    if (!m.reported || m.silent || !m.shown_token) continue;
+    if (now <= m.last_answered + lease_bound()) continue;
+    m.silent = true;
+    out.push_back(id);
+    const auto tasks = m.tasks;
+    for (const auto& [job_id, task] : tasks) {
+      Job* j = job(job_id);
+      if (j == nullptr) continue;
+      for (auto& p : j->places) {
+        if (p.task != task || p.machine != id || p.ended) continue;
+        const auto attempt = p.attempt;
+        end_place(*j, p, now);
+        break_gang(*j, attempt, now);
+      }
+    }
+  }
+  return out;
+}
+
+}  // namespace cranklock::sched
--- /dev/null
+++ b/src/sched/picture.hpp
@@ -0,0 +1,191 @@
+// What the leader knows: jobs with their places, machines, teams' use. Pure: no I/O, time passed in.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/settings.hpp"
+#include "wire/messages.hpp"
+
+namespace cranklock::sched {
+
+/// Task numbers, kept as ordered ranges [from, to).
+class TaskSet {
+ public:
+  using Range = std::pair<std::uint32_t, std::uint32_t>;
+  void add(std::uint32_t task);
+  void add_range(Range range) { ranges_.push_back(range); }
+  void merge(const TaskSet& other);
+  bool contains(std::uint32_t task) const;
+  std::uint32_t size() const;
+  const std::vector<Range>& ranges() const { return ranges_; }
+
+ private:
+  std::vector<Range> ranges_;
+};
+
+/// One attempt of one task on one machine, from the decision until it is proven gone.
+struct Place {
+  std::uint32_t task = 0;
+  std::uint64_t attempt = 0;
+  std::string machine;
+  bool durable = false;  ///< the stored record names it; before that no start may be sent
+  /// Proven free, and counted nowhere; kept until a record without it is durable, since only then
+  /// may the worker forget the task.
+  bool ended = false;
+  bool stop = false;  ///< to be stopped, saving if grace_s allows
+  double grace_s = 0;
+  double stop_since = 0;
+  bool seen = false;  ///< a report showed it
+  wire::TaskState state = wire::TaskState::fetching;
+  double running_since = 0;
+  double decided_at = 0;
+  /// The newest report whose answer carried the start; an absence counts only in a newer report.
+  std::uint64_t carried_session = 0, carried_tick = 0;
+  /// A start sent straight to the worker in this session that was never answered: it may still be
+  /// executed there. 0: none.
+  std::uint64_t doubtful_session = 0;
+};
+
+struct Job {
+  wire::JobSpec spec;
+  std::int64_t created_ms = 0;
+  std::int64_t withdrawn_ms = 0;  ///< 0: not cancelled
+  std::uint64_t last_attempt = 0;
+  TaskSet done;
+  std::vector<Place> places;
+  // Known to this leader only.
+  std::uint64_t revision = 0;
+  int stored_parts = 0;
+  bool dirty = false;
+  double known_since = 0;
+  double backoff_until = 0;
+  int failures = 0;                    ///< in a row, on machines not known as faulty
+  std::set<std::string> failed_on;     ///< machines where a task of it failed
+  bool succeeded = false;              ///< a task of it ran or completed somewhere
+  double withdrawn_since = 0;
+  bool guaranteed = false;             ///< as of the last placement pass
+
+  bool withdrawn() const { return withdrawn_ms != 0; }
+  bool complete() const { return done.size() == spec.tasks; }
+  std::size_t live() const;
+  Place* find(std::uint32_t task, std::uint64_t attempt);
+  /// Up to `most` tasks that are neither done nor on any machine.
+  std::vector<std::uint32_t> pending(std::size_t most) const;
+  std::uint32_t pending_count() const;
+};
+
+struct MachineKind {
+  std::string type, zone;
+  bool spot = false;
+  auto operator<=>(const MachineKind&) const = default;
+};
+
+struct Machine {
+  std::string id, address;
+  MachineKind kind;
+  double known_since = 0;
+  double rented_at = 0;  ///< by its age in the list, or when the rental was answered
+  bool listed = false;
+  double last_listed = 0;
+  bool failed = false;
+  bool reported = false;  ///< to this leader
+  bool shown_token = false;  ///< in the session and since this leader's token
+  std::uint64_t session = 0, tick = 0;          ///< newest message of any kind
+  std::uint64_t own_session = 0, own_tick = 0;  ///< newest report of its own
+  double last_report = 0;
+  double last_answered = 0;  ///< when a report was last answered 200
+  std::optional<double> taken_at;
+  bool silent = false;      ///< its lease has certainly run out
+  bool quarantined = false;
+  bool removing = false;    ///< to be deleted; nothing is placed on it
+  double idle_since = 0;
+  std::set<std::string> failed_jobs;  ///< since something last worked there
+  int strangers = 0;  ///< reported tasks without a place, not yet exited
+  std::vector<std::pair<std::string, double>> images;  ///< most recently used last
+  wire::Room used;
+  std::vector<std::pair<std::string, std::uint32_t>> tasks;  ///< job and task, of live places
+  /// Starts in doubt in the present session: what must not be forgotten there.
+  std::set<std::pair<wire::TaskName, std::uint64_t>> doubtful;
+
+  bool holds_image(const std::string& image) const;
+  bool idle() const { return tasks.empty() && strangers == 0; }
+};
+
+class Picture {
+ public:
+  Picture(const base::Settings& settings, std::uint64_t token)
+      : settings_(settings), token_(token) {}
+
+  // Jobs.
+  Job& put_job(Job job, double now);
+  void drop_job(const std::string& id);
+  Job* job(const std::string& id);
+  std::map<std::string, Job>& jobs() { return jobs_; }
+
+  // Places.
+  Place& add_place(Job& job, std::uint32_t task, std::uint64_t attempt, const std::string& machine,
+                   double now);
+  void end_place(Job& job, Place& place, double now);
+  void request_stop(Job& job, Place& place, double grace_s, double now);
+  /// Erases ended places that a durable record no longer names.
+  void forget_ended(Job& job, const std::vector<std::pair<std::uint32_t, std::uint64_t>>& which);
+
+  // Machines.
+  Machine& put_machine(const std::string& id, const MachineKind& kind, double now);
+  Machine* machine(const std::string& id);
+  std::map<std::string, Machine>& machines() { return machines_; }
+  /// After a 200 to its deletion: everything on it is gone.
+  void remove_machine(const std::string& id, double now);
+
+  /// `overtaken`: a report that an answer to a direct command has passed on the way.
+  enum class Freshness { fresh, overtaken, late_copy };
+  /// Takes a report in. `checkin` is false for the answers of direct commands, from which no
+  /// absence is concluded. A late copy changes nothing.
+  Freshness apply_report(const wire::Report& report, bool checkin, double now);
+  /// What to tell a worker in the answer to this report. Starts only while `may_start`.
+  std::vector<wire::Order> orders(const wire::Report& report, bool may_start, double now);
+  void note_answered(const std::string& machine, double now);
+
+  /// Ends the places of machines whose lease has run out for certain; returns those machines.
+  std::vector<std::string> expire_leases(double now);
+
+  void set_types(std::vector<wire::MachineType> types);
+  const std::map<std::string, wire::MachineType>& types() const { return types_; }
+  const wire::MachineType* type(const std::string& name) const;
+
+  const wire::Room& team_use(const std::string& team) const;
+  const base::Settings& settings() const { return settings_; }
+  std::uint64_t token() const { return token_; }
+  double lease_bound() const;
+  /// True since the last call when something happened that placement should look at.
+  bool take_changed() { return std::exchange(changed_, false); }
+  void mark_changed() { changed_ = true; }
+
+ private:
+  void task_exited(Job& job, Place& place, const wire::TaskReport& report, Machine& machine,
+                   double now);
+  void task_failed(Job& job, Machine& machine, double now);
+  void break_gang(Job& job, std::uint64_t attempt, double now);
+  void used_image(Machine& machine, const wire::JobSpec& spec);
+  void attach(Job& job, Place& place);
+  void detach(Job& job, const Place& place, double now);
+
+  const base::Settings& settings_;
+  std::uint64_t token_;
+  std::map<std::string, Job> jobs_;
+  std::map<std::string, Machine> machines_;
+  std::map<std::string, wire::Room> team_use_;
+  std::map<std::string, wire::MachineType> types_;
+  bool changed_ = true;
+};
+
+/// Whether a task of the job may ever run on machines of this kind.
+bool allows(const wire::JobSpec& spec, const MachineKind& kind);
+
+}  // namespace cranklock::sched
--- /dev/null
+++ b/src/sched/placement.cpp
@@ -0,0 +1,398 @@
+#include "sched/placement.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+
+namespace cranklock::sched {
+namespace {
+
+using wire::Room;
+using wire::Shape;
+
+/// The largest share of a machine's room that an amount takes.
+double share_of(const Room& part, const Room& whole) {
+  double share = 0;
+  if (whole.cpus > 0) share = std::max(share, part.cpus / whole.cpus);
+  if (whole.gpus > 0) share = std::max(share, part.gpus / whole.gpus);
+  if (whole.memory_gb > 0) share = std::max(share, part.memory_gb / whole.memory_gb);
+  return share;
+}
+
+/// A candidate place: a machine there is, or one that boots or would be rented.
+struct Slot {
+  MachineKind kind;
+  Room free;
+  Machine* machine = nullptr;
+  const Job* reserved = nullptr;
+};
+
+/// Places of a job by zone, for OneZone and Apart. Everything not proven free counts.
+struct ZoneCount {
+  std::map<std::string, std::uint32_t> count;
+  std::uint32_t total = 0;
+};
+
+class Pass {
+ public:
+  Pass(Picture& picture, const std::map<MachineKind, double>& refused_until, double now)
+      : picture_(picture), refused_until_(refused_until), now_(now) {
+    for (auto& [id, m] : picture.machines()) {
+      const auto* t = picture.type(m.kind.type);
+      if (t == nullptr) continue;
+      if (usable(picture, m, now)) {
+        slots_.push_back({m.kind, t->room - m.used, &m});
+      } else if (!m.reported && !m.removing && !m.failed) {
+        booting_.push_back({m.kind, t->room, nullptr});
+      }
+    }
+  }
+
+  PassResult run() {
+    for (Job* job : waiting_jobs()) place(*job);
+    for (auto* job : unplaced_) make_room(*job);
+    for (auto* job : unplaced_) add_shortfall(*job);
+    return std::move(result_);
+  }
+
+ private:
+  std::vector<Job*> waiting_jobs();
+  void place(Job& job);
+  bool place_gang(Job& job, const std::vector<std::uint32_t>& tasks);
+  Slot* best_slot(const Job& job, const ZoneCount& zones, const std::string& only_zone);
+  ZoneCount zones_of(const Job& job) const;
+  bool zone_allows(const Job& job, const ZoneCount& zones, const std::string& zone) const;
+  double cost(const Job& job, const Slot& slot, const ZoneCount& zones) const;
+  void take(Job& job, std::uint32_t task, std::uint64_t attempt, Slot& slot);
+  void make_room(Job& job);
+  void add_shortfall(const Job& job);
+  bool may_preempt(const Job& for_job, const Job& victim) const;
+  void reserve(const Job& job);
+
+  Picture& picture_;
+  const std::map<MachineKind, double>& refused_until_;
+  double now_;
+  std::vector<Slot> slots_, booting_;
+  std::vector<Slot> virtual_;  ///< machines that would be rented
+  std::vector<Job*> unplaced_;
+  std::map<std::string, Room> planned_;  ///< by team, of shortfall already counted
+  PassResult result_;
+};
+
+std::vector<Job*> Pass::waiting_jobs() {
+  std::vector<Job*> by_age;
+  for (auto& [id, job] : picture_.jobs()) {
+    if (!job.withdrawn() && !job.complete()) by_age.push_back(&job);
+  }
+  std::sort(by_age.begin(), by_age.end(), [](const Job* a, const Job* b) {
+    return std::pair(a->created_ms, a->spec.id) < std::pair(b->created_ms, b->spec.id);
+  });
+  std::map<std::string, Room> earlier;
+  std::vector<Job*> waiting;
+  for (Job* job : by_age) {
+    Room& sum = earlier[job->spec.team];
+    sum += job->spec.room * job->spec.tasks;
+    const auto* team = picture_.settings().team(job->spec.team);
+    job->guaranteed = team != nullptr && (team->gpus > 0 || team->cpus > 0) &&
+                      (team->gpus <= 0 || sum.gpus <= team->gpus) &&
+                      (team->cpus <= 0 || sum.cpus <= team->cpus);
+    if (job->backoff_until > now_ || job->pending_count() == 0) continue;
+    waiting.push_back(job);
+  }
+  std::stable_sort(waiting.begin(), waiting.end(), [](const Job* a, const Job* b) {
+    return std::pair(!a->guaranteed, a->spec.rank) < std::pair(!b->guaranteed, b->spec.rank);
+  });
+  return waiting;
+}
+
+ZoneCount Pass::zones_of(const Job& job) const {
+  ZoneCount out;
+  if (!job.spec.one_zone && !job.spec.spread) return out;
+  for (const auto& p : job.places) {
+    if (p.ended) continue;
+    const Machine* m = picture_.machine(p.machine);
+    // A machine that nothing has shown yet could be anywhere.
+    ++out.count[m != nullptr ? m->kind.zone : std::string("?")];
+    ++out.total;
+  }
+  return out;
+}
+
+bool Pass::zone_allows(const Job& job, const ZoneCount& zones, const std::string& zone) const {
+  const auto unknown = zones.count.find("?");
+  const std::uint32_t doubt = unknown == zones.count.end() ? 0 : unknown->second;
+  const auto it = zones.count.find(zone);
+  const std::uint32_t here = it == zones.count.end() ? 0 : it->second;
+  if (job.spec.one_zone && here != zones.total) return false;
+  if (job.spec.spread && here + doubt + 1 > (job.spec.tasks + 1) / 2) return false;
+  return true;
+}
+
+double Pass::cost(const Job& job, const Slot& slot, const ZoneCount& zones) const {
+  const auto* t = picture_.type(slot.kind.type);
+  double seconds = 0;
+  if (slot.machine != nullptr && !slot.machine->holds_image(job.spec.image)) {
+    seconds += job.spec.image_gb / std::max(t->fetch_gb_per_s, 0.01);
+  }
+  // Best fit keeps whole machines for the largest; a full machine's worth of room left over weighs
+  // as much as its boot does.
+  seconds += t->ready_s * share_of(slot.free - job.spec.room, t->room);
+  if (job.spec.spot && !slot.kind.spot) seconds += t->ready_s;
+  if (job.spec.spread) {
+    const auto it = zones.count.find(slot.kind.zone);
+    if (it != zones.count.end()) seconds += t->ready_s * it->second;
+  }
+  return seconds;
+}
+
+Slot* Pass::best_slot(const Job& job, const ZoneCount& zones, const std::string& only_zone) {
+  Slot* best = nullptr;
+  double best_cost = std::numeric_limits<double>::infinity();
+  for (auto& slot : slots_) {
+    if (!job.spec.room.fits_in(slot.free) || !allows(job.spec, slot.kind)) continue;
+    if (!only_zone.empty() && slot.kind.zone != only_zone) continue;
+    if (slot.reserved != nullptr && slot.reserved != &job) continue;
+    if (!zone_allows(job, zones, slot.kind.zone)) continue;
+    // Two machines that failed it speak against the job, one against the machine.
+    if (job.failed_on.size() == 1 && job.failed_on.contains(slot.machine->id)) continue;
+    const double c = cost(job, slot, zones);
+    if (c < best_cost) best = &slot, best_cost = c;
+  }
+  return best;
+}
+
+void Pass::take(Job& job, std::uint32_t task, std::uint64_t attempt, Slot& slot) {
+  picture_.add_place(job, task, attempt, slot.machine->id, now_);
+  slot.free -= job.spec.room;
+  ++result_.placed;
+}
+
+bool Pass::place_gang(Job& job, const std::vector<std::uint32_t>& tasks) {
+  std::vector<std::string> zones{""};
+  if (job.spec.one_zone) {
+    zones.clear();
+    for (const auto& slot : slots_) {
+      if (std::find(zones.begin(), zones.end(), slot.kind.zone) == zones.end()) {
+        zones.push_back(slot.kind.zone);
+      }
+    }
+  }
+  for (const auto& zone : zones) {
+    const auto before = slots_;
+    ZoneCount count;
+    std::vector<std::size_t> chosen;
+    for (std::size_t i = 0; i < tasks.size(); ++i) {
+      Slot* slot = best_slot(job, count, zone);
+      if (slot == nullptr) break;
+      slot->free -= job.spec.room;
+      ++count.count[slot->kind.zone];
+      ++count.total;
+      chosen.push_back(static_cast<std::size_t>(slot - slots_.data()));
+    }
+    slots_ = before;
+    if (chosen.size() != tasks.size()) continue;
+    const auto attempt = job.last_attempt + 1;  // one number for the whole gang
+    for (std::size_t i = 0; i < tasks.size(); ++i) take(job, tasks[i], attempt, slots_[chosen[i]]);
+    return true;
+  }
+  return false;
+}
+
+void Pass::place(Job& job) {
+  // More than this many live places would not fit the job's record; the rest waits its turn.
+  constexpr std::size_t kMostLive = 1000;
+  const auto live = job.live();
+  const auto room_left = live < kMostLive ? kMostLive - live : 0;
+  const auto tasks = job.pending(room_left);
+  if (tasks.empty()) return;
+  if (job.spec.shape == Shape::gang) {
+    // The old attempt must be gone entirely before the next begins.
+    if (live > 0 || tasks.size() != job.spec.tasks) return;
+    if (!within_limit(picture_, job.spec.team, job.spec.room * job.spec.tasks)) return;
+    if (!place_gang(job, tasks)) {
+      unplaced_.push_back(&job);
+      reserve(job);
+    }
+    return;
+  }
+  auto zones = zones_of(job);
+  for (const auto task : tasks) {
+    if (!within_limit(picture_, job.spec.team, job.spec.room)) return;
+    Slot* slot = best_slot(job, zones, "");
+    if (slot == nullptr) {
+      unplaced_.push_back(&job);
+      reserve(job);
+      return;
+    }
+    ++zones.count[slot->kind.zone];
+    ++zones.total;
+    take(job, task, job.last_attempt + 1, *slot);
+  }
+}
+
+void Pass::reserve(const Job& job) {
+  // Small work would for ever take what a large task waits for: once it has waited as long as a
+  // machine takes to boot, the machine that has most of the room free is kept for it.
+  Slot* best = nullptr;
+  for (auto& slot : slots_) {
+    const auto* t = picture_.type(slot.kind.type);
+    if (slot.reserved != nullptr || !allows(job.spec, slot.kind)) continue;
+    if (!job.spec.room.fits_in(t->room) || now_ - job.known_since < t->ready_s) continue;
+    if (2 * share_of(job.spec.room, t->room) < 1) continue;
+    if (best == nullptr || slot.free.gpus > best->free.gpus) best = &slot;
+  }
+  if (best != nullptr) best->reserved = &job;
+}
+
+bool Pass::may_preempt(const Job& for_job, const Job& victim) const {
+  if (for_job.spec.rank < victim.spec.rank) return !victim.guaranteed || for_job.guaranteed;
+  // Work that another team runs beyond its guarantee, so that a team gets its own.
+  return for_job.guaranteed && !victim.guaranteed && for_job.spec.team != victim.spec.team;
+}
+
+void Pass::make_room(Job& job) {
+  if (job.spec.shape == Shape::gang && job.spec.tasks > 1) return;
+  if (!within_limit(picture_, job.spec.team, job.spec.room)) return;
+  const auto zones = zones_of(job);
+  Slot* best = nullptr;
+  std::vector<std::pair<Job*, Place*>> best_victims;
+  double best_loss = std::numeric_limits<double>::infinity();
+  for (auto& slot : slots_) {
+    if (!allows(job.spec, slot.kind) || !zone_allows(job, zones, slot.kind.zone)) continue;
+    if (slot.reserved != nullptr && slot.reserved != &job) continue;
+    struct Candidate {
+      double loss;
+      Job* job;
+      Place* place;
+    };
+    std::vector<Candidate> candidates;
+    Room room = slot.free;
+    for (const auto& [victim_id, task] : slot.machine->tasks) {
+      Job* victim = picture_.job(victim_id);
+      if (victim == nullptr || victim->withdrawn()) continue;
+      for (auto& p : victim->places) {
+        if (p.machine != slot.machine->id || p.task != task || p.ended) continue;
+        if (p.stop) {
+          room += victim->spec.room;  // on its way out already
+        } else if (p.durable && victim->spec.tasks == 1 &&
+                   victim->spec.shape == Shape::gang && may_preempt(job, *victim)) {
+          candidates.push_back({2 * (now_ - p.decided_at), victim, &p});
+        } else if (p.durable && victim->spec.shape != Shape::gang && may_preempt(job, *victim)) {
+          const double ran = p.running_since > 0 ? now_ - p.running_since : 0;
+          const bool saves = victim->spec.checkpoint_s > 0;
+          // A replica's absence is noticed; a batch task loses what it did not save.
+          const double loss = victim->spec.shape == Shape::service ? 1e4
+                              : saves ? std::min(ran, victim->spec.save_s)
+                                      : ran;
+          candidates.push_back({loss, victim, &p});
+        }
+      }
+    }
+    if (job.spec.room.fits_in(room)) {  // what is being stopped there suffices
+      slot.reserved = &job;
+      return;
+    }
+    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+      return std::pair(b.job->spec.rank, a.loss) < std::pair(a.job->spec.rank, b.loss);
+    });
+    double loss = 0;
+    std::vector<std::pair<Job*, Place*>> victims;
+    for (const auto& c : candidates) {
+      if (job.spec.room.fits_in(room)) break;
+      room += c.job->spec.room;
+      loss += 1 + c.loss;
+      victims.emplace_back(c.job, c.place);
+    }
+    if (!job.spec.room.fits_in(room) || loss >= best_loss) continue;
+    best = &slot, best_loss = loss, best_victims = std::move(victims);
+  }
+  if (best == nullptr) return;
+  best->reserved = &job;
+  for (auto& [victim, place] : best_victims) {
+    picture_.request_stop(*victim, *place, victim->spec.checkpoint_s > 0 ? victim->spec.save_s : 0,
+                          now_);
+    ++result_.stopped;
+  }
+}
+
+void Pass::add_shortfall(const Job& job) {
+  if (job.failures > 0) return;  // machines are not what it lacks
+  auto zones = zones_of(job);
+  auto missing = job.pending_count();
+  const auto fits = [&](const Slot& slot) {
+    return job.spec.room.fits_in(slot.free) && allows(job.spec, slot.kind) &&
+           zone_allows(job, zones, slot.kind.zone);
+  };
+  const auto use = [&](Slot& slot) {
+    slot.free -= job.spec.room;
+    ++zones.count[slot.kind.zone];
+    ++zones.total;
+  };
+  for (; missing > 0; --missing) {
+    Room& planned = planned_[job.spec.team];
+    if (!within_limit(picture_, job.spec.team, planned + job.spec.room)) return;
+    planned += job.spec.room;
+    const auto booting = std::find_if(booting_.begin(), booting_.end(), fits);
+    if (booting != booting_.end()) {
+      result_.shortfall.waiting[booting->kind.type] += job.spec.room;
+      use(*booting);
+      continue;
+    }
+    const auto rented = std::find_if(virtual_.begin(), virtual_.end(), fits);
+    if (rented != virtual_.end()) {
+      result_.shortfall.waiting[rented->kind.type] += job.spec.room;
+      use(*rented);
+      continue;
+    }
+    // The kind that costs least for the share of it that one task takes.
+    MachineKind best;
+    double best_price = std::numeric_limits<double>::infinity();
+    for (const auto& [name, type] : picture_.types()) {
+      if (!job.spec.room.fits_in(type.room)) continue;
+      for (const auto& zone : type.zones) {
+        for (const bool spot : {true, false}) {
+          const MachineKind kind{name, zone, spot};
+          if (!allows(job.spec, kind) || !zone_allows(job, zones, zone)) continue;
+          const auto refused = refused_until_.find(kind);
+          if (refused != refused_until_.end() && refused->second > now_) continue;
+          double price = (spot ? type.spot_price : type.price) * share_of(job.spec.room, type.room);
+          const auto here = zones.count.find(zone);
+          if (here != zones.count.end()) price *= 1 + 0.01 * here->second;
+          const auto wanted = result_.shortfall.wanted.find(kind);
+          if (wanted != result_.shortfall.wanted.end()) price *= 1 + 0.001 * wanted->second;
+          if (price < best_price) best = kind, best_price = price;
+        }
+      }
+    }
+    if (!std::isfinite(best_price)) return;
+    ++result_.shortfall.wanted[best];
+    result_.shortfall.waiting[best.type] += job.spec.room;
+    virtual_.push_back({best, picture_.type(best.type)->room, nullptr});
+    use(virtual_.back());
+  }
+}
+
+}  // namespace
+
+bool within_limit(const Picture& picture, const std::string& team, const Room& more) {
+  const auto* t = picture.settings().team(team);
+  if (t == nullptr) return false;
+  const Room sum = picture.team_use(team) + more;
+  constexpr double kSlack = 1e-6;
+  return (t->gpus_max <= 0 || sum.gpus <= t->gpus_max + kSlack) &&
+         (t->cpus_max <= 0 || sum.cpus <= t->cpus_max + kSlack);
+}
+
+bool usable(const Picture& picture, const Machine& m, double now) {
+  (void)picture;
+  (void)now;
+  return m.reported && !m.silent && !m.removing && !m.failed && !m.quarantined && !m.taken_at &&
+         m.strangers == 0;
+}
+
+PassResult place_waiting(Picture& picture, const std::map<MachineKind, double>& refused_until,
+                         double now) {
+  return Pass(picture, refused_until, now).run();
+}
+
+}  // namespace cranklock::sched
--- /dev/null
+++ b/src/sched/placement.hpp
@@ -0,0 +1,38 @@
+// Which task goes where, what must make room, and which machines are missing.
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "sched/picture.hpp"
+
+namespace cranklock::sched {
+
+/// Work that found no place though its team may run it, as machines to be added.
+struct Shortfall {
+  /// New machines by kind, beyond those that are booting.
+  std::map<MachineKind, int> wanted;
+  /// Room asked by waiting tasks, by machine type that would take them.
+  std::map<std::string, wire::Room> waiting;
+};
+
+struct PassResult {
+  int placed = 0;
+  int stopped = 0;
+  Shortfall shortfall;
+};
+
+/// Orders the waiting jobs by guarantee, rank and age and places what fits; then picks what to stop
+/// for work that is entitled to the room; then adds up what is missing. `refused` holds the kinds
+/// that the cloud lately had none of.
+PassResult place_waiting(Picture& picture, const std::map<MachineKind, double>& refused_until,
+                         double now);
+
+/// Whether the team may use this much more.
+bool within_limit(const Picture& picture, const std::string& team, const wire::Room& more);
+
+/// Whether new work may be put on this machine.
+bool usable(const Picture& picture, const Machine& machine, double now);
+
+}  // namespace cranklock::sched
--- /dev/null
+++ b/src/sched/scaler.cpp
@@ -0,0 +1,107 @@
+#include "sched/scaler.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cranklock::sched {
+namespace {
+double largest_share(const wire::Room& part, const wire::Room& whole) {
+  double share = 0;
+  if (whole.cpus > 0) share = std::max(share, part.cpus / whole.cpus);
+  if (whole.gpus > 0) share = std::max(share, part.gpus / whole.gpus);
+  return share;
+}
+}  // namespace
+
+int Pool::step(const PoolReading& reading) const {
+  const double by_share = std::ceil(settings_.step_share * reading.machines - 1e-9);
+  const double by_waiting = std::ceil(settings_.step_waiting * reading.wanted - 1e-9);
+  const int wanted = std::max({settings_.step_machines, static_cast<int>(by_share),
+                               static_cast<int>(by_waiting)});
+  return std::min(wanted, settings_.most_step);
+}
+
+int Pool::decide(const PoolReading& reading, bool settled, std::int64_t wall_ms, double now) {
+  history_.emplace_back(now, reading.score);
+  const double keep = std::max(settings_.up_window_s, settings_.down_window_s);
+  while (!history_.empty() && history_.front().first < now - keep - settings_.every_s) {
+    history_.pop_front();
+  }
+  if (!settled) return 0;
+
+  // A window counts only when readings reach back over all of it: the start of a term proves
+  // nothing about the time before.
+  const auto whole_window = [&](double window, auto holds) {
+    bool reaches = false;
+    for (auto it = history_.rbegin(); it != history_.rend(); ++it) {
+      if (!holds(it->second)) return false;
+      if (it->first <= now - window + 1e-6) {
+        reaches = true;
+        break;
+      }
+    }
+    return reaches;
+  };
+  const double since_scale = static_cast<double>(wall_ms - state.scaled_ms) / 1000.0;
+  if (reading.score > settings_.high) {
+    if (!whole_window(settings_.up_window_s, [&](double s) { return s > settings_.high; })) return 0;
+    if (since_scale <= settings_.up_cooldown_s) return 0;
+    const int room = settings_.most_machines - reading.machines;
+    return std::clamp(step(reading), 0, std::max(room, 0));
+  }
+  if (reading.score < settings_.low) {
+    if (!whole_window(settings_.down_window_s, [&](double s) { return s < settings_.low; })) {
+      return 0;
+    }
+    if (since_scale <= settings_.down_cooldown_s) return 0;
+    const int above = reading.machines - settings_.least_machines;
+    const int by_share = static_cast<int>(std::ceil(settings_.step_share * reading.machines));
+    return -std::clamp(std::max(settings_.step_machines, by_share), 0, std::max(above, 0));
+  }
+  return 0;
+}
+
+void Pool::stamp(int count, std::int64_t wall_ms) {
+  state.count = count;
+  state.scaled_ms = wall_ms;
+}
+
+std::map<std::string, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall,
+                                              double high, double now) {
+  struct Sum {
+    double booked = 0;
+    int ready = 0, booting = 0;
+  };
+  std::map<std::string, Sum> sums;
+  for (const auto& [name, type] : picture.types()) sums[name];
+  for (const auto& [id, m] : picture.machines()) {
+    const auto* type = picture.type(m.kind.type);
+    if (type == nullptr || m.failed || m.removing) continue;
+    Sum& sum = sums[m.kind.type];
+    if (usable(picture, m, now)) {
+      ++sum.ready;
+      sum.booked += largest_share(m.used, type->room);
+    } else if (!m.reported) {
+      ++sum.booting;
+    }
+  }
+  std::map<std::string, PoolReading> out;
+  for (const auto& [name, sum] : sums) {
+    PoolReading reading;
+    reading.machines = sum.ready + sum.booting;
+    for (const auto& [kind, n] : shortfall.wanted) {
+      if (kind.type == name) reading.wanted += n;
+    }
+    const auto waiting = shortfall.waiting.find(name);
+    const double asked = waiting == shortfall.waiting.end()
+                             ? 0
+                             : largest_share(waiting->second, picture.type(name)->room);
+    if (sum.ready > 0) reading.score = sum.booked / sum.ready;
+    if (reading.machines > 0) reading.score += asked / reading.machines;
+    if (sum.ready == 0 && asked > 0) reading.score = std::max(reading.score, high + 1);
+    out[name] = reading;
+  }
+  return out;
+}
+
+}  // namespace cranklock::sched
--- /dev/null
+++ b/src/sched/scaler.hpp
@@ -0,0 +1,53 @@
+// DESIGN's scaler: windowed thresholds, separate cooldowns, capped steps. Pure.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "sched/placement.hpp"
+
+namespace cranklock::sched {
+
+/// What a pool is made of at one reading.
+struct PoolReading {
+  double score = 0;
+  int machines = 0;  ///< ready and booting
+  int wanted = 0;    ///< new machines that waiting work would fill
+};
+
+/// Kept in the state service, and written only when it changes.
+struct PoolState {
+  int count = 0;            ///< machines wanted, as last decided
+  std::int64_t scaled_ms = 0;  ///< time of day of the last scaling, refused ones included
+  bool operator==(const PoolState&) const = default;
+};
+
+class Pool {
+ public:
+  explicit Pool(const base::ScalerSettings& settings) : settings_(settings) {}
+
+  PoolState state;
+
+  /// Adds a reading; returns how many machines to add (above 0) or give back (below 0).
+  /// `settled` is false while a new leader still rebuilds its picture.
+  int decide(const PoolReading& reading, bool settled, std::int64_t wall_ms, double now);
+  /// Stamps the scale time, whether the cloud gave machines or refused.
+  void stamp(int count, std::int64_t wall_ms);
+
+ private:
+  int step(const PoolReading& reading) const;
+
+  const base::ScalerSettings& settings_;
+  std::deque<std::pair<double, double>> history_;  ///< time and score
+};
+
+/// The pools' readings now: the mean over ready machines of booked room over room, plus waiting
+/// room over ready and booting room; a pool with nothing ready and work waiting is above High.
+std::map<std::string, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall,
+                                              double high, double now);
+
+}  // namespace cranklock::sched
--- /dev/null
+++ b/src/store/client.cpp
@@ -0,0 +1,181 @@
+#include "store/client.hpp"
+
+#include <algorithm>
+
+namespace cranklock::store {
+
+void Budget::fill() {
+  const double now = reactor_.now();
+  if (at_ > 0) level_ = std::min(rate_, level_ + (now - at_) * rate_);
+  at_ = now;
+}
+
+double Budget::take(double amount) {
+  fill();
+  const double need = std::min(amount, rate_);  // more than a second's worth waits for a full bucket
+  if (level_ < need) return (need - level_) / rate_ + 0.001;
+  level_ -= amount;
+  return 0.0;
+}
+
+void Budget::force(double amount) {
+  fill();
+  level_ -= amount;
+}
+
+Client::Client(net::Reactor& reactor, net::Transport& transport, const base::Settings& settings)
+    : reactor_(reactor),
+      transport_(transport),
+      settings_(settings),
+      requests_(reactor, settings.state_rps),
+      writes_(reactor, settings.state_write_rps) {
+  set_leading(false);
+}
+
+void Client::set_leading(bool leading) {
+  const double share = (leading ? 2.0 : 1.0) / (settings_.nodes + 1);
+  requests_.set_rate(settings_.state_rps * share);
+  writes_.set_rate(settings_.state_write_rps * share);
+}
+
+net::Task<net::Reply> Client::send(net::Request request, double timeout_s, double writes,
+                                   bool urgent) {
+  const double until = reactor_.now() + timeout_s;
+  if (urgent) {
+    requests_.force(1);
+  } else {
+    for (double wait = 0; (wait = std::max(requests_.take(1), 0.0)) > 0;) {
+      if (reactor_.now() + wait >= until) co_return net::Reply{net::Reply::Kind::not_sent, {}};
+      net::Sleep pause(reactor_, wait);
+      co_await pause;
+    }
+    for (double wait = 0; writes > 0 && (wait = writes_.take(writes)) > 0;) {
+      if (reactor_.now() + wait >= until) co_return net::Reply{net::Reply::Kind::not_sent, {}};
+      net::Sleep pause(reactor_, wait);
+      co_await pause;
+    }
+  }
+  auto calling = transport_.call(settings_.state, std::move(request), until - reactor_.now());
+  auto reply = co_await calling;
+  co_return reply;
+}
+
+namespace {
+/// For answers that carry no result of their own.
+Outcome outcome_of(const net::Reply& reply) {
+  if (reply.kind == net::Reply::Kind::not_sent) return Outcome::refused;
+  if (!reply.answered()) return Outcome::unknown;
+  switch (reply.response.status) {
+    case 200: return Outcome::ok;
+    case 404:
+    case 409:
+    case 410: return Outcome::failed;
+    case 400:
+    case 429:
+    case 503: return Outcome::refused;
+    default: return Outcome::unknown;
+  }
+}
+}  // namespace
+
+net::Task<TxnResult> Client::transact(std::vector<wire::Condition> conditions,
+                                      std::vector<wire::Change> changes, double timeout_s) {
+  net::Request request{"POST", "/txn", "", wire::txn_request(conditions, changes), true};
+  auto sending =
+      send(std::move(request), timeout_s, static_cast<double>(changes.size()), false);
+  const auto reply = co_await sending;
+  TxnResult result;
+  result.outcome = outcome_of(reply);
+  if (result.outcome == Outcome::ok || result.outcome == Outcome::failed) {
+    const auto answer = wire::parse_txn_answer(reply.response.body);
+    if (!answer) {
+      result.outcome = Outcome::unknown;  // a malformed answer tells nothing
+    } else {
+      result.revision = answer->revision;
+      result.failed = answer->failed;
+    }
+  }
+  co_return result;
+}
+
+net::Task<ReadResult> Client::read(std::string key, double timeout_s) {
+  net::Request request{"GET", "/store/" + key, "", "", true};
+  auto sending = send(std::move(request), timeout_s, 0, false);
+  const auto reply = co_await sending;
+  ReadResult result;
+  result.outcome = outcome_of(reply);
+  if (result.outcome == Outcome::ok) {
+    auto value = wire::parse_stored(reply.response.body);
+    if (!value || value->key != key) {
+      result.outcome = Outcome::unknown;
+    } else {
+      result.value = std::move(*value);
+    }
+  } else if (result.outcome == Outcome::failed && !wire::parse_revision(reply.response.body)) {
+    result.outcome = Outcome::unknown;  // only the service's own 404 says that a key is absent
+  }
+  co_return result;
+}
+
+net::Task<RangeResult> Client::read_all(std::string prefix, double timeout_s) {
+  RangeResult result;
+  std::string after;
+  for (;;) {
+    net::Request request{"GET", "/store", wire::range_query(prefix, after, 200), "", true};
+    auto sending = send(std::move(request), timeout_s, 0, false);
+    const auto reply = co_await sending;
+    result.outcome = outcome_of(reply);
+    if (result.outcome != Outcome::ok) co_return result;
+    auto page = wire::parse_range(reply.response.body);
+    if (!page) {
+      result.outcome = Outcome::unknown;
+      co_return result;
+    }
+    if (after.empty()) result.page.revision = page->revision;
+    for (auto& item : page->items) result.page.items.push_back(std::move(item));
+    if (!page->more || page->items.empty()) co_return result;
+    after = result.page.items.back().key;
+  }
+}
+
+net::Task<RangeResult> Client::watch(std::string prefix, std::uint64_t since, double wait_s) {
+  net::Request request{"GET", "/follow",
+                       wire::watch_query(prefix, since, static_cast<int>(wait_s * 1000)), "", true};
+  auto sending = send(std::move(request), wait_s * 1.5 + 1.0, 0, false);
+  const auto reply = co_await sending;
+  RangeResult result;
+  result.outcome = outcome_of(reply);
+  if (result.outcome == Outcome::ok) {
+    auto page = wire::parse_watch(reply.response.body);
+    if (!page) {
+      result.outcome = Outcome::unknown;
+    } else {
+      result.page = std::move(*page);
+    }
+  }
+  co_return result;
+}
+
+net::Task<std::optional<std::uint64_t>> Client::grant_lease(double life_s, double timeout_s) {
+  net::Request request{"POST", "/leases", "",
+                       wire::lease_request(static_cast<int>(life_s * 1000)), true};
+  auto sending = send(std::move(request), timeout_s, 0, true);
+  const auto reply = co_await sending;
+  if (reply.status() != 200) co_return std::nullopt;
+  co_return wire::parse_lease(reply.response.body);
+}
+
+net::Task<Outcome> Client::renew_lease(std::uint64_t lease, double timeout_s) {
+  net::Request request{"POST", "/leases/" + std::to_string(lease) + "/renew", "", "{}", true};
+  auto sending = send(std::move(request), timeout_s, 0, true);
+  const auto reply = co_await sending;
+  co_return outcome_of(reply);
+}
+
+net::Task<void> Client::drop_lease(std::uint64_t lease, double timeout_s) {
+  net::Request request{"DELETE", "/leases/" + std::to_string(lease), "", "", true};
+  auto sending = send(std::move(request), timeout_s, 0, true);
+  co_await sending;
+}
+
+}  // namespace cranklock::store
--- /dev/null
+++ b/src/store/client.hpp
@@ -0,0 +1,86 @@
+// The state service: budgets, transactions, leases and watches.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "base/settings.hpp"
+#include "net/client.hpp"
+#include "wire/messages.hpp"
+
+namespace cranklock::store {
+
+/// A bucket that fills at a rate and holds one second's worth.
+class Budget {
+ public:
+  Budget(net::Reactor& reactor, double rate) : reactor_(reactor), rate_(rate), level_(rate) {}
+  void set_rate(double rate) { rate_ = rate; }
+  /// Seconds until `amount` may be taken; takes it when that is 0.
+  double take(double amount);
+  /// Takes without asking; what is overdrawn delays the others.
+  void force(double amount);
+
+ private:
+  void fill();
+  net::Reactor& reactor_;
+  double rate_, level_, at_ = 0;
+};
+
+enum class Outcome {
+  ok,       ///< done, or found
+  failed,   ///< conditions not met, or not found
+  refused,  ///< certainly not executed: try again later
+  unknown,  ///< may have been executed, or may yet be
+};
+
+struct TxnResult {
+  Outcome outcome = Outcome::unknown;
+  std::uint64_t revision = 0;
+  std::vector<std::string> failed;
+};
+
+struct ReadResult {
+  Outcome outcome = Outcome::unknown;
+  wire::StoredValue value;
+};
+
+struct RangeResult {
+  Outcome outcome = Outcome::unknown;
+  wire::RangePage page;
+};
+
+class Client {
+ public:
+  Client(net::Reactor& reactor, net::Transport& transport, const base::Settings& settings);
+
+  /// The leader takes two shares of the budget of nodes + 1, the others one each, so that together
+  /// they stay within the service's limits even for the moment when two believe they lead.
+  void set_leading(bool leading);
+
+  net::Task<TxnResult> transact(std::vector<wire::Condition> conditions,
+                                std::vector<wire::Change> changes, double timeout_s);
+  net::Task<ReadResult> read(std::string key, double timeout_s);
+  /// Everything under a prefix, page by page; `revision` is that of the first page, so that a watch
+  /// from there misses nothing.
+  net::Task<RangeResult> read_all(std::string prefix, double timeout_s);
+  /// `failed` when the revision is too old.
+  net::Task<RangeResult> watch(std::string prefix, std::uint64_t since, double wait_s);
+  net::Task<std::optional<std::uint64_t>> grant_lease(double life_s, double timeout_s);
+  net::Task<Outcome> renew_lease(std::uint64_t lease, double timeout_s);
+  net::Task<void> drop_lease(std::uint64_t lease, double timeout_s);
+
+  std::size_t value_bytes() const { return static_cast<std::size_t>(settings_.value_kb * 1024); }
+  std::size_t txn_changes() const { return static_cast<std::size_t>(settings_.txn_ops); }
+
+ private:
+  net::Task<net::Reply> send(net::Request request, double timeout_s, double writes, bool urgent);
+
+  net::Reactor& reactor_;
+  net::Transport& transport_;
+  const base::Settings& settings_;
+  Budget requests_, writes_;
+};
+
+}  // namespace cranklock::store
--- /dev/null
+++ b/src/wire/messages.cpp
@@ -0,0 +1,472 @@
+#include "wire/messages.hpp"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+
+namespace cranklock::wire {
+namespace {
+
+template <typename E, std::size_t N>
+using Names = std::array<std::pair<E, std::string_view>, N>;
+
+constexpr Names<Shape, 3> kShapes{
+    {{Shape::array, "batch"}, {Shape::gang, "ensemble"}, {Shape::service, "standing"}}};
+constexpr Names<Rank, 4> kRanks{{{Rank::production, "production"},
+                                 {Rank::high, "high"},
+                                 {Rank::standard, "standard"},
+                                 {Rank::best_effort, "best_effort"}}};
+constexpr Names<JobState, 4> kJobStates{{{JobState::queued, "queued"},
+                                         {JobState::running, "running"},
+                                         {JobState::done, "done"},
+                                         {JobState::withdrawn, "withdrawn"}}};
+constexpr Names<TaskState, 5> kTaskStates{{{TaskState::fetching, "fetching"},
+                                           {TaskState::waiting, "waiting"},
+                                           {TaskState::running, "running"},
+                                           {TaskState::saving, "flushing"},
+                                           {TaskState::exited, "exited"}}};
+constexpr Names<Cause, 8> kCauses{{{Cause::done, "done"},
+                                   {Cause::stopped, "halted"},
+                                   {Cause::peers, "peers"},
+                                   {Cause::alone, "incomplete"},
+                                   {Cause::error, "error"},
+                                   {Cause::no_room, "no_room"},
+                                   {Cause::busy, "busy"},
+                                   {Cause::unknown, "no_such"}}};
+constexpr Names<Verb, 3> kVerbs{
+    {{Verb::start, "start"}, {Verb::stop, "kill"}, {Verb::forget, "forget"}}};
+constexpr Names<MachineState, 3> kMachineStates{{{MachineState::booting, "booting"},
+                                                 {MachineState::running, "running"},
+                                                 {MachineState::failed, "failed"}}};
+
+template <typename E, std::size_t N>
+std::string_view name_of(const Names<E, N>& names, E value) {
+  for (const auto& [v, n] : names) {
+    if (v == value) return n;
+  }
+  return "";
+}
+
+template <typename E, std::size_t N>
+std::optional<E> named(const Names<E, N>& names, const Json& object, const char* field) {
+  const Json* v = find(object, field);
+  if (v == nullptr || !v->IsString()) return std::nullopt;
+  const std::string_view text(v->GetString(), v->GetStringLength());
+  for (const auto& [value, n] : names) {
+    if (n == text) return value;
+  }
+  return std::nullopt;
+}
+
+std::optional<std::vector<std::string>> read_texts(const Json& object, const char* name) {
+  const Json* v = find(object, name);
+  if (v == nullptr || !v->IsArray()) return std::nullopt;
+  std::vector<std::string> out;
+  for (const auto& item : v->GetArray()) {
+    if (!item.IsString()) return std::nullopt;
+    out.emplace_back(item.GetString(), item.GetStringLength());
+  }
+  return out;
+}
+
+/// Parses a body that is an object, and hands it on.
+template <typename F>
+auto with_object(std::string_view body, F&& use) -> decltype(use(std::declval<const Json&>())) {
+  const JsonDocument document(body);
+  if (!document.is_object()) return std::nullopt;
+  return use(document.root());
+}
+
+}  // namespace
+
+bool valid_job_id(std::string_view id) {
+  return id.size() > 2 && id.size() <= 40 && id.starts_with("j-") &&
+         std::all_of(id.begin() + 2, id.end(), [](char c) { return c >= '0' && c <= '9'; });
+}
+
+std::variant<JobSpec, std::string> parse_job(const Json& o) {
+  JobSpec job;
+  const auto id = read_text(o, "Id");
+  if (!id || !valid_job_id(*id)) return "Id: expected a job id";
+  job.id = *id;
+  const auto job_class = read_text(o, "Gear");
+  if (!job_class || job_class->empty() || job_class->size() > 200) return "Gear: expected a class";
+  job.job_class = *job_class;
+  const auto team = read_text(o, "Crew");
+  if (!team || team->empty() || team->size() > 200) return "Crew: expected a team";
+  job.team = *team;
+  const auto shape = named(kShapes, o, "Shape");
+  if (!shape) return "Shape: expected batch, ensemble or standing";
+  job.shape = *shape;
+  const auto rank = named(kRanks, o, "Rank");
+  if (!rank) return "Rank: expected production, high, standard or best_effort";
+  job.rank = *rank;
+  const auto tasks = read_count(o, "Teeth");
+  if (!tasks || *tasks < 1 || *tasks > kMostTasks) return "Teeth: expected 1 to 100000";
+  job.tasks = static_cast<std::uint32_t>(*tasks);
+  const auto image = read_text(o, "Cast");
+  if (!image || image->empty() || image->size() > 500) return "Cast: expected an image";
+  job.image = *image;
+
+  struct Amount {
+    const char* name;
+    double* into;
+    bool positive;
+  };
+  for (const auto& [name, into, positive] :
+       {Amount{"Cpus", &job.room.cpus, false}, Amount{"Accelerators", &job.room.gpus, false},
+        Amount{"MemGb", &job.room.memory_gb, false}, Amount{"SizeGb", &job.image_gb, false},
+        Amount{"ExpectS", &job.estimate_s, false}, Amount{"NotchS", &job.checkpoint_s, false},
+        Amount{"StowS", &job.save_s, false}}) {
+    const auto v = read_amount(o, name);
+    if (!v || *v < 0 || (positive && *v == 0)) {
+      return std::string(name) + ": expected a number of at least 0";
+    }
+    *into = *v;
+  }
+  struct Flag {
+    const char* name;
+    bool* into;
+  };
+  for (const auto& [name, into] : {Flag{"OneZone", &job.one_zone}, Flag{"Apart", &job.spread},
+                                   Flag{"Loaners", &job.spot}}) {
+    const auto v = read_flag(o, name);
+    if (!v) return std::string(name) + ": expected true or false";
+    *into = *v;
+  }
+  if (find(o, "Frames") != nullptr) {
+    const auto types = read_texts(o, "Frames");
+    if (!types || types->size() > 64) return "Frames: expected a list of machine types";
+    // An empty list allows no type at all; the name of no type says so inside.
+    job.types = types->empty() ? std::vector<std::string>{""} : *types;
+  }
+  if (find(o, "Yard") != nullptr) {
+    const auto zone = read_text(o, "Yard");
+    if (!zone || zone->empty()) return "Yard: expected a zone";
+    job.zone = *zone;
+  }
+  if (find(o, "DueS") != nullptr) {
+    const auto due = read_amount(o, "DueS");
+    if (!due || *due < 0) return "DueS: expected a number of at least 0";
+    job.due_s = *due;
+  }
+  return job;
+}
+
+void write_job(JsonWriter& w, const JobSpec& job) {
+  w.begin().key("Id").text(job.id).key("Gear").text(job.job_class).key("Crew").text(job.team);
+  w.key("Shape").text(name_of(kShapes, job.shape)).key("Rank").text(name_of(kRanks, job.rank));
+  w.key("Teeth").count(job.tasks).key("Cpus").amount(job.room.cpus);
+  w.key("Accelerators").amount(job.room.gpus).key("MemGb").amount(job.room.memory_gb);
+  w.key("Cast").text(job.image).key("SizeGb").amount(job.image_gb);
+  if (!job.types.empty()) {
+    w.key("Frames").list();
+    for (const auto& t : job.types) w.text(t);
+    w.list_end();
+  }
+  if (!job.zone.empty()) w.key("Yard").text(job.zone);
+  w.key("OneZone").flag(job.one_zone).key("Apart").flag(job.spread).key("Loaners").flag(job.spot);
+  w.key("ExpectS").amount(job.estimate_s).key("NotchS").amount(job.checkpoint_s);
+  w.key("StowS").amount(job.save_s);
+  if (job.due_s) w.key("DueS").amount(*job.due_s);
+  w.end();
+}
+
+std::string job_answer(std::string_view id, JobState state) {
+  JsonWriter w;
+  w.begin().key("Id").text(id).key("Stance").text(name_of(kJobStates, state)).end();
+  return w.take();
+}
+
+std::string job_status(std::string_view id, JobState state, std::uint64_t done,
+                       std::uint64_t running) {
+  JsonWriter w;
+  w.begin().key("Id").text(id).key("Stance").text(name_of(kJobStates, state));
+  w.key("done").count(done).key("running").count(running).end();
+  return w.take();
+}
+
+std::string error_answer(std::string_view why) {
+  JsonWriter w;
+  w.begin().key("error").text(why).end();
+  return w.take();
+}
+
+std::string to_string(const TaskName& name) { return name.job + "/" + std::to_string(name.index); }
+
+std::optional<TaskName> parse_task(std::string_view text) {
+  const auto slash = text.find('/');
+  if (slash == std::string_view::npos || !valid_job_id(text.substr(0, slash))) return std::nullopt;
+  TaskName out{std::string(text.substr(0, slash)), 0};
+  const char* end = text.data() + text.size();
+  const auto parsed = std::from_chars(text.data() + slash + 1, end, out.index);
+  if (parsed.ec != std::errc{} || parsed.ptr != end) return std::nullopt;
+  return out;
+}
+
+std::optional<Report> parse_report(std::string_view body) {
+  return with_object(body, [](const Json& o) -> std::optional<Report> {
+    Report r;
+    const auto machine = read_text(o, "Rig"), address = read_text(o, "Address"),
+               type = read_text(o, "Frame"), zone = read_text(o, "Yard");
+    const auto session = read_count(o, "Shift"), tick = read_count(o, "Tick"),
+               token = read_count(o, "KeyTurn");
+    const auto spot = read_flag(o, "Loaners");
+    const Json* tasks = find(o, "Teeth");
+    if (!machine || machine->empty() || !address || !type || !zone || !session || !tick || !token ||
+        !spot || (tasks != nullptr && !tasks->IsArray())) {
+      return std::nullopt;
+    }
+    r.machine = *machine, r.address = *address, r.type = *type, r.zone = *zone, r.spot = *spot;
+    r.session = *session, r.tick = *tick, r.token = *token;
+    if (const Json* notice = find(o, "WarningS")) {
+      if (!notice->IsNumber()) return std::nullopt;
+      r.notice_s = notice->GetDouble();
+    }
+    if (tasks == nullptr) return r;
+    for (const auto& t : tasks->GetArray()) {
+      const auto name = read_text(t, "Tooth");
+      const auto task = name ? parse_task(*name) : std::nullopt;
+      const auto attempt = read_count(t, "Crank");
+      const auto state = named(kTaskStates, t, "Stance");
+      if (!task || !attempt || !state) return std::nullopt;
+      const auto cause = named(kCauses, t, "Cause");
+      if (*state == TaskState::exited && !cause) return std::nullopt;
+      r.tasks.push_back({*task, *attempt, *state, cause.value_or(Cause::none),
+                         read_flag(t, "Kept").value_or(false)});
+    }
+    return r;
+  });
+}
+
+namespace {
+void write_orders(JsonWriter& w, const std::vector<Order>& orders) {
+  w.key("Orders").list();
+  for (const auto& order : orders) {
+    w.begin().key("Verb").text(name_of(kVerbs, order.verb));
+    w.key("Tooth").text(to_string(order.task)).key("Crank").count(order.attempt);
+    if (order.verb == Verb::stop) w.key("SlackS").amount(order.grace_s);
+    w.end();
+  }
+  w.list_end();
+}
+}  // namespace
+
+std::string orders_answer(std::uint64_t token, const std::vector<Order>& orders) {
+  JsonWriter w;
+  w.begin().key("KeyTurn").count(token);
+  write_orders(w, orders);
+  w.end();
+  return w.take();
+}
+
+std::string orders_command(std::uint64_t token, std::uint64_t session,
+                           const std::vector<Order>& orders) {
+  JsonWriter w;
+  w.begin().key("KeyTurn").count(token).key("Shift").count(session);
+  write_orders(w, orders);
+  w.end();
+  return w.take();
+}
+
+std::string misdirected_answer(std::string_view leader) {
+  JsonWriter w;
+  w.begin();
+  if (!leader.empty()) w.key("Foreman").text(leader);
+  w.end();
+  return w.take();
+}
+
+std::optional<std::vector<MachineType>> parse_machine_types(std::string_view body) {
+  return with_object(body, [](const Json& o) -> std::optional<std::vector<MachineType>> {
+    const Json* list = find(o, "Frames");
+    if (list == nullptr || !list->IsArray()) return std::nullopt;
+    std::vector<MachineType> out;
+    for (const auto& item : list->GetArray()) {
+      MachineType t;
+      const auto name = read_text(item, "Label");
+      const auto zones = item.IsObject() ? read_texts(item, "Yards") : std::nullopt;
+      if (!name || !zones) return std::nullopt;
+      t.name = *name, t.zones = *zones;
+      struct Amount {
+        const char* name;
+        double* into;
+      };
+      for (const auto& [field, into] :
+           {Amount{"Cpus", &t.room.cpus}, Amount{"Accelerators", &t.room.gpus},
+            Amount{"MemGb", &t.room.memory_gb}, Amount{"CacheGb", &t.cache_gb},
+            Amount{"PullGbPerS", &t.fetch_gb_per_s}, Amount{"Price", &t.price},
+            Amount{"SpotPrice", &t.spot_price}, Amount{"ReadyS", &t.ready_s}}) {
+        const auto v = read_amount(item, field);
+        if (!v || *v < 0) return std::nullopt;
+        *into = *v;
+      }
+      out.push_back(std::move(t));
+    }
+    return out;
+  });
+}
+
+void write_machine_types(JsonWriter& w, const std::vector<MachineType>& types) {
+  w.begin().key("Frames").list();
+  for (const auto& t : types) {
+    w.begin().key("Label").text(t.name).key("Cpus").amount(t.room.cpus);
+    w.key("Accelerators").amount(t.room.gpus).key("MemGb").amount(t.room.memory_gb);
+    w.key("CacheGb").amount(t.cache_gb).key("PullGbPerS").amount(t.fetch_gb_per_s);
+    w.key("Price").amount(t.price).key("SpotPrice").amount(t.spot_price);
+    w.key("ReadyS").amount(t.ready_s).key("Yards").list();
+    for (const auto& zone : t.zones) w.text(zone);
+    w.list_end().end();
+  }
+  w.list_end().end();
+}
+
+std::string rental_request(const Rental& r) {
+  JsonWriter w;
+  w.begin().key("Charter").text(r.request).key("Frame").text(r.type).key("Yard").text(r.zone);
+  w.key("Loaners").flag(r.spot).key("Count").integer(r.count).end();
+  return w.take();
+}
+
+std::optional<std::vector<std::string>> parse_rented(std::string_view body) {
+  return with_object(body, [](const Json& o) { return read_texts(o, "Rigs"); });
+}
+
+std::string delete_request(const std::vector<std::string>& machines) {
+  JsonWriter w;
+  w.begin().key("Rigs").list();
+  for (const auto& m : machines) w.text(m);
+  w.list_end().end();
+  return w.take();
+}
+
+std::optional<MachinePage> parse_machine_page(std::string_view body) {
+  return with_object(body, [](const Json& o) -> std::optional<MachinePage> {
+    const Json* list = find(o, "Rigs");
+    if (list == nullptr || !list->IsArray()) return std::nullopt;
+    MachinePage page;
+    page.more = read_flag(o, "HasNext").value_or(false);
+    for (const auto& item : list->GetArray()) {
+      const auto id = read_text(item, "Id"), type = read_text(item, "Frame"),
+                 zone = read_text(item, "Yard");
+      const auto state = named(kMachineStates, item, "Stance");
+      if (!id || !type || !zone || !state) return std::nullopt;
+      page.machines.push_back({*id, read_text(item, "Address").value_or(""), *type, *zone,
+                               read_flag(item, "Loaners").value_or(false), *state,
+                               read_amount(item, "HeldS").value_or(0)});
+    }
+    return page;
+  });
+}
+
+std::string machine_page_query(std::string_view after, int most) {
+  std::string q = "Most=" + std::to_string(most);
+  if (!after.empty()) q.append("&Since=").append(after);
+  return q;
+}
+
+std::string txn_request(const std::vector<Condition>& conditions,
+                        const std::vector<Change>& changes) {
+  JsonWriter w;
+  w.begin().key("If").list();
+  for (const auto& c : conditions) w.begin().key("K").text(c.key).key("Mark").count(c.revision).end();
+  w.list_end().key("Then").list();
+  for (const auto& c : changes) {
+    w.begin();
+    if (c.data.empty()) {
+      w.key("Remove").text(c.key);
+    } else {
+      w.key("Write").text(c.key).key("Data").raw(c.data);
+      if (c.lease != 0) w.key("Hold").count(c.lease);
+    }
+    w.end();
+  }
+  w.list_end().end();
+  return w.take();
+}
+
+std::optional<TxnAnswer> parse_txn_answer(std::string_view body) {
+  return with_object(body, [](const Json& o) -> std::optional<TxnAnswer> {
+    const auto revision = read_count(o, "LedgerTurn");
+    if (!revision) return std::nullopt;
+    return TxnAnswer{*revision,
+                     read_texts(o, "failed").value_or(std::vector<std::string>{})};
+  });
+}
+
+namespace {
+std::optional<StoredValue> read_stored(const Json& o) {
+  const auto key = read_text(o, "K");
+  const auto revision = read_count(o, "Mark");
+  const Json* data = find(o, "Data");
+  if (!key || !revision || data == nullptr) return std::nullopt;
+  return StoredValue{*key, to_text(*data), *revision};
+}
+}  // namespace
+
+std::optional<StoredValue> parse_stored(std::string_view body) {
+  return with_object(body, read_stored);
+}
+
+std::optional<std::uint64_t> parse_revision(std::string_view body) {
+  return with_object(body, [](const Json& o) { return read_count(o, "LedgerTurn"); });
+}
+
+std::optional<RangePage> parse_range(std::string_view body) {
+  return with_object(body, [](const Json& o) -> std::optional<RangePage> {
+    RangePage page;
+    const Json* rows = find(o, "Rows");
+    const auto revision = read_count(o, "LedgerTurn");
+    if (rows == nullptr || !rows->IsArray() || !revision) return std::nullopt;
+    page.revision = *revision;
+    page.more = read_flag(o, "HasNext").value_or(false);
+    for (const auto& row : rows->GetArray()) {
+      auto item = read_stored(row);
+      if (!item) return std::nullopt;
+      page.items.push_back(std::move(*item));
+    }
+    return page;
+  });
+}
+
+std::optional<RangePage> parse_watch(std::string_view body) {
+  return with_object(body, [](const Json& o) -> std::optional<RangePage> {
+    RangePage page;
+    const Json* news = find(o, "News");
+    const auto revision = read_count(o, "LedgerTurn");
+    if (news == nullptr || !news->IsArray() || !revision) return std::nullopt;
+    page.revision = *revision;
+    for (const auto& event : news->GetArray()) {
+      const auto mark = read_count(event, "Mark");
+      const auto written = read_text(event, "Write"), removed = read_text(event, "Remove");
+      const Json* data = find(event, "Data");
+      if (!mark || (!written && !removed) || (written && data == nullptr)) return std::nullopt;
+      page.items.push_back(
+          {written ? *written : *removed, written ? to_text(*data) : std::string(), *mark});
+    }
+    return page;
+  });
+}
+
+std::string range_query(std::string_view prefix, std::string_view after, int most) {
+  std::string q = "Under=" + std::string(prefix) + "&Most=" + std::to_string(most);
+  if (!after.empty()) q.append("&Since=").append(after);
+  return q;
+}
+
+std::string watch_query(std::string_view prefix, std::uint64_t since, int wait_ms) {
+  return "Under=" + std::string(prefix) + "&Since=" + std::to_string(since) +
+         "&HoldMs=" + std::to_string(wait_ms);
+}
+
+std::string lease_request(int life_ms) {
+  JsonWriter w;
+  w.begin().key("LifeMs").integer(life_ms).end();
+  return w.take();
+}
+
+std::optional<std::uint64_t> parse_lease(std::string_view body) {
+  return with_object(body, [](const Json& o) { return read_count(o, "Hold"); });
+}
+
+}  // namespace cranklock::wire
--- /dev/null
+++ b/src/wire/messages.hpp
@@ -0,0 +1,181 @@
+// The protocol's messages. Only this package knows the protocol's names on the wire; everything
+// inside speaks of class, team, task, attempt, token, session, lease and revision.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+#include "wire/json.hpp"
+
+namespace cranklock::wire {
+
+enum class Shape { array, gang, service };
+/// In order of priority, highest first.
+enum class Rank { production, high, standard, best_effort };
+
+struct Room {
+  double cpus = 0, gpus = 0, memory_gb = 0;
+
+  Room& operator+=(const Room& o) {
+    cpus += o.cpus, gpus += o.gpus, memory_gb += o.memory_gb;
+    return *this;
+  }
+  Room& operator-=(const Room& o) {
+    cpus -= o.cpus, gpus -= o.gpus, memory_gb -= o.memory_gb;
+    return *this;
+  }
+  friend Room operator+(Room a, const Room& b) { return a += b; }
+  friend Room operator-(Room a, const Room& b) { return a -= b; }
+  friend Room operator*(Room a, double n) {
+    return {a.cpus * n, a.gpus * n, a.memory_gb * n};
+  }
+  bool fits_in(const Room& o) const {
+    constexpr double kSlack = 1e-6;  // sums of decimal amounts
+    return cpus <= o.cpus + kSlack && gpus <= o.gpus + kSlack && memory_gb <= o.memory_gb + kSlack;
+  }
+};
+
+struct JobSpec {
+  std::string id, job_class, team;
+  Shape shape = Shape::array;
+  Rank rank = Rank::standard;
+  std::uint32_t tasks = 1;
+  Room room;  ///< of each task
+  std::string image;
+  double image_gb = 0;
+  std::vector<std::string> types;  ///< empty: any
+  std::string zone;                ///< empty: any
+  bool one_zone = false, spread = false, spot = false;
+  double estimate_s = 0, checkpoint_s = 0, save_s = 0;
+  std::optional<double> due_s;
+};
+
+inline constexpr std::uint32_t kMostTasks = 100'000;
+
+/// "j-" and digits, the form that every job id has.
+bool valid_job_id(std::string_view id);
+
+/// The job, or why it is malformed.
+std::variant<JobSpec, std::string> parse_job(const Json& object);
+void write_job(JsonWriter& w, const JobSpec& job);
+
+enum class JobState { queued, running, done, withdrawn };
+std::string job_answer(std::string_view id, JobState state);
+std::string job_status(std::string_view id, JobState state, std::uint64_t done,
+                       std::uint64_t running);
+std::string error_answer(std::string_view why);
+
+struct TaskName {
+  std::string job;
+  std::uint32_t index = 0;
+  auto operator<=>(const TaskName&) const = default;
+};
+std::string to_string(const TaskName& name);
+std::optional<TaskName> parse_task(std::string_view text);
+
+enum class TaskState { fetching, waiting, running, saving, exited };
+enum class Cause { none, done, stopped, peers, alone, error, no_room, busy, unknown };
+
+struct TaskReport {
+  TaskName task;
+  std::uint64_t attempt = 0;
+  TaskState state = TaskState::fetching;
+  Cause cause = Cause::none;
+  bool saved = false;
+};
+
+struct Report {
+  std::string machine, address, type, zone;
+  bool spot = false;
+  std::uint64_t session = 0, tick = 0, token = 0;
+  std::optional<double> notice_s;
+  std::vector<TaskReport> tasks;
+};
+std::optional<Report> parse_report(std::string_view body);
+
+enum class Verb { start, stop, forget };
+struct Order {
+  Verb verb = Verb::start;
+  TaskName task;
+  std::uint64_t attempt = 0;
+  double grace_s = 0;
+};
+std::string orders_answer(std::uint64_t token, const std::vector<Order>& orders);
+std::string orders_command(std::uint64_t token, std::uint64_t session,
+                           const std::vector<Order>& orders);
+/// For a node that is not entitled; `leader` may be empty.
+std::string misdirected_answer(std::string_view leader);
+
+struct MachineType {
+  std::string name;
+  Room room;
+  double cache_gb = 0, fetch_gb_per_s = 1, price = 0, spot_price = 0, ready_s = 60;
+  std::vector<std::string> zones;
+};
+std::optional<std::vector<MachineType>> parse_machine_types(std::string_view body);
+void write_machine_types(JsonWriter& w, const std::vector<MachineType>& types);
+
+struct Rental {
+  std::string request, type, zone;
+  bool spot = false;
+  int count = 1;
+};
+std::string rental_request(const Rental& rental);
+std::optional<std::vector<std::string>> parse_rented(std::string_view body);
+std::string delete_request(const std::vector<std::string>& machines);
+
+enum class MachineState { booting, running, failed };
+struct ListedMachine {
+  std::string id, address, type, zone;
+  bool spot = false;
+  MachineState state = MachineState::booting;
+  double age_s = 0;
+};
+struct MachinePage {
+  std::vector<ListedMachine> machines;
+  bool more = false;
+};
+std::optional<MachinePage> parse_machine_page(std::string_view body);
+std::string machine_page_query(std::string_view after, int most);
+
+// The state service.
+struct StoredValue {
+  std::string key;
+  std::string data;  ///< JSON; empty: removed
+  std::uint64_t revision = 0;
+};
+struct Condition {
+  std::string key;
+  std::uint64_t revision = 0;
+};
+struct Change {
+  std::string key;
+  std::string data;  ///< JSON; empty: remove
+  std::uint64_t lease = 0;
+};
+struct TxnAnswer {
+  std::uint64_t revision = 0;
+  std::vector<std::string> failed;
+};
+struct RangePage {
+  std::vector<StoredValue> items;
+  bool more = false;
+  std::uint64_t revision = 0;
+};
+std::string txn_request(const std::vector<Condition>& conditions,
+                        const std::vector<Change>& changes);
+std::optional<TxnAnswer> parse_txn_answer(std::string_view body);
+std::optional<StoredValue> parse_stored(std::string_view body);
+std::optional<std::uint64_t> parse_revision(std::string_view body);
+std::optional<RangePage> parse_range(std::string_view body);
+std::optional<RangePage> parse_watch(std::string_view body);
+std::string range_query(std::string_view prefix, std::string_view after, int most);
+std::string watch_query(std::string_view prefix, std::uint64_t since, int wait_ms);
+std::string lease_request(int life_ms);
+std::optional<std::uint64_t> parse_lease(std::string_view body);
+
+}  // namespace cranklock::wire
