--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -13,6 +13,7 @@
 #include "net/client.hpp"
 #include "net/reactor.hpp"
 #include "net/server.hpp"
+#include "peer/links.hpp"
 #include "store/client.hpp"
 
 namespace {
@@ -45,13 +46,19 @@
   net::ServerLimits limits;
   limits.connections = static_cast<std::size_t>(settings.fd_limit) * 6 / 10;
   limits.idle_s = 4 * settings.lease_s;
-  net::HttpServer server(reactor, limits, [&](net::Request request) {
-    return node.handle(std::move(request));
-  });
+  net::HttpServer server(reactor, limits,
+                         [&](net::Request request) { return node.handle(std::move(request)); });
   if (!server.listen(settings.listen)) {
     spdlog::error("{} can't be listened on", settings.listen);
     return 1;
   }
+  peer::Links links(
+      reactor, settings, control::Node::hello_every(settings), [&] { return node.hello(); },
+      [&](const peer::Hello& hello) { node.heard(hello); });
+  if (!links.listen()) {
+    spdlog::error("{} can't be listened on", settings.peer_listen);
+    return 1;
+  }
   // Orderly end where the platform asks for one: the scope cancels every routine.
   ev_signal on_term, on_int;
   const auto stop = [](struct ev_loop* loop, ev_signal*, int) { ev_break(loop, EVBREAK_ALL); };
@@ -65,6 +72,8 @@
   routines.spawn(node.learn_types());
   routines.spawn(node.feel_state());
   routines.spawn(node.run());
+  routines.spawn(links.accept());
+  for (const auto& other : settings.others) routines.spawn(links.greet(other.address));
   spdlog::info("{} listens on {}", settings.name, settings.listen);
   reactor.run();
   spdlog::info("{} ends", settings.name);
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -1,10 +1,10 @@
 #include "base/settings.hpp"
 
-#include <pugixml.hpp>
 #include <toml++/toml.h>
 
 #include <functional>
 #include <map>
+#include <pugixml.hpp>
 
 namespace cranklock::base {
 namespace {
@@ -25,8 +25,8 @@
   double number(const char* field, double least, bool above = false) const {
     const auto v = table_[field].value<double>();
     if (!v || *v < least || (above && *v <= least)) {
-      fail(field, std::string("a number ") + (above ? "above " : "of at least ") +
-                      std::to_string(least));
+      fail(field,
+           std::string("a number ") + (above ? "above " : "of at least ") + std::to_string(least));
     }
     return *v;
   }
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -17,13 +17,41 @@
 }
 
 Node::Node(Services services)
-    : services_(services), users_(services), lost_(services.reactor) {}
+    : services_(services),
+      users_(services),
+      lost_(services.reactor),
+      roster_(4 * hello_every(services.settings)) {}
 
-Node::~Node() { duties_.clear(); }
+Node::~Node() {
+  duties_.clear();
+}
+
+bool Node::reaches_state() const {
+  constexpr double kPatience = 2.5;  // asked every second
+  return services_.reactor.now() - state_heard_ < kPatience;
+}
 
 bool Node::ready() const {
-  const double patience = services_.settings.lease_s / 5 + 2.0;
-  return users_.knows_types() && services_.reactor.now() - state_heard_ < patience;
+  if (!users_.knows_types()) return false;
+  // When nobody reaches the state service, users are better told so at once by a node than turned
+  // away by the balancer, which would take its time to come back.
+  return reaches_state() ||
+         (state_heard_ > 0 && !roster_.any_reaches_state(services_.reactor.now()));
+}
+
+peer::Hello Node::hello() const {
+  const double now = services_.reactor.now();
+  return {services_.settings.name, leads() ? office_->token() : 0, reaches_state(),
+          now - workers_heard_ < 2 * services_.settings.report_s};
+}
+
+bool Node::cut_off_from_workers() const {
+  if (!term_->deaf() || services_.settings.others.empty()) return false;
+  const double now = services_.reactor.now();
+  // Nobody hears any: there are none, or they are cut off from all. But a node that hears neither
+  // workers nor peers has itself lost the network.
+  return roster_.any_hears_workers(now) ||
+         (!roster_.any_heard(now) && !term_->picture().machines().empty());
 }
 
 Task<void> Node::learn_types() {
@@ -77,15 +105,14 @@
   const auto lease = co_await granting;
   if (!lease) co_return taken;
   taken.lease = *lease;
-  const LeaderRecord record{services_.settings.name,
-                            std::to_string(services_.reactor.wall_ms()) + "-" +
-                                std::to_string(++nonce_) + "-" + std::to_string(*lease)};
+  const LeaderRecord record{services_.settings.name, std::to_string(services_.reactor.wall_ms()) +
+                                                         "-" + std::to_string(++nonce_) + "-" +
+                                                         std::to_string(*lease)};
   const std::string text = write_leader(record);
   for (int tries = 0; tries < 3; ++tries) {
     std::vector<wire::Condition> conditions{{kLeaderKey, 0}};
     std::vector<wire::Change> changes{{kLeaderKey, text, *lease}};
-    auto writing =
-        services_.store.transact(std::move(conditions), std::move(changes), life / 3);
+    auto writing = services_.store.transact(std::move(conditions), std::move(changes), life / 3);
     const auto written = co_await writing;
     if (written.outcome == Outcome::ok) {
       taken.ok = true;
@@ -174,7 +201,7 @@
       spdlog::info("office lost, token {}: its lease has ended", taken.token);
       break;
     }
-    if (term_->deaf() && !term_->picture().machines().empty() && services_.settings.nodes > 1) {
+    if (cut_off_from_workers()) {
       // Another node may hear the workers where this one can't.
       spdlog::info("office given up, token {}: no worker is heard", taken.token);
       abstain_until_ = services_.reactor.now() + 2 * services_.settings.lease_s;
@@ -200,6 +227,7 @@
     spdlog::error("a malformed report was refused");
     return plain_answer(400, wire::error_answer("malformed report"));
   }
+  workers_heard_ = services_.reactor.now();
   if (leads()) return term_->checkin(*report);
   if (term_ != nullptr) return come_back("taking over");
   // Never itself: it doesn't lead.
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -6,6 +6,7 @@
 
 #include "control/term.hpp"
 #include "control/users.hpp"
+#include "peer/roster.hpp"
 
 namespace cranklock::control {
 
@@ -25,6 +26,10 @@
   net::Task<net::Response> handle(net::Request request);
 
   bool ready() const;
+  /// What this node says to the others, and takes from them.
+  peer::Hello hello() const;
+  void heard(const peer::Hello& hello) { roster_.heard(hello, services_.reactor.now()); }
+  static double hello_every(const base::Settings& settings) { return settings.report_s / 3; }
   bool leads() const { return term_ != nullptr && serving_; }
   Term* term() { return term_.get(); }
 
@@ -37,18 +42,21 @@
   net::Task<Taken> take_office();
   net::Task<void> serve_term(Taken taken);
   net::Response checkin(const net::Request& request);
+  bool reaches_state() const;
+  bool cut_off_from_workers() const;
 
   Services services_;
   Users users_;
   net::Signal lost_;
+  peer::Roster roster_;
   std::unique_ptr<Office> office_;
   std::unique_ptr<Term> term_;
   net::Scope duties_;
   bool serving_ = false;  ///< the term has loaded its picture
   std::string leader_;    ///< believed to lead; empty: unknown
-  double leader_seen_ = 0;
   double abstain_until_ = 0;
   double state_heard_ = 0;
+  double workers_heard_ = -1e9;
   std::uint64_t nonce_ = 0;
 };
 
--- a/src/control/record.cpp
+++ b/src/control/record.cpp
@@ -6,8 +6,12 @@
 using wire::JsonDocument;
 using wire::JsonWriter;
 
-std::string job_key(const std::string& id) { return kJobsPrefix + id; }
-std::string ended_key(const std::string& id) { return "ended/" + id; }
+std::string job_key(const std::string& id) {
+  return kJobsPrefix + id;
+}
+std::string ended_key(const std::string& id) {
+  return "ended/" + id;
+}
 std::string part_key(const std::string& id, int part) {
   return "parts/" + id + "/" + std::to_string(part);
 }
@@ -63,7 +67,8 @@
   constexpr std::size_t kFrame = 48;  // brackets, names and the count of parts
   std::size_t next_done = 0, next_place = 0;
   const auto fill = [&](std::string text, bool first) {
-    const auto add = [&](const char* name, const std::vector<std::string>& from, std::size_t& next) {
+    const auto add = [&](const char* name, const std::vector<std::string>& from,
+                         std::size_t& next) {
       if (!first) text += ",";
       first = false;
       text.append("\"").append(name).append("\":[");
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -77,8 +77,7 @@
     const auto name = item.key.substr(std::string(kPoolsPrefix).size());
     auto& pool =
         pools_.try_emplace(name, sched::Pool(services_.settings.operators.scaler)).first->second;
-    pool.state.count =
-        static_cast<int>(wire::read_amount(document.root(), "count").value_or(0));
+    pool.state.count = static_cast<int>(wire::read_amount(document.root(), "count").value_or(0));
     pool.state.scaled_ms =
         static_cast<std::int64_t>(wire::read_amount(document.root(), "scaled").value_or(0));
     pool_revisions_[name] = item.revision;
@@ -450,8 +449,8 @@
   }
   net::Request request{"POST", "/commands", "",
                        wire::orders_command(office_.token(), session, orders), true};
-  auto calling = services_.transport.call(m->address, std::move(request),
-                                          services_.settings.report_s);
+  auto calling =
+      services_.transport.call(m->address, std::move(request), services_.settings.report_s);
   const auto reply = co_await calling;
   pushing_.erase(id);
   if (reply.kind != net::Reply::Kind::not_sent && reply.status() != 200 && reply.status() != 409) {
@@ -645,8 +644,8 @@
       const auto wall = services_.reactor.wall_ms();
       const auto before = pool.state;
       const int change = pool.decide(reading, settled, wall, at);
-      spdlog::debug("pool {}: score {:.2f}, {} machines, {} wanted, change {}", name,
-                    reading.score, reading.machines, reading.wanted, change);
+      spdlog::debug("pool {}: score {:.2f}, {} machines, {} wanted, change {}", name, reading.score,
+                    reading.machines, reading.wanted, change);
       if (change > 0 && office_.certain(at)) {
         // Stamped now: a refused rental waits a cooldown like any other.
         pool.stamp(reading.machines + change, wall);
@@ -657,8 +656,8 @@
         const int given = shrink(name, -change);
         if (given > 0) {
           pool.stamp(reading.machines - given, wall);
-          spdlog::info("pool {} shrinks by {} from {}: score {:.2f}", name, given,
-                       reading.machines, reading.score);
+          spdlog::info("pool {} shrinks by {} from {}: score {:.2f}", name, given, reading.machines,
+                       reading.score);
         }
       }
       if (!(pool.state == before)) changed.push_back(name);
@@ -765,7 +764,12 @@
 Task<void> Term::write_pool(std::string name) {
   const auto& pool = pools_.at(name);
   wire::JsonWriter w;
-  w.begin().key("count").integer(pool.state.count).key("scaled").integer(pool.state.scaled_ms).end();
+  w.begin()
+      .key("count")
+      .integer(pool.state.count)
+      .key("scaled")
+      .integer(pool.state.scaled_ms)
+      .end();
   const std::string key = kPoolsPrefix + name;
   std::vector<wire::Condition> conditions{{kLeaderKey, office_.token()},
                                           {key, pool_revisions_[name]}};
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -75,12 +75,12 @@
 
  private:
   // Duties, each a routine.
-  net::Task<void> decide();          // news, placement, writing, starts
-  net::Task<void> follow_jobs();     // other nodes' acceptances and cancellations
-  net::Task<void> follow_cloud();    // the machine list
-  net::Task<void> follow_types();    // machine types and prices
+  net::Task<void> decide();        // news, placement, writing, starts
+  net::Task<void> follow_jobs();   // other nodes' acceptances and cancellations
+  net::Task<void> follow_cloud();  // the machine list
+  net::Task<void> follow_types();  // machine types and prices
   net::Task<void> scale();
-  net::Task<void> keep_house();      // leases, notices, cancellations, faulty machines
+  net::Task<void> keep_house();  // leases, notices, cancellations, faulty machines
   net::Task<void> delete_machines();
 
   struct Batch;
--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -35,8 +35,7 @@
 }
 
 Users::Users(Services services)
-    : services_(services),
-      limiter_(4, services.settings.fd_limit / 8.0, kSlowAnswer) {}
+    : services_(services), limiter_(4, services.settings.fd_limit / 8.0, kSlowAnswer) {}
 
 Task<Response> Users::handle(Request request) {
   if (!limiter_.try_enter()) co_return come_back("too many requests in progress");
@@ -69,13 +68,15 @@
   rest.erase(0, 1);
   if (rest.ends_with(kWithdraw)) {
     rest.resize(rest.size() - kWithdraw.size());
-    if (rest.find('/') != std::string::npos) co_return plain_answer(404, wire::error_answer("no such path"));
+    if (rest.find('/') != std::string::npos)
+      co_return plain_answer(404, wire::error_answer("no such path"));
     if (request.method != "POST") co_return refuse_method("POST");
     auto work = withdraw(std::move(rest));
     auto response = co_await work;
     co_return response;
   }
-  if (rest.find('/') != std::string::npos) co_return plain_answer(404, wire::error_answer("no such path"));
+  if (rest.find('/') != std::string::npos)
+    co_return plain_answer(404, wire::error_answer("no such path"));
   if (request.method != "GET") co_return refuse_method("GET");
   auto work = status(std::move(rest));
   auto response = co_await work;
@@ -129,11 +130,10 @@
   const auto* team = services_.settings.team(spec.team);
   if (team == nullptr) return "unknown team";
   const bool fits = std::any_of(types_.begin(), types_.end(), [&](const wire::MachineType& t) {
-    const bool named =
-        spec.types.empty() ||
-        std::find(spec.types.begin(), spec.types.end(), t.name) != spec.types.end();
-    const bool in_zone = spec.zone.empty() ||
-                         std::find(t.zones.begin(), t.zones.end(), spec.zone) != t.zones.end();
+    const bool named = spec.types.empty() ||
+                       std::find(spec.types.begin(), spec.types.end(), t.name) != spec.types.end();
+    const bool in_zone =
+        spec.zone.empty() || std::find(t.zones.begin(), t.zones.end(), spec.zone) != t.zones.end();
     return named && in_zone && spec.room.fits_in(t.room);
   });
   if (!fits) return "no allowed machine type has room for a task";
@@ -148,15 +148,15 @@
 
 Task<Response> Users::submit(std::string body) {
   const wire::JsonDocument document(body);
-  if (!document.is_object()) co_return plain_answer(400, wire::error_answer("expected a JSON object"));
+  if (!document.is_object())
+    co_return plain_answer(400, wire::error_answer("expected a JSON object"));
   auto parsed = wire::parse_job(document.root());
   const auto id = wire::read_text(document.root(), "Id");
   if (!id || !wire::valid_job_id(*id)) {
     co_return plain_answer(400, wire::error_answer(std::get<std::string>(parsed)));
   }
   const auto known = [&](const Found& found) {
-    const auto state =
-        found.kind == Found::Kind::ended ? found.ending.state : state_of(found.job);
+    const auto state = found.kind == Found::Kind::ended ? found.ending.state : state_of(found.job);
     return plain_answer(200, wire::job_answer(*id, state));
   };
   const bool malformed = std::holds_alternative<std::string>(parsed);
@@ -166,7 +166,8 @@
     // A repeat of an accepted job is answered with its state, whatever it says now.
     auto looking = look_up(*id);
     const auto found = co_await looking;
-    if (found.kind == Found::Kind::unclear) co_return come_back("the state service does not answer");
+    if (found.kind == Found::Kind::unclear)
+      co_return come_back("the state service does not answer");
     if (found.kind != Found::Kind::absent) co_return known(found);
     if (malformed) co_return plain_answer(400, wire::error_answer(std::get<std::string>(parsed)));
     if (types_.empty()) co_return come_back("the machine types are not known yet");
@@ -190,7 +191,8 @@
   if (created.outcome == Outcome::ok) {
     co_return plain_answer(201, wire::job_answer(*id, JobState::queued));
   }
-  if (created.outcome == Outcome::refused) co_return come_back("the state service is not available");
+  if (created.outcome == Outcome::refused)
+    co_return come_back("the state service is not available");
   // Known already, or unanswered: what is stored tells.
   auto looking = look_up(*id);
   const auto found = co_await looking;
@@ -208,8 +210,7 @@
       co_return plain_answer(200, wire::job_status(id, state_of(found.job), found.job.done.size(),
                                                    found.job.places.size()));
     case Found::Kind::ended:
-      co_return plain_answer(
-          200, wire::job_status(id, found.ending.state, found.ending.tasks, 0));
+      co_return plain_answer(200, wire::job_status(id, found.ending.state, found.ending.tasks, 0));
     case Found::Kind::absent:
       co_return no_such();
     default:
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -2,7 +2,7 @@
 
 #include <cerrno>
 
-#include "net/socket.hpp"
+#include "net/stream.hpp"
 
 namespace cranklock::net {
 namespace {
@@ -40,58 +40,26 @@
   }
 }
 
-Task<int> HttpClient::connect(std::string address, double until) {
-  const auto target = parse_address(address);
-  if (!target) co_return -1;
-  Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  if (!fd.valid()) co_return -1;
-  const int one = 1;
-  ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
-  const int rc = ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&*target), sizeof *target);
-  if (rc != 0) {
-    if (errno != EINPROGRESS) co_return -1;
-    Ready ready(reactor_, fd.get(), true, until - reactor_.now());
-    if (!co_await ready) co_return -1;
-    int error = 0;
-    socklen_t size = sizeof error;
-    ::getsockopt(fd.get(), SOL_SOCKET, SO_ERROR, &error, &size);
-    if (error != 0) co_return -1;
-  }
-  co_return fd.release();
-}
-
 Task<Reply> HttpClient::call(std::string address, Request request, double timeout_s) {
   const double until = reactor_.now() + timeout_s;
   Reply reply;
   Fd fd(take_idle(address));
   if (!fd.valid()) {
-    auto connecting = connect(address, until);
-    fd = Fd(co_await connecting);
+    auto connecting = connect_to(reactor_, address, until);
+    fd = co_await connecting;
     if (!fd.valid()) {
       reply.kind = Reply::Kind::not_sent;
       co_return reply;
     }
   }
   const std::string out = serialize(request, address);
-  std::size_t sent = 0;
-  while (sent < out.size()) {
-    const auto n = ::send(fd.get(), out.data() + sent, out.size() - sent, MSG_NOSIGNAL);
-    if (n > 0) {
-      sent += static_cast<std::size_t>(n);
-    } else if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
-      Ready ready(reactor_, fd.get(), true, until - reactor_.now());
-      if (!co_await ready) co_return reply;
-    } else {
-      co_return reply;
-    }
-  }
+  auto writing = write_all(reactor_, fd.get(), out, until);
+  if (!co_await writing) co_return reply;
   HttpParser parser(HttpParser::Kind::response, {16 * 1024, max_body_});
   char buffer[8192];
   for (;;) {
-    Ready ready(reactor_, fd.get(), false, until - reactor_.now());
-    if (!co_await ready) co_return reply;
-    const auto n = ::recv(fd.get(), buffer, sizeof buffer, 0);
-    if (n < 0 && (errno == EAGAIN || errno == EINTR)) continue;
+    auto reading = read_some(reactor_, fd.get(), buffer, sizeof buffer, until);
+    const auto n = co_await reading;
     if (n < 0) co_return reply;
     const auto state =
         n == 0 ? parser.finish() : parser.feed({buffer, static_cast<std::size_t>(n)});
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -41,7 +41,6 @@
     int fd;
     double since;
   };
-  Task<int> connect(std::string address, double until);
   int take_idle(const std::string& address);
   void keep(const std::string& address, int fd);
 
--- a/src/net/http.cpp
+++ b/src/net/http.cpp
@@ -34,19 +34,32 @@
 
 const char* reason(int status) {
   switch (status) {
-    case 200: return "OK";
-    case 201: return "Created";
-    case 400: return "Bad Request";
-    case 404: return "Not Found";
-    case 405: return "Method Not Allowed";
-    case 409: return "Conflict";
-    case 413: return "Content Too Large";
-    case 421: return "Misdirected Request";
-    case 422: return "Unprocessable Content";
-    case 431: return "Request Header Fields Too Large";
-    case 501: return "Not Implemented";
-    case 503: return "Service Unavailable";
-    default: return "Status";
+    case 200:
+      return "OK";
+    case 201:
+      return "Created";
+    case 400:
+      return "Bad Request";
+    case 404:
+      return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 409:
+      return "Conflict";
+    case 413:
+      return "Content Too Large";
+    case 421:
+      return "Misdirected Request";
+    case 422:
+      return "Unprocessable Content";
+    case 431:
+      return "Request Header Fields Too Large";
+    case 501:
+      return "Not Implemented";
+    case 503:
+      return "Service Unavailable";
+    default:
+      return "Status";
   }
 }
 
--- a/src/net/http.hpp
+++ b/src/net/http.hpp
@@ -19,8 +19,8 @@
 struct Response {
   int status = 200;
   std::string body;
-  std::string allow;        ///< for 405
-  int retry_after_s = 0;    ///< 0: none
+  std::string allow;      ///< for 405
+  int retry_after_s = 0;  ///< 0: none
   bool keep_alive = true;
 };
 
--- a/src/net/reactor.cpp
+++ b/src/net/reactor.cpp
@@ -56,11 +56,14 @@
 };
 
 EvReactor::EvReactor()
-    : loop_(ev_loop_new(static_cast<unsigned>(EVBACKEND_EPOLL) | static_cast<unsigned>(EVFLAG_NOENV))), watchers_(new Watchers) {
+    : loop_(ev_loop_new(static_cast<unsigned>(EVBACKEND_EPOLL) |
+                        static_cast<unsigned>(EVFLAG_NOENV))),
+      watchers_(new Watchers) {
   if (loop_ == nullptr) throw std::runtime_error("no event loop");
   ev_timer_init(
       &watchers_->timer,
-      [](struct ev_loop*, ev_timer* w, int) { static_cast<EvReactor*>(w->data)->fire(); }, 0.0, 0.0);
+      [](struct ev_loop*, ev_timer* w, int) { static_cast<EvReactor*>(w->data)->fire(); }, 0.0,
+      0.0);
   watchers_->timer.data = this;
 }
 
@@ -96,8 +99,12 @@
   rearm();
 }
 
-void EvReactor::run() { ev_run(loop_, 0); }
-void EvReactor::stop() { ev_break(loop_, EVBREAK_ALL); }
+void EvReactor::run() {
+  ev_run(loop_, 0);
+}
+void EvReactor::stop() {
+  ev_break(loop_, EVBREAK_ALL);
+}
 
 Ready::Ready(EvReactor& reactor, int fd, bool for_write, double seconds)
     : reactor_(reactor), seconds_(seconds) {
@@ -135,6 +142,8 @@
   return fired_;
 }
 
-Ready::~Ready() { disarm(); }
+Ready::~Ready() {
+  disarm();
+}
 
 }  // namespace cranklock::net
--- a/src/net/reactor.hpp
+++ b/src/net/reactor.hpp
@@ -113,7 +113,9 @@
   std::int64_t wall_ms() const override;
   void run();
   void stop();
-  struct ev_loop* raw() const { return loop_; }
+  struct ev_loop* raw() const {
+    return loop_;
+  }
   void fire();  ///< for the timer's callback
 
  protected:
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -2,16 +2,13 @@
 
 #include <cerrno>
 
+#include "net/stream.hpp"
+
 namespace cranklock::net {
 
 bool HttpServer::listen(const std::string& address) {
-  const auto local = parse_address(address);
-  if (!local) return false;
-  listener_ = Fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-  const int one = 1;
-  ::setsockopt(listener_.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  return ::bind(listener_.get(), reinterpret_cast<const sockaddr*>(&*local), sizeof *local) == 0 &&
-         ::listen(listener_.get(), 128) == 0;
+  listener_ = listen_on(address);
+  return listener_.valid();
 }
 
 void HttpServer::make_room() {
@@ -30,7 +27,7 @@
     Ready ready(reactor_, listener_.get(), false, 3600.0);
     if (!co_await ready) continue;
     for (;;) {
-      Fd fd(::accept4(listener_.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+      Fd fd = accept_from(listener_.get());
       if (!fd.valid()) {
         if (errno == EMFILE || errno == ENFILE) {
           make_room();
@@ -39,8 +36,6 @@
         }
         break;
       }
-      const int one = 1;
-      ::setsockopt(fd.get(), IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
       if (open_.size() >= limits_.connections) make_room();
       if (open_.size() >= limits_.connections + limits_.connections / 8) continue;
       connections_.spawn(serve(std::move(fd)));
@@ -62,11 +57,9 @@
       const double left =
           parser.idle() ? limits_.idle_s : begun + limits_.request_s - reactor_.now();
       if (left <= 0) co_return;
-      Ready ready(reactor_, fd.get(), false, left);
-      if (!co_await ready) co_return;
       char buffer[4096];
-      const auto n = ::recv(fd.get(), buffer, sizeof buffer, 0);
-      if (n < 0 && (errno == EAGAIN || errno == EINTR)) continue;
+      auto reading = read_some(reactor_, fd.get(), buffer, sizeof buffer, reactor_.now() + left);
+      const auto n = co_await reading;
       if (n <= 0) co_return;
       if (parser.idle()) begun = reactor_.now();
       entry.it->idle = false;
@@ -84,19 +77,8 @@
       response.keep_alive = response.keep_alive && keep;
     }
     const std::string out = serialize(response);
-    std::size_t sent = 0;
-    const double until = reactor_.now() + limits_.request_s;
-    while (sent < out.size()) {
-      const auto n = ::send(fd.get(), out.data() + sent, out.size() - sent, MSG_NOSIGNAL);
-      if (n > 0) {
-        sent += static_cast<std::size_t>(n);
-      } else if (n < 0 && (errno == EAGAIN || errno == EINTR)) {
-        Ready ready(reactor_, fd.get(), true, until - reactor_.now());
-        if (!co_await ready) co_return;
-      } else {
-        co_return;
-      }
-    }
+    auto writing = write_all(reactor_, fd.get(), out, reactor_.now() + limits_.request_s);
+    if (!co_await writing) co_return;
     if (!response.keep_alive) co_return;
     parser.next();
     begun = reactor_.now();
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -14,8 +14,8 @@
 
 struct ServerLimits {
   std::size_t connections = 256;
-  double idle_s = 60.0;     ///< a connection between requests
-  double request_s = 5.0;   ///< from the first byte of a request to its last
+  double idle_s = 60.0;    ///< a connection between requests
+  double request_s = 5.0;  ///< from the first byte of a request to its last
   HttpLimits http;
 };
 
--- a/src/peer/frames.cpp
+++ b/src/peer/frames.cpp
@@ -3,7 +3,7 @@
 namespace cranklock::peer {
 namespace {
 
-enum class Kind : std::uint8_t { hello = 1, job_changed = 2 };
+enum class Kind : std::uint8_t { hello = 1 };
 
 class Packer {
  public:
@@ -61,47 +61,34 @@
 
 }  // namespace
 
-std::string pack(const Frame& frame) {
-  if (const auto* hello = std::get_if<Hello>(&frame)) {
-    Packer p;
-    p.text(hello->name).number(hello->token);
-    p.number(static_cast<std::uint8_t>(hello->state_reached ? 1 : 0));
-    return std::move(p).frame(Kind::hello);
-  }
-  const auto& changed = std::get<JobChanged>(frame);
+std::string pack(const Hello& hello) {
   Packer p;
-  p.text(changed.id).number(changed.revision);
-  return std::move(p).frame(Kind::job_changed);
+  p.text(hello.name).number(hello.token);
+  p.number(static_cast<std::uint8_t>(hello.reaches_state ? 1 : 0));
+  p.number(static_cast<std::uint8_t>(hello.hears_workers ? 1 : 0));
+  return std::move(p).frame(Kind::hello);
 }
 
-Unpacked unpack(std::string& buffer, Frame& out) {
+Unpacked unpack(std::string& buffer, Hello& out) {
   if (buffer.size() < kHeader) return Unpacked::more;
   Unpacker head(std::string_view(buffer).substr(0, kHeader));
   const auto length = head.number<std::uint16_t>();
   const auto version = head.number<std::uint8_t>();
   const auto kind = static_cast<Kind>(head.number<std::uint8_t>());
-  if (version != kVersion || length > 4 * kMostName) return Unpacked::broken;
-  if (buffer.size() < kHeader + length) return Unpacked::more;
-  const std::string body = buffer.substr(kHeader, length);
-  buffer.erase(0, kHeader + length);
-  Unpacker in(body);
-  if (kind == Kind::hello) {
-    Hello hello;
-    hello.name = in.text();
-    hello.token = in.number<std::uint64_t>();
-    const auto reached = in.number<std::uint8_t>();
-    if (!in.whole() || reached > 1) return Unpacked::broken;
-    hello.state_reached = reached == 1;
-    out = std::move(hello);
-  } else if (kind == Kind::job_changed) {
-    JobChanged changed;
-    changed.id = in.text();
-    changed.revision = in.number<std::uint64_t>();
-    if (!in.whole()) return Unpacked::broken;
-    out = std::move(changed);
-  } else {
+  if (version != kVersion || kind != Kind::hello || length > 2 * kMostName) {
     return Unpacked::broken;
   }
+  if (buffer.size() < kHeader + length) return Unpacked::more;
+  Unpacker in(std::string_view(buffer).substr(kHeader, length));
+  Hello hello;
+  hello.name = in.text();
+  hello.token = in.number<std::uint64_t>();
+  const auto state = in.number<std::uint8_t>(), workers = in.number<std::uint8_t>();
+  if (!in.whole() || state > 1 || workers > 1) return Unpacked::broken;
+  hello.reaches_state = state == 1;
+  hello.hears_workers = workers == 1;
+  buffer.erase(0, kHeader + length);
+  out = std::move(hello);
   return Unpacked::frame;
 }
 
--- a/src/peer/frames.hpp
+++ b/src/peer/frames.hpp
@@ -3,10 +3,8 @@
 #pragma once
 
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
 
 namespace cranklock::peer {
 
@@ -14,27 +12,19 @@
 inline constexpr std::size_t kMostName = 64;
 inline constexpr std::size_t kHeader = 4;  ///< u16 length of what follows it, u8 version, u8 kind
 
-/// Who is there, and whether it reaches the state service.
+/// Who is there, and what it reaches.
 struct Hello {
   std::string name;
-  std::uint64_t token = 0;  ///< of its office; 0: it doesn't lead
-  bool state_reached = false;
+  std::uint64_t token = 0;     ///< of its office; 0: it doesn't lead
+  bool reaches_state = false;  ///< the state service answered it lately
+  bool hears_workers = false;  ///< workers have reported to it lately, be it in vain
   bool operator==(const Hello&) const = default;
 };
 
-/// A job was accepted or cancelled here: worth a look before the watch tells.
-struct JobChanged {
-  std::string id;
-  std::uint64_t revision = 0;
-  bool operator==(const JobChanged&) const = default;
-};
-
-using Frame = std::variant<Hello, JobChanged>;
-
-std::string pack(const Frame& frame);
+std::string pack(const Hello& hello);
 
 enum class Unpacked { frame, more, broken };
 /// Takes one frame off the front of the buffer.
-Unpacked unpack(std::string& buffer, Frame& out);
+Unpacked unpack(std::string& buffer, Hello& out);
 
 }  // namespace cranklock::peer
--- /dev/null
+++ b/src/peer/roster.cpp
@@ -0,0 +1,24 @@
+#include "peer/roster.hpp"
+
+#include <algorithm>
+
+namespace cranklock::peer {
+
+template <typename F>
+bool Roster::any(double now, F&& holds) const {
+  return std::any_of(said_.begin(), said_.end(), [&](const auto& entry) {
+    return now - entry.second.at < fresh_s_ && holds(entry.second.hello);
+  });
+}
+
+bool Roster::any_heard(double now) const {
+  return any(now, [](const Hello&) { return true; });
+}
+bool Roster::any_reaches_state(double now) const {
+  return any(now, [](const Hello& h) { return h.reaches_state; });
+}
+bool Roster::any_hears_workers(double now) const {
+  return any(now, [](const Hello& h) { return h.hears_workers; });
+}
+
+}  // namespace cranklock::peer
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -1,4 +1,5 @@
-// What the leader knows: jobs with their places, machines, teams' use. Pure: no I/O, time passed in.
+// What the leader knows: jobs with their places, machines, teams' use. Pure: no I/O, time passed
+// in.
 #pragma once
 
 #include <cstdint>
@@ -65,11 +66,11 @@
   bool dirty = false;
   double known_since = 0;
   double backoff_until = 0;
-  int failures = 0;                    ///< in a row, on machines not known as faulty
-  std::set<std::string> failed_on;     ///< machines where a task of it failed
-  bool succeeded = false;              ///< a task of it ran or completed somewhere
+  int failures = 0;                 ///< in a row, on machines not known as faulty
+  std::set<std::string> failed_on;  ///< machines where a task of it failed
+  bool succeeded = false;           ///< a task of it ran or completed somewhere
   double withdrawn_since = 0;
-  bool guaranteed = false;             ///< as of the last placement pass
+  bool guaranteed = false;  ///< as of the last placement pass
 
   bool withdrawn() const { return withdrawn_ms != 0; }
   bool complete() const { return done.size() == spec.tasks; }
@@ -94,19 +95,19 @@
   bool listed = false;
   double last_listed = 0;
   bool failed = false;
-  bool reported = false;  ///< to this leader
-  bool shown_token = false;  ///< in the session and since this leader's token
+  bool reported = false;                        ///< to this leader
+  bool shown_token = false;                     ///< in the session and since this leader's token
   std::uint64_t session = 0, tick = 0;          ///< newest message of any kind
   std::uint64_t own_session = 0, own_tick = 0;  ///< newest report of its own
   double last_report = 0;
   double last_answered = 0;  ///< when a report was last answered 200
   std::optional<double> taken_at;
-  bool silent = false;      ///< its lease has certainly run out
+  bool silent = false;  ///< its lease has certainly run out
   bool quarantined = false;
-  bool removing = false;    ///< to be deleted; nothing is placed on it
+  bool removing = false;  ///< to be deleted; nothing is placed on it
   double idle_since = 0;
   std::set<std::string> failed_jobs;  ///< since something last worked there
-  int strangers = 0;  ///< reported tasks without a place, not yet exited
+  int strangers = 0;                  ///< reported tasks without a place, not yet exited
   std::vector<std::pair<std::string, double>> images;  ///< most recently used last
   wire::Room used;
   std::vector<std::pair<std::string, std::uint32_t>> tasks;  ///< job and task, of live places
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -274,8 +274,8 @@
         if (p.machine != slot.machine->id || p.task != task || p.ended) continue;
         if (p.stop) {
           room += victim->spec.room;  // on its way out already
-        } else if (p.durable && victim->spec.tasks == 1 &&
-                   victim->spec.shape == Shape::gang && may_preempt(job, *victim)) {
+        } else if (p.durable && victim->spec.tasks == 1 && victim->spec.shape == Shape::gang &&
+                   may_preempt(job, *victim)) {
           candidates.push_back({2 * (now_ - p.decided_at), victim, &p});
         } else if (p.durable && victim->spec.shape != Shape::gang && may_preempt(job, *victim)) {
           const double ran = p.running_since > 0 ? now_ - p.running_since : 0;
@@ -332,6 +332,15 @@
     Room& planned = planned_[job.spec.team];
     if (!within_limit(picture_, job.spec.team, planned + job.spec.room)) return;
     planned += job.spec.room;
+    if (job.spec.shape == Shape::gang) {
+      // Part of a gang may find room; only the rest is missing.
+      const auto ready = std::find_if(slots_.begin(), slots_.end(), fits);
+      if (ready != slots_.end()) {
+        result_.shortfall.waiting[ready->kind.type] += job.spec.room;
+        use(*ready);
+        continue;
+      }
+    }
     const auto booting = std::find_if(booting_.begin(), booting_.end(), fits);
     if (booting != booting_.end()) {
       result_.shortfall.waiting[booting->kind.type] += job.spec.room;
--- a/src/sched/scaler.cpp
+++ b/src/sched/scaler.cpp
@@ -16,8 +16,8 @@
 int Pool::step(const PoolReading& reading) const {
   const double by_share = std::ceil(settings_.step_share * reading.machines - 1e-9);
   const double by_waiting = std::ceil(settings_.step_waiting * reading.wanted - 1e-9);
-  const int wanted = std::max({settings_.step_machines, static_cast<int>(by_share),
-                               static_cast<int>(by_waiting)});
+  const int wanted =
+      std::max({settings_.step_machines, static_cast<int>(by_share), static_cast<int>(by_waiting)});
   return std::min(wanted, settings_.most_step);
 }
 
@@ -44,7 +44,8 @@
   };
   const double since_scale = static_cast<double>(wall_ms - state.scaled_ms) / 1000.0;
   if (reading.score > settings_.high) {
-    if (!whole_window(settings_.up_window_s, [&](double s) { return s > settings_.high; })) return 0;
+    if (!whole_window(settings_.up_window_s, [&](double s) { return s > settings_.high; }))
+      return 0;
     if (since_scale <= settings_.up_cooldown_s) return 0;
     const int room = settings_.most_machines - reading.machines;
     return std::clamp(step(reading), 0, std::max(room, 0));
--- a/src/sched/scaler.hpp
+++ b/src/sched/scaler.hpp
@@ -21,7 +21,7 @@
 
 /// Kept in the state service, and written only when it changes.
 struct PoolState {
-  int count = 0;            ///< machines wanted, as last decided
+  int count = 0;               ///< machines wanted, as last decided
   std::int64_t scaled_ms = 0;  ///< time of day of the last scaling, refused ones included
   bool operator==(const PoolState&) const = default;
 };
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -12,7 +12,8 @@
 
 double Budget::take(double amount) {
   fill();
-  const double need = std::min(amount, rate_);  // more than a second's worth waits for a full bucket
+  const double need =
+      std::min(amount, rate_);  // more than a second's worth waits for a full bucket
   if (level_ < need) return (need - level_) / rate_ + 0.001;
   level_ -= amount;
   return 0.0;
@@ -66,14 +67,18 @@
   if (reply.kind == net::Reply::Kind::not_sent) return Outcome::refused;
   if (!reply.answered()) return Outcome::unknown;
   switch (reply.response.status) {
-    case 200: return Outcome::ok;
+    case 200:
+      return Outcome::ok;
     case 404:
     case 409:
-    case 410: return Outcome::failed;
+    case 410:
+      return Outcome::failed;
     case 400:
     case 429:
-    case 503: return Outcome::refused;
-    default: return Outcome::unknown;
+    case 503:
+      return Outcome::refused;
+    default:
+      return Outcome::unknown;
   }
 }
 }  // namespace
@@ -81,8 +86,7 @@
 net::Task<TxnResult> Client::transact(std::vector<wire::Condition> conditions,
                                       std::vector<wire::Change> changes, double timeout_s) {
   net::Request request{"POST", "/txn", "", wire::txn_request(conditions, changes), true};
-  auto sending =
-      send(std::move(request), timeout_s, static_cast<double>(changes.size()), false);
+  auto sending = send(std::move(request), timeout_s, static_cast<double>(changes.size()), false);
   const auto reply = co_await sending;
   TxnResult result;
   result.outcome = outcome_of(reply);
@@ -157,8 +161,8 @@
 }
 
 net::Task<std::optional<std::uint64_t>> Client::grant_lease(double life_s, double timeout_s) {
-  net::Request request{"POST", "/leases", "",
-                       wire::lease_request(static_cast<int>(life_s * 1000)), true};
+  net::Request request{"POST", "/leases", "", wire::lease_request(static_cast<int>(life_s * 1000)),
+                       true};
   auto sending = send(std::move(request), timeout_s, 0, true);
   const auto reply = co_await sending;
   if (reply.status() != 200) co_return std::nullopt;
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -128,8 +128,8 @@
     const char* name;
     bool* into;
   };
-  for (const auto& [name, into] : {Flag{"OneZone", &job.one_zone}, Flag{"Apart", &job.spread},
-                                   Flag{"Loaners", &job.spot}}) {
+  for (const auto& [name, into] :
+       {Flag{"OneZone", &job.one_zone}, Flag{"Apart", &job.spread}, Flag{"Loaners", &job.spot}}) {
     const auto v = read_flag(o, name);
     if (!v) return std::string(name) + ": expected true or false";
     *into = *v;
@@ -192,7 +192,9 @@
   return w.take();
 }
 
-std::string to_string(const TaskName& name) { return name.job + "/" + std::to_string(name.index); }
+std::string to_string(const TaskName& name) {
+  return name.job + "/" + std::to_string(name.index);
+}
 
 std::optional<TaskName> parse_task(std::string_view text) {
   const auto slash = text.find('/');
@@ -369,7 +371,8 @@
                         const std::vector<Change>& changes) {
   JsonWriter w;
   w.begin().key("If").list();
-  for (const auto& c : conditions) w.begin().key("K").text(c.key).key("Mark").count(c.revision).end();
+  for (const auto& c : conditions)
+    w.begin().key("K").text(c.key).key("Mark").count(c.revision).end();
   w.list_end().key("Then").list();
   for (const auto& c : changes) {
     w.begin();
@@ -389,8 +392,7 @@
   return with_object(body, [](const Json& o) -> std::optional<TxnAnswer> {
     const auto revision = read_count(o, "LedgerTurn");
     if (!revision) return std::nullopt;
-    return TxnAnswer{*revision,
-                     read_texts(o, "failed").value_or(std::vector<std::string>{})};
+    return TxnAnswer{*revision, read_texts(o, "failed").value_or(std::vector<std::string>{})};
   });
 }
 
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -30,9 +30,7 @@
   }
   friend Room operator+(Room a, const Room& b) { return a += b; }
   friend Room operator-(Room a, const Room& b) { return a -= b; }
-  friend Room operator*(Room a, double n) {
-    return {a.cpus * n, a.gpus * n, a.memory_gb * n};
-  }
+  friend Room operator*(Room a, double n) { return {a.cpus * n, a.gpus * n, a.memory_gb * n}; }
   bool fits_in(const Room& o) const {
     constexpr double kSlack = 1e-6;  // sums of decimal amounts
     return cpus <= o.cpus + kSlack && gpus <= o.gpus + kSlack && memory_gb <= o.memory_gb + kSlack;
--- /dev/null
+++ b/tests/fixtures.hpp
@@ -0,0 +1,104 @@
+// Short ways to say what a story is about.
+#pragma once
+
+#include "sched/placement.hpp"
+
+namespace cranklock::testing {
+
+inline base::Settings small_settings() {
+  base::Settings s;
+  s.name = "n0";
+  s.zone = "a";
+  s.nodes = 3;
+  s.zones = {"a", "b"};
+  s.teams = {{"red", 0, 0, 8, 16}, {"blue", 0, 0, 8, 16}};
+  s.report_s = 1;
+  s.lease_s = 10;
+  s.gang_wait_s = 30;
+  s.gang_peer_s = 5;
+  s.cancel_s = 40;
+  return s;
+}
+
+inline wire::MachineType machine_type(const std::string& name = "g8", double gpus = 8) {
+  wire::MachineType t;
+  t.name = name;
+  t.room = {12 * gpus, gpus, 96 * gpus};
+  t.cache_gb = 200;
+  t.fetch_gb_per_s = 5;
+  t.price = 12;
+  t.spot_price = 4;
+  t.ready_s = 45;
+  t.zones = {"a", "b"};
+  return t;
+}
+
+inline sched::Job make_job(const std::string& id, wire::Shape shape, std::uint32_t tasks,
+                           double gpus, const std::string& team = "red") {
+  sched::Job job;
+  job.spec.id = id;
+  job.spec.job_class = "c";
+  job.spec.team = team;
+  job.spec.shape = shape;
+  job.spec.tasks = tasks;
+  job.spec.room = {gpus, gpus, 8 * gpus};
+  job.spec.image = "img";
+  job.spec.image_gb = 10;
+  job.created_ms = 1000;
+  return job;
+}
+
+inline constexpr std::uint64_t kToken = 7;
+
+inline wire::Report report(const std::string& machine, std::uint64_t session, std::uint64_t tick,
+                           std::vector<wire::TaskReport> tasks = {}, std::uint64_t token = kToken,
+                           const std::string& zone = "a", const std::string& type = "g8") {
+  wire::Report r;
+  r.machine = machine;
+  r.address = "10.1.0.1:9000";
+  r.type = type;
+  r.zone = zone;
+  r.session = session;
+  r.tick = tick;
+  r.token = token;
+  r.tasks = std::move(tasks);
+  return r;
+}
+
+inline wire::TaskReport task(const std::string& job, std::uint32_t index, std::uint64_t attempt,
+                             wire::TaskState state, wire::Cause cause = wire::Cause::none) {
+  return {{job, index}, attempt, state, cause, false};
+}
+
+/// A picture with types, and machines that have reported.
+struct Fleet {
+  base::Settings settings = small_settings();
+  sched::Picture picture{settings, kToken};
+  std::map<sched::MachineKind, double> refused;
+
+  struct Where {
+    std::string id, zone;
+  };
+  Fleet() : Fleet({{"n-1", "a"}}) {}
+  explicit Fleet(std::initializer_list<Where> machines) {
+    picture.set_types({machine_type()});
+    for (const auto& [id, zone] : machines) {
+      picture.apply_report(report(id, 1, 1, {}, kToken, zone), true, 0);
+      picture.note_answered(id, 0);
+    }
+  }
+  sched::Job& add(sched::Job job) { return picture.put_job(std::move(job), 0); }
+  sched::PassResult pass(double now = 1) { return sched::place_waiting(picture, refused, now); }
+  /// What a successful write would do.
+  void written(sched::Job& job) {
+    std::vector<std::pair<std::uint32_t, std::uint64_t>> ended;
+    for (auto& p : job.places) {
+      if (p.ended) ended.emplace_back(p.task, p.attempt);
+      p.durable = true;
+    }
+    picture.forget_ended(job, ended);
+    job.dirty = false;
+  }
+};
+
+}  // namespace cranklock::testing
--- /dev/null
+++ b/tests/limiter_test.cpp
@@ -0,0 +1,36 @@
+#include "net/limiter.hpp"
+
+#include <gtest/gtest.h>
+
+namespace cranklock::net {
+namespace {
+
+TEST(Limiter, ShrinksWhenAnswersGetSlowAndGrowsBack) {
+  Limiter limiter(4, 64, 0.1);
+  double now = 0;
+  const auto serve = [&](double took, int times) {
+    for (int i = 0; i < times; ++i) {
+      ASSERT_TRUE(limiter.try_enter());
+      limiter.leave(took, now += took);
+    }
+  };
+  serve(0.01, 10);
+  const double before = limiter.limit();
+  serve(1.0, 40);
+  EXPECT_LT(limiter.limit(), before / 2);
+  EXPECT_GE(limiter.limit(), 4);
+  const double slow = limiter.limit();
+  serve(0.01, 500);
+  EXPECT_GT(limiter.limit(), slow);
+}
+
+TEST(Limiter, RefusesAtOnceWhenFull) {
+  Limiter limiter(4, 8, 0.1);
+  for (int i = 0; i < 4; ++i) EXPECT_TRUE(limiter.try_enter());
+  EXPECT_FALSE(limiter.try_enter());
+  limiter.leave(0.01, 1);
+  EXPECT_TRUE(limiter.try_enter());
+}
+
+}  // namespace
+}  // namespace cranklock::net
--- /dev/null
+++ b/tests/picture_test.cpp
@@ -0,0 +1,193 @@
+// The rules on when a place is free, and what workers are told.
+#include <gtest/gtest.h>
+
+#include "fixtures.hpp"
+
+namespace cranklock::sched {
+namespace {
+
+using testing::Fleet;
+using testing::kToken;
+using testing::make_job;
+using testing::report;
+using testing::task;
+using wire::Cause;
+using wire::TaskState;
+using wire::Verb;
+
+/// One service task placed on n-1 and written.
+struct Placed : Fleet {
+  Job& job;
+  Placed() : job(add(make_job("j-000001", wire::Shape::service, 1, 4))) {
+    pass();
+    written(job);
+  }
+  Place& place() { return job.places.at(0); }
+  Picture::Freshness checkin(wire::Report r, double now = 2) {
+    return picture.apply_report(r, true, now);
+  }
+};
+
+TEST(Picture, NothingStartsBeforeItsPlaceIsDurable) {
+  Placed s;
+  s.place().durable = false;
+  EXPECT_TRUE(s.picture.orders(report("n-1", 1, 2), true, 2).empty());
+  s.place().durable = true;
+  ASSERT_EQ(s.picture.orders(report("n-1", 1, 2), true, 2).size(), 1u);
+}
+
+TEST(Picture, NothingStartsWithoutACertainOffice) {
+  Placed s;
+  EXPECT_TRUE(s.picture.orders(report("n-1", 1, 2), false, 2).empty());
+}
+
+TEST(Picture, AnAbsenceCountsOnlyInAReportNewerThanTheOneThatCarriedTheStart) {
+  Placed s;
+  s.checkin(report("n-1", 1, 2));
+  s.picture.orders(report("n-1", 1, 2), true, 2);
+  s.picture.request_stop(s.job, s.place(), 0, 2);
+  // A copy of the same report proves nothing, nor does a direct answer that crossed the start.
+  EXPECT_EQ(s.checkin(report("n-1", 1, 2)), Picture::Freshness::late_copy);
+  s.picture.apply_report(report("n-1", 1, 3), false, 2);
+  EXPECT_FALSE(s.place().ended);
+  s.checkin(report("n-1", 1, 4));
+  EXPECT_TRUE(s.place().ended);
+}
+
+TEST(Picture, AReportThatDoesNotShowOurTokenProvesNothing) {
+  Placed s;
+  s.place().seen = true;  // a former leader's command may still be under way
+  s.checkin(report("n-1", 1, 2, {}, kToken - 1));
+  EXPECT_FALSE(s.place().ended);
+  s.checkin(report("n-1", 1, 3, {}, kToken));
+  EXPECT_TRUE(s.place().ended);
+}
+
+TEST(Picture, AStartInDoubtKeepsItsPlaceWhileTheSessionLasts) {
+  Placed s;
+  s.place().doubtful_session = 1;
+  s.picture.request_stop(s.job, s.place(), 0, 2);
+  s.checkin(report("n-1", 1, 5));
+  EXPECT_FALSE(s.place().ended);
+  s.checkin(report("n-1", 2, 6));
+  EXPECT_TRUE(s.place().ended);
+}
+
+TEST(Picture, ATaskWhoseStartIsInDoubtIsNeverForgotten) {
+  Placed s;
+  s.picture.machine("n-1")->doubtful.insert({{"j-000001", 0}, 1});
+  const auto exited = report("n-1", 1, 5, {task("j-000001", 0, 1, TaskState::exited, Cause::done)});
+  s.checkin(exited);
+  s.written(s.job);
+  EXPECT_TRUE(s.picture.orders(exited, true, 3).empty());
+}
+
+TEST(Picture, DoneIsDurableBeforeForget) {
+  Placed s;
+  const auto exited = report("n-1", 1, 5, {task("j-000001", 0, 1, TaskState::exited, Cause::done)});
+  s.checkin(exited);
+  EXPECT_TRUE(s.job.complete());
+  EXPECT_TRUE(s.picture.orders(exited, true, 3).empty());
+  s.written(s.job);
+  const auto orders = s.picture.orders(exited, true, 3);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].verb, Verb::forget);
+}
+
+TEST(Picture, ALeaseIsTimedOnlyForAWorkerThatHasShownOurToken) {
+  Placed s;
+  s.picture.note_answered("n-1", 5);
+  EXPECT_TRUE(s.picture.expire_leases(15).empty());
+  EXPECT_FALSE(s.place().ended);
+  EXPECT_EQ(s.picture.expire_leases(16).size(), 1u);
+  EXPECT_TRUE(s.place().ended);
+
+  Placed other;
+  other.picture.machine("n-1")->shown_token = false;
+  EXPECT_TRUE(other.picture.expire_leases(1000).empty());
+  EXPECT_FALSE(other.place().ended);
+}
+
+TEST(Picture, DeletionFreesWhatWasOnTheMachine) {
+  Placed s;
+  EXPECT_DOUBLE_EQ(s.picture.team_use("red").gpus, 4);
+  s.picture.remove_machine("n-1", 9);
+  EXPECT_TRUE(s.place().ended);
+  EXPECT_DOUBLE_EQ(s.picture.team_use("red").gpus, 0);
+}
+
+TEST(Picture, ACancelledJobIsStoppedAndNeverStarted) {
+  Placed s;
+  s.job.withdrawn_ms = 99;
+  EXPECT_TRUE(s.picture.orders(report("n-1", 1, 2), true, 2).empty());
+  const auto running = report("n-1", 1, 3, {task("j-000001", 0, 1, TaskState::running)});
+  s.checkin(running);
+  const auto orders = s.picture.orders(running, true, 3);
+  ASSERT_EQ(orders.size(), 1u);
+  EXPECT_EQ(orders[0].verb, Verb::stop);
+}
+
+TEST(Picture, AReloadedRecordDropsWhatWasNeverWrittenAndKeepsWhatWasLearnt) {
+  Placed s;
+  s.checkin(report("n-1", 1, 5, {task("j-000001", 0, 1, TaskState::exited, Cause::done)}));
+  // The write of `done` got lost; the stored record still names the place.
+  auto stored = make_job("j-000001", wire::Shape::service, 1, 4);
+  stored.last_attempt = 1;
+  stored.places.emplace_back();
+  stored.places[0].attempt = 1;
+  stored.places[0].machine = "n-1";
+  stored.places[0].durable = true;
+  Job& again = s.picture.put_job(std::move(stored), 6);
+  EXPECT_TRUE(again.complete());
+  EXPECT_TRUE(again.places.at(0).ended);
+  EXPECT_TRUE(again.dirty);
+  EXPECT_DOUBLE_EQ(s.picture.team_use("red").gpus, 0);
+}
+
+TEST(Picture, AMachineThatFailsSeveralJobsIsAtFault) {
+  Fleet s;
+  for (const char* id : {"j-000001", "j-000002"}) {
+    s.add(make_job(id, wire::Shape::array, 1, 1));
+  }
+  s.pass();
+  std::vector<wire::TaskReport> failed;
+  for (const char* id : {"j-000001", "j-000002"}) {
+    s.written(*s.picture.job(id));
+    failed.push_back(task(id, 0, 1, TaskState::exited, Cause::error));
+  }
+  s.picture.apply_report(report("n-1", 1, 2, failed), true, 2);
+  EXPECT_TRUE(s.picture.machine("n-1")->quarantined);
+  EXPECT_EQ(s.picture.job("j-000001")->failures, 0);
+}
+
+TEST(Picture, AJobThatFailsOnSeveralMachinesIsAtFault) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}});
+  Job& job = s.add(make_job("j-000001", wire::Shape::array, 2, 8));
+  s.pass();
+  s.written(job);
+  for (auto& p : job.places) {
+    s.picture.apply_report(
+        report(p.machine, 1, 2,
+               {task("j-000001", p.task, p.attempt, TaskState::exited, Cause::error)}),
+        true, 2);
+  }
+  EXPECT_GT(job.backoff_until, 2);
+  EXPECT_FALSE(s.picture.machine("n-1")->quarantined);
+  EXPECT_EQ(s.pass(2.1).placed, 0);
+}
+
+TEST(Picture, AGangThatLosesATaskIsStoppedWhole) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}});
+  Job& job = s.add(make_job("j-000001", wire::Shape::gang, 2, 8));
+  s.pass();
+  s.written(job);
+  ASSERT_EQ(job.places.size(), 2u);
+  EXPECT_EQ(job.places[0].attempt, job.places[1].attempt);
+  s.picture.remove_machine("n-1", 3);
+  for (const auto& p : job.places) EXPECT_TRUE(p.ended || p.stop);
+  // The next attempt waits until all of the old one is gone.
+  EXPECT_EQ(s.pass(4).placed, 0);
+}
+
+}  // namespace
+}  // namespace cranklock::sched
--- /dev/null
+++ b/tests/placement_test.cpp
@@ -0,0 +1,140 @@
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "fixtures.hpp"
+
+namespace cranklock::sched {
+namespace {
+
+using testing::Fleet;
+using testing::make_job;
+using testing::report;
+using wire::Shape;
+
+TEST(Placement, ATeamNeverUsesMoreThanItsLimit) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}, {"n-3", "a"}});
+  Job& job = s.add(make_job("j-000001", Shape::array, 24, 1));
+  EXPECT_EQ(s.pass().placed, 16);
+  // What is not proven free still counts.
+  s.picture.request_stop(job, job.places[0], 0, 1);
+  EXPECT_EQ(s.pass().placed, 0);
+  // Nor is room beyond the limit asked of the cloud.
+  EXPECT_TRUE(s.pass().shortfall.wanted.empty());
+}
+
+TEST(Placement, OneZoneCountsOldAttemptsToo) {
+  Fleet s({{"n-1", "a"}, {"n-2", "b"}});
+  auto job = make_job("j-000001", Shape::service, 2, 8);
+  job.spec.one_zone = true;
+  s.add(std::move(job));
+  EXPECT_EQ(s.pass().placed, 1);
+  EXPECT_EQ(s.pass().placed, 0);
+}
+
+TEST(Placement, ApartPutsAtMostHalfRoundedUpInAZone) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}});
+  auto spec = make_job("j-000001", Shape::service, 5, 1);
+  spec.spec.spread = true;
+  s.add(std::move(spec));
+  const auto result = s.pass();
+  EXPECT_EQ(result.placed, 3);
+  ASSERT_EQ(result.shortfall.wanted.size(), 1u);
+  EXPECT_EQ(result.shortfall.wanted.begin()->first.zone, "b");
+}
+
+TEST(Placement, KindZoneAndTypeAreTheJobsToAllow) {
+  wire::JobSpec spec;
+  EXPECT_FALSE(allows(spec, {"g8", "a", true}));
+  spec.spot = true;
+  EXPECT_TRUE(allows(spec, {"g8", "a", true}));
+  spec.zone = "b";
+  EXPECT_FALSE(allows(spec, {"g8", "a", true}));
+  spec.types = {"g4"};
+  EXPECT_FALSE(allows(spec, {"g8", "b", true}));
+}
+
+TEST(Placement, AGangIsPlacedWholeOrNotAtAll) {
+  Fleet s({{"n-1", "a"}});
+  s.add(make_job("j-000001", Shape::gang, 2, 8));
+  const auto result = s.pass();
+  EXPECT_EQ(result.placed, 0);
+  ASSERT_EQ(result.shortfall.wanted.size(), 1u);
+  EXPECT_EQ(result.shortfall.wanted.begin()->second, 1);
+}
+
+TEST(Placement, TheMachineThatHoldsTheImageIsPreferred) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}});
+  s.picture.machine("n-2")->images.emplace_back("img", 10);
+  Job& job = s.add(make_job("j-000001", Shape::service, 1, 1));
+  s.pass();
+  EXPECT_EQ(job.places.at(0).machine, "n-2");
+}
+
+TEST(Placement, GuaranteeThenRankThenAge) {
+  Fleet s({{"n-1", "a"}});
+  auto big = make_job("j-000001", Shape::service, 2, 8);  // beyond the guarantee of 8
+  big.spec.rank = wire::Rank::production;
+  big.created_ms = 1;
+  auto within = make_job("j-000002", Shape::service, 1, 8, "blue");
+  within.spec.rank = wire::Rank::best_effort;
+  s.add(std::move(big));
+  s.add(std::move(within));
+  s.pass();
+  EXPECT_EQ(s.picture.job("j-000002")->places.size(), 1u);
+}
+
+TEST(Placement, LowerRankMakesRoomAndEqualRankDoesNot) {
+  Fleet s({{"n-1", "a"}});
+  s.settings.teams = {{"red", 0, 0, 0, 16}, {"blue", 0, 0, 0, 16}};
+  auto low = make_job("j-000001", Shape::array, 8, 1);
+  Job& running = s.add(std::move(low));
+  s.pass();
+  s.written(running);
+  s.add(make_job("j-000002", Shape::service, 1, 1, "blue"));
+  EXPECT_EQ(s.pass().stopped, 0);
+  auto high = make_job("j-000003", Shape::service, 1, 2, "blue");
+  high.spec.rank = wire::Rank::high;
+  s.add(std::move(high));
+  EXPECT_EQ(s.pass().stopped, 2);
+  // The room is on its way; nothing more is stopped for the same job.
+  EXPECT_EQ(s.pass().stopped, 0);
+}
+
+TEST(Placement, GuaranteedWorkIsNotStoppedForRankAlone) {
+  Fleet s({{"n-1", "a"}});
+  Job& job = s.add(make_job("j-000001", Shape::array, 8, 1));
+  s.pass();
+  s.written(job);
+  auto high = make_job("j-000002", Shape::service, 2, 8, "blue");  // beyond blue's guarantee
+  high.spec.rank = wire::Rank::high;
+  s.add(std::move(high));
+  EXPECT_EQ(s.pass().stopped, 0);
+}
+
+TEST(Placement, ALargeTaskDoesNotStarveBehindSmallOnes) {
+  Fleet s({{"n-1", "a"}});
+  Job& small = s.add(make_job("j-000001", Shape::array, 1, 1));
+  s.pass();
+  s.written(small);
+  auto big = make_job("j-000002", Shape::service, 1, 8, "blue");
+  s.add(std::move(big));
+  s.pass(1);
+  auto later = make_job("j-000003", Shape::array, 4, 1);
+  later.created_ms = 5000;
+  s.add(std::move(later));
+  // Once it has waited as long as a machine takes to boot, the room that frees is kept for it.
+  EXPECT_EQ(s.pass(60).placed, 0);
+}
+
+TEST(Placement, MachinesUnderNoticeOrFaultyTakeNothingNew) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}, {"n-3", "a"}});
+  s.picture.machine("n-1")->taken_at = 30;
+  s.picture.machine("n-2")->quarantined = true;
+  s.picture.machine("n-3")->strangers = 1;
+  s.add(make_job("j-000001", Shape::service, 1, 1));
+  EXPECT_EQ(s.pass().placed, 0);
+}
+
+}  // namespace
+}  // namespace cranklock::sched
--- /dev/null
+++ b/tests/scaler_test.cpp
@@ -0,0 +1,111 @@
+#include "sched/scaler.hpp"
+
+#include <gtest/gtest.h>
+
+#include "fixtures.hpp"
+
+namespace cranklock::sched {
+namespace {
+
+/// DESIGN's starting values, whatever the defaults are now.
+base::ScalerSettings design() {
+  base::ScalerSettings s;
+  s.every_s = 5;
+  s.high = 0.9, s.low = 0.5;
+  s.up_window_s = 10, s.down_window_s = 60;
+  s.up_cooldown_s = 20, s.down_cooldown_s = 90;
+  s.step_machines = 1, s.step_share = 0.2, s.step_waiting = 0, s.most_step = 50;
+  s.least_machines = 0, s.most_machines = 100;
+  return s;
+}
+
+struct Story {
+  base::ScalerSettings settings = design();
+  Pool pool{settings};
+  double now = 0;
+  int step(double score, int machines, int wanted = 0, bool settled = true) {
+    now += settings.every_s;
+    const auto wall = static_cast<std::int64_t>(1'000'000 + now * 1000);
+    const int change = pool.decide({score, machines, wanted}, settled, wall, now);
+    if (change != 0) pool.stamp(machines + change, wall);
+    return change;
+  }
+  int steps(int n, double score, int machines, int wanted = 0) {
+    int sum = 0;
+    for (int i = 0; i < n; ++i) sum += step(score, machines, wanted);
+    return sum;
+  }
+};
+
+TEST(Scaler, GrowsOnlyWhenTheWholeUpWindowWasHigh) {
+  Story s;
+  EXPECT_EQ(s.step(0.95, 10), 0);
+  EXPECT_EQ(s.step(0.95, 10), 0);
+  EXPECT_EQ(s.step(0.95, 10), 2);  // a fifth of ten
+}
+
+TEST(Scaler, OneLowReadingInTheWindowHoldsGrowthBack) {
+  Story s;
+  s.step(0.95, 10);
+  s.step(0.8, 10);
+  EXPECT_EQ(s.step(0.95, 10), 0);
+  EXPECT_EQ(s.step(0.95, 10), 0);
+  EXPECT_EQ(s.step(0.95, 10), 2);
+}
+
+TEST(Scaler, EveryGrowthWaitsItsCooldownRefusedOrNot) {
+  Story s;
+  s.steps(3, 1.5, 10);
+  // The caller stamps also when the cloud refused: nothing for a cooldown of 20 s.
+  EXPECT_EQ(s.steps(4, 1.5, 10), 0);
+  EXPECT_EQ(s.step(1.5, 10), 2);
+}
+
+TEST(Scaler, ShrinksSlowlyAndNeverBelowTheFloor) {
+  Story s;
+  s.settings.least_machines = 3;
+  EXPECT_EQ(s.steps(12, 0.1, 10), 0);
+  EXPECT_EQ(s.step(0.1, 10), -2);
+  EXPECT_EQ(s.steps(18, 0.1, 4), 0);
+  EXPECT_EQ(s.step(0.1, 4), -1);
+  EXPECT_EQ(s.steps(30, 0.1, 3), 0);
+}
+
+TEST(Scaler, StepsAndPoolsAreCapped) {
+  Story s;
+  s.settings.step_waiting = 1.0;
+  s.settings.most_step = 7;
+  s.settings.most_machines = 12;
+  EXPECT_EQ(s.steps(3, 5, 2, 40), 7);
+  EXPECT_EQ(s.steps(5, 5, 9, 40), 3);
+  EXPECT_EQ(s.steps(5, 5, 12, 40), 0);
+}
+
+TEST(Scaler, ANewLeaderRebuildsItsPictureFirst) {
+  Story s;
+  for (int i = 0; i < 5; ++i) EXPECT_EQ(s.step(2, 10, 0, false), 0);
+  EXPECT_EQ(s.step(2, 10, 0, true), 2);
+}
+
+TEST(Scaler, APoolWithNothingReadyAndWorkWaitingIsAboveHigh) {
+  testing::Fleet fleet({});
+  fleet.add(testing::make_job("j-000001", wire::Shape::service, 1, 8));
+  const auto result = fleet.pass();
+  const auto readings = read_pools(fleet.picture, result.shortfall, 0.9, 1);
+  EXPECT_GT(readings.at("g8").score, 0.9);
+  EXPECT_EQ(readings.at("g8").wanted, 1);
+}
+
+TEST(Scaler, TheScoreIsBookedRoomPlusWaitingRoom) {
+  testing::Fleet fleet({{"n-1", "a"}, {"n-2", "a"}});
+  fleet.add(testing::make_job("j-000001", wire::Shape::service, 1, 8));
+  auto result = fleet.pass();
+  EXPECT_DOUBLE_EQ(read_pools(fleet.picture, result.shortfall, 0.9, 1).at("g8").score, 0.5);
+  fleet.add(testing::make_job("j-000002", wire::Shape::service, 2, 8, "blue"));
+  result = fleet.pass();
+  // Both machines full and a third one's worth waiting on two.
+  EXPECT_DOUBLE_EQ(read_pools(fleet.picture, result.shortfall, 0.9, 1).at("g8").score, 1.5);
+}
+
+}  // namespace
+}  // namespace cranklock::sched
--- /dev/null
+++ b/tests/settings_test.cpp
@@ -0,0 +1,94 @@
+#include "base/settings.hpp"
+
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+#include <cstdio>
+#include <fstream>
+
+namespace cranklock::base {
+namespace {
+
+const std::string kToml = R"(
+member = "n0"
+zone = "a"
+listen = "127.0.0.1:1"
+peer_listen = "127.0.0.1:2"
+novelty = 1
+[external]
+cloud = "127.0.0.1:3"
+state = "127.0.0.1:4"
+[facts]
+nodes = 1
+zones = ["a"]
+clock_error_ms = 5.0
+[facts.workers]
+report_s = 1.0
+lease_s = 10.0
+gang_wait_s = 30.0
+gang_peer_s = 5.0
+cancel_s = 40.0
+[facts.state]
+rps = 10.0
+write_rps = 5.0
+value_kb = 8.0
+txn_ops = 12
+[facts.cloud]
+rps = 5.0
+list_lag_s = 8.0
+[facts.resources]
+fd_limit = 500
+)";
+
+class File {
+ public:
+  File(const char* name, const std::string& text)
+      : path_(::testing::TempDir() + name + std::to_string(::getpid())) {
+    std::ofstream(path_) << text;
+  }
+  ~File() { std::remove(path_.c_str()); }
+  const std::string& path() const { return path_; }
+
+ private:
+  std::string path_;
+};
+
+std::string complaint(const std::string& toml, const std::string& xml) {
+  const File t("settings.toml", toml), x("operator.xml", xml);
+  try {
+    load_settings(t.path(), xml.empty() ? "" : x.path());
+  } catch (const SettingsError& e) {
+    return e.what();
+  }
+  return "";
+}
+
+std::string with(std::string text, const std::string& from, const std::string& to) {
+  return text.replace(text.find(from), from.size(), to);
+}
+
+TEST(Settings, UnknownTomlFieldsAreIgnoredAndBadOnesNamed) {
+  EXPECT_EQ(complaint(kToml, ""), "");
+  EXPECT_NE(complaint(with(kToml, "lease_s = 10.0", "lease_s = \"x\""), "")
+                .find("facts.workers.lease_s: expected a number"),
+            std::string::npos);
+  EXPECT_NE(complaint(with(kToml, "txn_ops = 12", ""), "").find("facts.state.txn_ops"),
+            std::string::npos);
+  EXPECT_NE(complaint("member = ", "").find("expected TOML"), std::string::npos);
+}
+
+TEST(Settings, UnknownXmlElementsAreRefused) {
+  EXPECT_EQ(complaint(kToml, "<cranklock><scaler high='0.8' low='0.4'/></cranklock>"), "");
+  EXPECT_NE(complaint(kToml, "<cranklock><scalar/></cranklock>").find("scalar"), std::string::npos);
+  EXPECT_NE(complaint(kToml, "<cranklock><scaler hihg='1'/></cranklock>").find("scaler/hihg"),
+            std::string::npos);
+  // The design keeps a down window on the ordinary path.
+  EXPECT_NE(complaint(kToml, "<cranklock><scaler down_window_s='0'/></cranklock>")
+                .find("scaler/down_window_s: expected a number"),
+            std::string::npos);
+  EXPECT_NE(complaint(kToml, "<cranklock><scaler low='0.95'/></cranklock>").find("below high"),
+            std::string::npos);
+}
+
+}  // namespace
+}  // namespace cranklock::base
--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,112 @@
+#include <gtest/gtest.h>
+
+#include "control/record.hpp"
+#include "fixtures.hpp"
+#include "wire/messages.hpp"
+
+namespace cranklock::wire {
+namespace {
+
+const char* const kJob =
+    R"({"Id":"j-000412","Gear":"train","Crew":"vision","Shape":"ensemble","Rank":"high","Teeth":16,
+     "Cpus":8.0,"Accelerators":1.0,"MemGb":64.0,"Cast":"img-07","SizeGb":6.2,"Frames":["g8"],
+     "Yard":null,"OneZone":true,"Apart":false,"Loaners":true,"ExpectS":240.0,"NotchS":30.0,
+     "StowS":4.0,"DueS":900.0,"Later":1})";
+
+std::string reason(std::string text, const std::string& from, const std::string& to) {
+  text.replace(text.find(from), from.size(), to);
+  const JsonDocument document(text);
+  if (!document.is_object()) return "not an object";
+  const auto parsed = parse_job(document.root());
+  const auto* why = std::get_if<std::string>(&parsed);
+  return why != nullptr ? *why : "";
+}
+
+TEST(Wire, AJobSurvivesTheWayThroughTheStateService) {
+  const JsonDocument document(kJob);
+  sched::Job job;
+  job.spec = std::get<JobSpec>(parse_job(document.root()));
+  EXPECT_EQ(job.spec.types, std::vector<std::string>{"g8"});
+  EXPECT_EQ(job.spec.zone, "");
+  job.created_ms = 123456789012;
+  job.last_attempt = 3;
+  job.done.add(4);
+  job.done.add(5);
+  job.places.emplace_back();
+  job.places[0].task = 1;
+  job.places[0].attempt = 3;
+  job.places[0].machine = "n-000001";
+  const auto texts = control::write_record(job, 8192);
+  ASSERT_EQ(texts.size(), 1u);
+  int parts = -1;
+  const auto read = control::read_record(texts[0], parts);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(parts, 0);
+  EXPECT_EQ(read->spec.team, "vision");
+  EXPECT_EQ(read->created_ms, job.created_ms);
+  EXPECT_EQ(read->done.ranges(), job.done.ranges());
+  ASSERT_EQ(read->places.size(), 1u);
+  EXPECT_TRUE(read->places[0].durable);
+  EXPECT_EQ(read->places[0].machine, "n-000001");
+}
+
+TEST(Wire, ALargeRecordIsSplitAndJoined) {
+  auto job = testing::make_job("j-000001", Shape::array, 2000, 1);
+  for (std::uint32_t i = 0; i < 900; ++i) {
+    job.places.emplace_back();
+    job.places.back().task = 2 * i;
+    job.places.back().attempt = i + 1;
+    job.places.back().machine = "n-000123";
+    job.done.add(2 * i + 1);
+  }
+  const auto texts = control::write_record(job, 8192);
+  ASSERT_GT(texts.size(), 2u);
+  for (const auto& t : texts) EXPECT_LE(t.size(), 8192u);
+  int parts = 0;
+  auto read = control::read_record(texts[0], parts);
+  ASSERT_TRUE(read);
+  ASSERT_EQ(static_cast<std::size_t>(parts), texts.size() - 1);
+  for (int i = 0; i < parts; ++i) {
+    ASSERT_TRUE(control::read_part(texts[static_cast<std::size_t>(i) + 1], *read));
+  }
+  EXPECT_EQ(read->places.size(), 900u);
+  EXPECT_EQ(read->done.size(), 900u);
+}
+
+TEST(Wire, AMalformedJobIsRefusedWithItsField) {
+  EXPECT_EQ(reason(kJob, "\"Later\":1", "\"Later\":2"), "");
+  EXPECT_EQ(reason(kJob, "\"Yard\":null,", ""), "");
+  EXPECT_EQ(reason(kJob, "{", "["), "not an object");
+  EXPECT_NE(reason(kJob, "j-000412", "x-1").find("Id"), std::string::npos);
+  EXPECT_NE(reason(kJob, "\"Teeth\":16", "\"Teeth\":0").find("Teeth"), std::string::npos);
+  EXPECT_NE(reason(kJob, "\"Teeth\":16", "\"Teeth\":100001").find("Teeth"), std::string::npos);
+  EXPECT_NE(reason(kJob, "ensemble", "pair").find("Shape"), std::string::npos);
+  EXPECT_NE(reason(kJob, "\"high\"", "\"top\"").find("Rank"), std::string::npos);
+  EXPECT_NE(reason(kJob, "64.0", "-1.0").find("MemGb"), std::string::npos);
+  EXPECT_NE(reason(kJob, "\"OneZone\":true", "\"OneZone\":1").find("OneZone"), std::string::npos);
+  EXPECT_NE(reason(kJob, "[\"g8\"]", "[8]").find("Frames"), std::string::npos);
+}
+
+TEST(Wire, MalformedReportsAndAnswersAreNothing) {
+  EXPECT_FALSE(parse_report("[]"));
+  EXPECT_FALSE(parse_report(R"({"Rig":"n-1"})"));
+  EXPECT_FALSE(parse_report(
+      R"({"Rig":"n-1","Address":"a","Frame":"g","Yard":"a","Loaners":true,"Shift":1,"Tick":1,
+          "KeyTurn":0,"Teeth":[{"Tooth":"j-1","Crank":1,"Stance":"running"}]})"));
+  EXPECT_FALSE(parse_txn_answer("{}"));
+  EXPECT_FALSE(parse_watch(R"({"LedgerTurn":1,"News":[{"Write":"a","Mark":1}]})"));
+  EXPECT_FALSE(parse_machine_page(R"({"Rigs":[{"Id":"n-1"}]})"));
+  EXPECT_FALSE(parse_rented(R"({"Rigs":[1]})"));
+}
+
+TEST(Wire, TaskSetsJoinNeighbours) {
+  sched::TaskSet set;
+  for (const std::uint32_t t : {5u, 3u, 4u, 9u, 4u}) set.add(t);
+  EXPECT_EQ(set.size(), 4u);
+  EXPECT_EQ(set.ranges().size(), 2u);
+  EXPECT_TRUE(set.contains(3));
+  EXPECT_FALSE(set.contains(6));
+}
+
+}  // namespace
+}  // namespace cranklock::wire
