--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -36,7 +36,7 @@
   double up_cooldown_s = 20.0, down_cooldown_s = 90.0;
   int step_machines = 1;      ///< a step is the larger of this and
   double step_share = 0.2;    ///< this share of the pool
-  double step_waiting = 0.0;  ///< and this share of the machines that waiting work asks for
+  double step_waiting = 1.0;  ///< and this share of the machines that waiting work asks for
   int most_step = 50;         ///< and never more than this
   int least_machines = 0;     ///< per pool
   int most_machines = 1000;   ///< per pool
