--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -30,12 +30,12 @@
 /// The scaler's figures. DESIGN gives the first defaults; docs/design.md says which were measured
 /// and changed.
 struct ScalerSettings {
-  double every_s = 5.0;
-  double high = 0.9, low = 0.5;
-  double up_window_s = 10.0, down_window_s = 60.0;
-  double up_cooldown_s = 20.0, down_cooldown_s = 90.0;
+  double every_s = 2.0;
+  double high = 0.95, low = 0.85;
+  double up_window_s = 2.0, down_window_s = 30.0;
+  double up_cooldown_s = 4.0, down_cooldown_s = 10.0;
   int step_machines = 1;      ///< a step is the larger of this and
-  double step_share = 0.2;    ///< this share of the pool
+  double step_share = 0.05;    ///< this share of the pool
   double step_waiting = 1.0;  ///< and this share of the machines that waiting work asks for
   int most_step = 50;         ///< and never more than this
   int least_machines = 0;     ///< per pool
