--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -151,7 +151,6 @@
         {"down_cooldown_s", {real(sc.down_cooldown_s), 0.0}},
         {"step_machines", {whole(sc.step_machines), 1, true}},
         {"step_share", {real(sc.step_share), 0.0}},
-        {"step_waiting", {real(sc.step_waiting), 0.0}},
         {"most_step", {whole(sc.most_step), 1, true}},
         {"least_machines", {whole(sc.least_machines), 0, true}},
         {"most_machines", {whole(sc.most_machines), 1, true}}}},
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -31,15 +31,14 @@
 /// and changed.
 struct ScalerSettings {
   double every_s = 2.0;
-  double high = 0.95, low = 0.85;
+  double high = 0.85, low = 0.75;
   double up_window_s = 2.0, down_window_s = 30.0;
   double up_cooldown_s = 4.0, down_cooldown_s = 10.0;
-  int step_machines = 1;      ///< a step is the larger of this and
-  double step_share = 0.05;    ///< this share of the pool
-  double step_waiting = 1.0;  ///< and this share of the machines that waiting work asks for
-  int most_step = 50;         ///< and never more than this
-  int least_machines = 0;     ///< per pool
-  int most_machines = 1000;   ///< per pool
+  int most_step = 50;        ///< a step up is what is missing, but never more than this
+  int step_machines = 1;     ///< a step down is the larger of this
+  double step_share = 0.05;  ///< and this share of the pool
+  int least_machines = 0;    ///< per pool
+  int most_machines = 1000;  ///< per pool
 };
 
 struct OperatorSettings {
--- a/src/sched/scaler.cpp
+++ b/src/sched/scaler.cpp
@@ -13,14 +13,6 @@
 }
 }  // namespace
 
-int Pool::step(const PoolReading& reading) const {
-  const double by_share = std::ceil(settings_.step_share * reading.machines - 1e-9);
-  const double by_waiting = std::ceil(settings_.step_waiting * reading.wanted - 1e-9);
-  const int wanted =
-      std::max({settings_.step_machines, static_cast<int>(by_share), static_cast<int>(by_waiting)});
-  return std::min(wanted, settings_.most_step);
-}
-
 int Pool::decide(const PoolReading& reading, bool settled, std::int64_t wall_ms, double now) {
   history_.emplace_back(now, reading.score);
   const double keep = std::max(settings_.up_window_s, settings_.down_window_s);
@@ -47,8 +39,9 @@
     if (!whole_window(settings_.up_window_s, [&](double s) { return s > settings_.high; }))
       return 0;
     if (since_scale <= settings_.up_cooldown_s) return 0;
-    const int room = settings_.most_machines - reading.machines;
-    return std::clamp(step(reading), 0, std::max(room, 0));
+    // What boots already counts: the step is what is still missing, up to its cap.
+    const int room = std::min(settings_.most_step, settings_.most_machines - reading.machines);
+    return std::clamp(std::max(reading.wanted, reading.missing), 0, std::max(room, 0));
   }
   if (reading.score < settings_.low) {
     if (!whole_window(settings_.down_window_s, [&](double s) { return s < settings_.low; })) {
@@ -99,6 +92,8 @@
                              : largest_share(waiting->second, picture.type(name)->room);
     if (sum.ready > 0) reading.score = sum.booked / sum.ready;
     if (reading.machines > 0) reading.score += asked / reading.machines;
+    reading.missing =
+        static_cast<int>(std::ceil((sum.booked + asked) / high - 1e-9)) - reading.machines;
     if (sum.ready == 0 && asked > 0) reading.score = std::max(reading.score, high + 1);
     out[name] = reading;
   }
--- a/src/sched/scaler.hpp
+++ b/src/sched/scaler.hpp
@@ -17,6 +17,7 @@
   double score = 0;
   int machines = 0;  ///< ready and booting
   int wanted = 0;    ///< new machines that waiting work would fill
+  int missing = 0;   ///< machines until ready and booting ones bring the score down to High
 };
 
 /// Kept in the state service, and written only when it changes.
@@ -39,8 +40,6 @@
   void stamp(int count, std::int64_t wall_ms);
 
  private:
-  int step(const PoolReading& reading) const;
-
   const base::ScalerSettings& settings_;
   std::deque<std::pair<double, double>> history_;  ///< time and score
 };
