--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -140,6 +140,16 @@
     return response;
   }
   last_heard_ = at;
+  if (spdlog::should_log(spdlog::level::debug)) {
+    for (const auto& t : report.tasks) {
+      Job* job = picture_.job(t.task.job);
+      const auto* p = job != nullptr ? job->find(t.task.index, t.attempt) : nullptr;
+      if (p == nullptr || p->running_since != at) continue;
+      spdlog::debug("{} of {} runs on {}: {:.1f} s after its decision, {:.1f} s known",
+                    wire::to_string(t.task), job->spec.job_class, report.machine,
+                    at - p->decided_at, at - job->known_since);
+    }
+  }
   std::vector<wire::Order> orders;
   if (freshness == sched::Picture::Freshness::fresh) {
     orders = picture_.orders(report, office_.certain(at), at);
