A former leader cut from the state service steps down when a peer leads

Now a hello with a higher token ends a term at once, a new leader tells workers its token directly, and their answers count as heard. A lease is timed from the first showing of our token at the earliest. Excluded: elections themselves (taken 2 s after the loss).

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -45,6 +45,21 @@
           now - workers_heard_ < 2 * services_.settings.report_s};
 }
 
+void Node::heard(const peer::Hello& hello) {
+  roster_.heard(hello, services_.reactor.now());
+  // A leader that lost only the state service learns here that it has a successor, long before it
+  // would have to stop answering; until it does, its workers stay with it.
+  if (term_ != nullptr && hello.token > office_->token()) {
+    term_->lose("another node leads with a higher token");
+  }
+}
+
+std::string Node::believed_leader() const {
+  const auto said = roster_.leader(services_.reactor.now());
+  if (said.token > 0 && said.token >= leader_token_) return said.name;
+  return reaches_state() && leader_ != services_.settings.name ? leader_ : "";
+}
+
 bool Node::cut_off_from_workers() const {
   if (!term_->deaf() || services_.settings.others.empty()) return false;
   const double now = services_.reactor.now();
@@ -81,16 +96,20 @@
   }
 }
 
+void Node::note_leader(const store::ReadResult& found) {
+  leader_.clear();
+  if (found.outcome != Outcome::ok) return;
+  leader_token_ = std::max(leader_token_, found.value.revision);
+  if (const auto leader = read_leader(found.value.data)) leader_ = leader->name;
+}
+
 Task<void> Node::feel_state() {
   for (;;) {
     auto reading = services_.store.read(kLeaderKey, 1.0);
     const auto found = co_await reading;
     if (found.outcome == Outcome::ok || found.outcome == Outcome::failed) {
       state_heard_ = services_.reactor.now();
-      leader_.clear();
-      if (found.outcome == Outcome::ok) {
-        if (const auto leader = read_leader(found.value.data)) leader_ = leader->name;
-      }
+      note_leader(found);
     }
     Sleep pause(services_.reactor, 1.0);
     co_await pause;
@@ -146,8 +165,7 @@
     auto reading = services_.store.read(kLeaderKey, kStoreTimeout);
     const auto found = co_await reading;
     if (found.outcome == Outcome::ok) {
-      const auto holder = read_leader(found.value.data);
-      leader_ = holder ? holder->name : "";
+      note_leader(found);
       state_heard_ = services_.reactor.now();
       // A former run of this node may still be named; its lease then ends by itself.
       auto watching = services_.store.watch(kLeaderKey, found.value.revision, 2 * life);
@@ -159,7 +177,7 @@
       continue;
     }
     const bool free = found.outcome == Outcome::failed;
-    if (free) leader_.clear();
+    if (free) note_leader(found);
     if (!free || services_.reactor.now() < abstain_until_) {
       Sleep pause(services_.reactor, life / 8);
       co_await pause;
@@ -230,9 +248,7 @@
   workers_heard_ = services_.reactor.now();
   if (leads()) return term_->checkin(*report);
   if (term_ != nullptr) return come_back("taking over");
-  // Never itself: it doesn't lead.
-  const bool other = leader_ != services_.settings.name;
-  return plain_answer(421, wire::misdirected_answer(other ? leader_ : ""));
+  return plain_answer(421, wire::misdirected_answer(believed_leader()));
 }
 
 Task<Response> Node::handle(Request request) {
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -28,7 +28,7 @@
   bool ready() const;
   /// What this node says to the others, and takes from them.
   peer::Hello hello() const;
-  void heard(const peer::Hello& hello) { roster_.heard(hello, services_.reactor.now()); }
+  void heard(const peer::Hello& hello);
   static double hello_every(const base::Settings& settings) { return settings.report_s / 3; }
   bool leads() const { return term_ != nullptr && serving_; }
   Term* term() { return term_.get(); }
@@ -42,8 +42,10 @@
   net::Task<Taken> take_office();
   net::Task<void> serve_term(Taken taken);
   net::Response checkin(const net::Request& request);
+  void note_leader(const store::ReadResult& found);
   bool reaches_state() const;
   bool cut_off_from_workers() const;
+  std::string believed_leader() const;
 
   Services services_;
   Users users_;
@@ -53,7 +55,8 @@
   std::unique_ptr<Term> term_;
   net::Scope duties_;
   bool serving_ = false;  ///< the term has loaded its picture
-  std::string leader_;    ///< believed to lead; empty: unknown
+  std::string leader_;    ///< whom the state service named last; empty: nobody
+  std::uint64_t leader_token_ = 0;
   double abstain_until_ = 0;
   double state_heard_ = 0;
   double workers_heard_ = -1e9;
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -116,6 +116,7 @@
   scope.spawn(scale());
   scope.spawn(keep_house());
   scope.spawn(delete_machines());
+  scope.spawn(make_known());
 }
 
 // ---- reports ----
@@ -491,6 +492,59 @@
   work_.set();
 }
 
+// A worker that reports to a former leader, or to nobody, is told of our token straight away: from
+// then on it drops the former leader's answers, and its lease is ours to time.
+Task<void> Term::make_known() {
+  const auto& s = services_.settings;
+  constexpr std::size_t kAtOnce = 8;
+  for (;;) {
+    Sleep pause(services_.reactor, s.report_s / 2);
+    co_await pause;
+    const double at = now();
+    if (at - began_ < 1.5 * s.report_s) continue;  // most come by themselves
+    std::vector<std::string> due;
+    for (const auto& [id, m] : picture_.machines()) {
+      if (m.shown_token || m.removing || m.failed || m.address.empty() || !m.listed) continue;
+      if (m.booting || at - m.last_report < 2 * s.report_s) continue;
+      const auto last = called_.find(id);
+      if (last != called_.end() && at - last->second < s.lease_s / 3) continue;
+      due.push_back(id);
+    }
+    for (const auto& id : due) {
+      if (pushing_.size() >= kAtOnce) break;
+      called_[id] = at;
+      if (pushing_.insert(id).second) scope_.spawn(call_worker(id));
+    }
+  }
+}
+
+Task<void> Term::call_worker(std::string id) {
+  std::uint64_t session = 1;
+  for (int tries = 0; tries < 2; ++tries) {
+    const Machine* m = picture_.machine(id);
+    if (m == nullptr || !office_.certain(now())) break;
+    if (m->session != 0) session = m->session;
+    net::Request request{"POST", "/commands", "",
+                         wire::orders_command(office_.token(), session, {}), true};
+    auto calling =
+        services_.transport.call(m->address, std::move(request), services_.settings.report_s);
+    const auto reply = co_await calling;
+    if (reply.status() != 200 && reply.status() != 409) break;
+    const auto report = wire::parse_report(reply.response.body);
+    if (!report || report->machine != id || deleted_.contains(id)) break;
+    if (report->token > office_.token()) {
+      lose("a worker has seen a higher token");
+      break;
+    }
+    last_heard_ = now();
+    picture_.apply_report(*report, false, now());
+    work_.set();
+    if (reply.status() == 200 || report->session == session) break;
+    session = report->session;  // it was told under the wrong session: once more
+  }
+  pushing_.erase(id);
+}
+
 // ---- machines ----
 
 Task<void> Term::follow_types() {
@@ -523,6 +577,7 @@
         m.rented_at = std::min(m.rented_at, at - item.age_s);
         if (m.address.empty()) m.address = item.address;
         if (item.state == wire::MachineState::failed) m.failed = true;
+        m.booting = item.state == wire::MachineState::booting;
       }
     }
     Sleep pause(services_.reactor, every);
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -69,6 +69,7 @@
 
   net::Response checkin(const wire::Report& report);
   bool is_lost() const { return is_lost_; }
+  void lose(const char* why);
   /// Nothing was heard of any worker for so long that this node may be cut off from them.
   bool deaf() const;
   sched::Picture& picture() { return picture_; }
@@ -82,6 +83,8 @@
   net::Task<void> scale();
   net::Task<void> keep_house();  // leases, notices, cancellations, faulty machines
   net::Task<void> delete_machines();
+  net::Task<void> make_known();  // our token, to workers that do not report here
+  net::Task<void> call_worker(std::string machine);
 
   struct Batch;
   net::Task<void> write_jobs();
@@ -99,7 +102,6 @@
   net::Task<void> write_pool(std::string name);
   void give_back(sched::Machine& machine, const char* why);
   void watch_machine(sched::Machine& machine, double now);
-  void lose(const char* why);
   double now() const { return services_.reactor.now(); }
 
   Services services_;
@@ -117,6 +119,7 @@
   std::deque<wire::StoredValue> news_;
   std::set<std::string> to_reload_;
   std::set<std::string> pushing_;
+  std::map<std::string, double> called_;  ///< workers told of our token, and when
   std::map<std::string, sched::Pool> pools_;
   std::map<std::string, std::uint64_t> pool_revisions_;
   std::map<sched::MachineKind, double> refused_until_;
--- a/src/peer/roster.cpp
+++ b/src/peer/roster.cpp
@@ -21,4 +21,12 @@
   return any(now, [](const Hello& h) { return h.hears_workers; });
 }
 
+Hello Roster::leader(double now) const {
+  Hello best;
+  for (const auto& [name, said] : said_) {
+    if (now - said.at < fresh_s_ && said.hello.token > best.token) best = said.hello;
+  }
+  return best;
+}
+
 }  // namespace cranklock::peer
--- a/src/peer/roster.hpp
+++ b/src/peer/roster.hpp
@@ -17,6 +17,8 @@
   bool any_heard(double now) const;
   bool any_reaches_state(double now) const;
   bool any_hears_workers(double now) const;
+  /// Who leads with the highest token; an empty name when nobody says so.
+  Hello leader(double now) const;
 
  private:
   struct Said {
--- a/src/sched/picture.cpp
+++ b/src/sched/picture.cpp
@@ -348,7 +348,11 @@
   m.reported = true;
   m.silent = false;
   m.last_report = now;
-  m.shown_token = m.shown_token || r.token == token_;
+  if (r.token == token_ && !m.shown_token) {
+    // Until just now a former leader may have prolonged its lease: it is timed from here.
+    m.shown_token = true;
+    m.last_answered = std::max(m.last_answered, now);
+  }
   if (r.notice_s) {
     const double at = now + *r.notice_s;
     if (!m.taken_at) changed_ = true;
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -93,6 +93,7 @@
   double known_since = 0;
   double rented_at = 0;  ///< by its age in the list, or when the rental was answered
   bool listed = false;
+  bool booting = false;  ///< as last listed
   double last_listed = 0;
   bool failed = false;
   bool reported = false;                        ///< to this leader
--- a/tests/picture_test.cpp
+++ b/tests/picture_test.cpp
@@ -108,6 +108,18 @@
   EXPECT_FALSE(other.place().ended);
 }
 
+// Guards against timing a lease from the start of the steady clock for a worker that showed our
+// token in the answer to a direct command and was never answered a report.
+TEST(Picture, ALeaseIsTimedFromTheTokensFirstShowing) {
+  Placed s;
+  Machine& m = *s.picture.machine("n-1");
+  m.shown_token = false;
+  m.last_answered = 0;
+  s.picture.apply_report(report("n-1", 1, 9), false, 100);
+  EXPECT_TRUE(s.picture.expire_leases(105).empty());
+  EXPECT_EQ(s.picture.expire_leases(111).size(), 1u);
+}
+
 TEST(Picture, DeletionFreesWhatWasOnTheMachine) {
   Placed s;
   EXPECT_DOUBLE_EQ(s.picture.team_use("red").gpus, 4);
