Send stops straight to workers and keep the room they make for whom it is made

Cause: 8 s and 5 s start aims were missed where lower work had to make room: a stop waited for the next report (3 s, 1 s), one task of a job at a time, and later small jobs took what came free.

--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -276,7 +276,7 @@
     }
     auto writing = write_jobs();
     co_await writing;
-    push_starts();
+    push_orders();
   }
 }
 
@@ -357,7 +357,7 @@
     const auto result = co_await writing;
     if (result.outcome == Outcome::ok) {
       settle_written(batch, result.revision);
-      push_starts();
+      push_orders();
       continue;
     }
     if (result.outcome == Outcome::failed &&
@@ -412,24 +412,31 @@
   }
 }
 
-// ---- starts sent straight to workers ----
+// ---- orders sent straight to workers ----
 
-void Term::push_starts() {
+namespace {
+bool start_due(const Job& job, const sched::Place& p) {
+  return !job.withdrawn() && p.durable && !p.ended && !p.stop && !p.seen &&
+         p.carried_session == 0 && p.doubtful_session == 0;
+}
+
+bool stop_due(const Job& job, const sched::Place& p) {
+  return (p.stop || job.withdrawn()) && p.seen && !p.ended && !p.stop_sent;
+}
+}  // namespace
+
+void Term::push_orders() {
   const double at = now();
   if (!office_.certain(at)) return;
   std::set<std::string> machines;
-  for (auto& [id, job] : picture_.jobs()) {
-    if (job.withdrawn()) continue;
+  for (const auto& [id, job] : picture_.jobs()) {
     for (const auto& p : job.places) {
-      if (p.durable && !p.ended && !p.stop && !p.seen && p.carried_session == 0 &&
-          p.doubtful_session == 0) {
-        machines.insert(p.machine);
-      }
+      if (start_due(job, p) || stop_due(job, p)) machines.insert(p.machine);
     }
   }
   for (const auto& id : machines) {
     const Machine* m = picture_.machine(id);
-    if (m == nullptr || !sched::usable(picture_, *m, at) || m->address.empty()) continue;
+    if (m == nullptr || !m->reported || m->silent || m->removing || m->address.empty()) continue;
     // A worker not heard of lately would only leave starts in doubt.
     if (at - m->last_report > 2 * services_.settings.report_s) continue;
     if (pushing_.insert(id).second) scope_.spawn(push_to(id));
@@ -442,16 +449,19 @@
   const std::uint64_t session = m->session;
   for (const auto& [job_id, task] : m->tasks) {
     Job* job = picture_.job(job_id);
-    if (job == nullptr || job->withdrawn()) continue;
+    if (job == nullptr) continue;
     for (auto& p : job->places) {
-      if (p.task != task || p.machine != id || !p.durable || p.ended || p.stop || p.seen ||
-          p.carried_session != 0 || p.doubtful_session != 0) {
-        continue;
+      if (p.task != task || p.machine != id) continue;
+      if (start_due(*job, p)) {
+        orders.push_back({wire::Verb::start, {job_id, task}, p.attempt, 0});
+        // In doubt from the moment of sending until answered.
+        p.doubtful_session = session;
+        m->doubtful.insert({{job_id, task}, p.attempt});
+      } else if (stop_due(*job, p)) {
+        orders.push_back(
+            {wire::Verb::stop, {job_id, task}, p.attempt, job->withdrawn() ? 0 : p.grace_s});
+        p.stop_sent = true;
       }
-      orders.push_back({wire::Verb::start, {job_id, task}, p.attempt, 0});
-      // In doubt from the moment of sending until answered.
-      p.doubtful_session = session;
-      m->doubtful.insert({{job_id, task}, p.attempt});
     }
   }
   if (orders.empty()) {
@@ -473,6 +483,7 @@
   m = picture_.machine(id);
   if (m == nullptr) co_return;
   for (const auto& order : orders) {
+    if (order.verb != wire::Verb::start) continue;
     if (m->session == session) m->doubtful.erase({order.task, order.attempt});
     Job* job = picture_.job(order.task.job);
     auto* p = job != nullptr ? job->find(order.task.index, order.attempt) : nullptr;
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -94,7 +94,7 @@
   net::Task<bool> reload(std::string id);
   net::Task<bool> read_parts(sched::Job& job, std::uint64_t revision, int parts);
   void take_news();
-  void push_starts();
+  void push_orders();
   net::Task<void> push_to(std::string machine);
   net::Task<void> rent(sched::MachineKind kind, int count);
   void grow(const std::string& pool, int machines);
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -42,7 +42,8 @@
   bool stop = false;  ///< to be stopped, saving if grace_s allows
   double grace_s = 0;
   double stop_since = 0;
-  bool seen = false;  ///< a report showed it
+  bool stop_sent = false;  ///< straight to the worker; its reports' answers repeat it
+  bool seen = false;       ///< a report showed it
   wire::TaskState state = wire::TaskState::fetching;
   double running_since = 0;
   double decided_at = 0;
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -24,6 +24,7 @@
   MachineKind kind;
   Room free;
   Machine* machine = nullptr;
+  Room leaving;  ///< of tasks that are being stopped
   const Job* reserved = nullptr;
 };
 
@@ -41,9 +42,9 @@
       const auto* t = picture.type(m.kind.type);
       if (t == nullptr) continue;
       if (usable(picture, m, now)) {
-        slots_.push_back({m.kind, t->room - m.used, &m});
+        slots_.push_back({m.kind, t->room - m.used, &m, leaving_room(m), nullptr});
       } else if (!m.reported && !m.removing && !m.failed) {
-        booting_.push_back({m.kind, t->room, nullptr});
+        booting_.push_back({m.kind, t->room, nullptr, {}, nullptr});
       }
     }
   }
@@ -64,7 +65,9 @@
   bool zone_allows(const Job& job, const ZoneCount& zones, const std::string& zone) const;
   double cost(const Job& job, const Slot& slot, const ZoneCount& zones) const;
   void take(Job& job, std::uint32_t task, std::uint64_t attempt, Slot& slot);
+  Room leaving_room(const Machine& m);
   void make_room(Job& job);
+  bool make_room_for_task(Job& job, const ZoneCount& zones);
   void add_shortfall(const Job& job);
   bool may_preempt(const Job& for_job, const Job& victim) const;
   void reserve(const Job& job);
@@ -135,8 +138,9 @@
     seconds += job.spec.image_gb / std::max(t->fetch_gb_per_s, 0.01);
   }
   // Best fit keeps whole machines for the largest; a full machine's worth of room left over weighs
-  // as much as its boot does.
-  seconds += t->ready_s * share_of(slot.free - job.spec.room, t->room);
+  // a tenth of what its boot does.
+  constexpr double kFragmentation = 0.1;
+  seconds += kFragmentation * t->ready_s * share_of(slot.free - job.spec.room, t->room);
   if (job.spec.spot && !slot.kind.spot) seconds += t->ready_s;
   if (job.spec.spread) {
     const auto it = zones.count.find(slot.kind.zone);
@@ -237,6 +241,12 @@
   for (auto& slot : slots_) {
     const auto* t = picture_.type(slot.kind.type);
     if (slot.reserved != nullptr || !allows(job.spec, slot.kind)) continue;
+    // Room that is being made is for whom it is made.
+    if (slot.leaving.gpus + slot.leaving.cpus > 0 &&
+        job.spec.room.fits_in(slot.free + slot.leaving)) {
+      slot.reserved = &job;
+      return;
+    }
     if (!job.spec.room.fits_in(t->room) || now_ - job.known_since < t->ready_s) continue;
     if (2 * share_of(job.spec.room, t->room) < 1) continue;
     if (best == nullptr || slot.free.gpus > best->free.gpus) best = &slot;
@@ -250,69 +260,88 @@
   return for_job.guaranteed && !victim.guaranteed && for_job.spec.team != victim.spec.team;
 }
 
+Room Pass::leaving_room(const Machine& m) {
+  Room room;
+  for (const auto& [id, task] : m.tasks) {
+    const Job* job = picture_.job(id);
+    if (job == nullptr) continue;
+    for (const auto& p : job->places) {
+      if (p.machine == m.id && p.task == task && !p.ended && (p.stop || job->withdrawn())) {
+        room += job->spec.room;
+      }
+    }
+  }
+  return room;
+}
+
 void Pass::make_room(Job& job) {
   if (job.spec.shape == Shape::gang && job.spec.tasks > 1) return;
-  if (!within_limit(picture_, job.spec.team, job.spec.room)) return;
-  const auto zones = zones_of(job);
+  auto zones = zones_of(job);
+  Room planned;
+  for (auto missing = job.pending_count(); missing > 0; --missing) {
+    planned += job.spec.room;
+    if (!within_limit(picture_, job.spec.team, planned)) return;
+    if (!make_room_for_task(job, zones)) return;
+  }
+}
+
+bool Pass::make_room_for_task(Job& job, const ZoneCount& zones) {
+  struct Victim {
+    double loss;
+    Job* job;
+    Place* place;
+  };
   Slot* best = nullptr;
-  std::vector<std::pair<Job*, Place*>> best_victims;
+  std::vector<Victim> best_victims;
   double best_loss = std::numeric_limits<double>::infinity();
   for (auto& slot : slots_) {
     if (!allows(job.spec, slot.kind) || !zone_allows(job, zones, slot.kind.zone)) continue;
     if (slot.reserved != nullptr && slot.reserved != &job) continue;
-    struct Candidate {
-      double loss;
-      Job* job;
-      Place* place;
-    };
-    std::vector<Candidate> candidates;
-    Room room = slot.free;
+    Room room = slot.free + slot.leaving;
+    if (job.spec.room.fits_in(room)) {  // what leaves there suffices
+      slot.free -= job.spec.room;
+      return true;
+    }
+    std::vector<Victim> candidates;
     for (const auto& [victim_id, task] : slot.machine->tasks) {
       Job* victim = picture_.job(victim_id);
-      if (victim == nullptr || victim->withdrawn()) continue;
+      if (victim == nullptr || victim->withdrawn() || !may_preempt(job, *victim)) continue;
+      if (victim->spec.shape == Shape::gang && victim->spec.tasks > 1) continue;
       for (auto& p : victim->places) {
-        if (p.machine != slot.machine->id || p.task != task || p.ended) continue;
-        if (p.stop) {
-          room += victim->spec.room;  // on its way out already
-        } else if (p.durable && victim->spec.tasks == 1 && victim->spec.shape == Shape::gang &&
-                   may_preempt(job, *victim)) {
-          candidates.push_back({2 * (now_ - p.decided_at), victim, &p});
-        } else if (p.durable && victim->spec.shape != Shape::gang && may_preempt(job, *victim)) {
-          const double ran = p.running_since > 0 ? now_ - p.running_since : 0;
-          const bool saves = victim->spec.checkpoint_s > 0;
-          // A replica's absence is noticed; a batch task loses what it did not save.
-          const double loss = victim->spec.shape == Shape::service ? 1e4
-                              : saves ? std::min(ran, victim->spec.save_s)
-                                      : ran;
-          candidates.push_back({loss, victim, &p});
+        if (p.machine != slot.machine->id || p.task != task || p.ended || p.stop || !p.durable) {
+          continue;
         }
+        const double ran = p.running_since > 0 ? now_ - p.running_since : 0;
+        // A replica's absence is noticed at once; other work loses what it did not save.
+        const double loss = victim->spec.shape == Shape::service ? picture_.settings().cancel_s
+                            : victim->spec.checkpoint_s > 0 ? std::min(ran, victim->spec.save_s)
+                                                            : ran;
+        candidates.push_back({loss, victim, &p});
       }
     }
-    if (job.spec.room.fits_in(room)) {  // what is being stopped there suffices
-      slot.reserved = &job;
-      return;
-    }
-    std::sort(candidates.begin(), candidates.end(), [](const Candidate& a, const Candidate& b) {
+    std::sort(candidates.begin(), candidates.end(), [](const Victim& a, const Victim& b) {
       return std::pair(b.job->spec.rank, a.loss) < std::pair(a.job->spec.rank, b.loss);
     });
     double loss = 0;
-    std::vector<std::pair<Job*, Place*>> victims;
+    std::vector<Victim> victims;
     for (const auto& c : candidates) {
       if (job.spec.room.fits_in(room)) break;
       room += c.job->spec.room;
       loss += 1 + c.loss;
-      victims.emplace_back(c.job, c.place);
+      victims.push_back(c);
     }
     if (!job.spec.room.fits_in(room) || loss >= best_loss) continue;
     best = &slot, best_loss = loss, best_victims = std::move(victims);
   }
-  if (best == nullptr) return;
-  best->reserved = &job;
-  for (auto& [victim, place] : best_victims) {
-    picture_.request_stop(*victim, *place, victim->spec.checkpoint_s > 0 ? victim->spec.save_s : 0,
+  if (best == nullptr) return false;
+  best->free -= job.spec.room;
+  for (auto& v : best_victims) {
+    picture_.request_stop(*v.job, *v.place, v.job->spec.checkpoint_s > 0 ? v.job->spec.save_s : 0,
                           now_);
+    best->leaving += v.job->spec.room;
     ++result_.stopped;
   }
+  return true;
 }
 
 void Pass::add_shortfall(const Job& job) {
@@ -376,7 +405,7 @@
     if (!std::isfinite(best_price)) return;
     ++result_.shortfall.wanted[best];
     result_.shortfall.waiting[best.type] += job.spec.room;
-    virtual_.push_back({best, picture_.type(best.type)->room, nullptr});
+    virtual_.push_back({best, picture_.type(best.type)->room, nullptr, {}, nullptr});
     use(virtual_.back());
   }
 }
