--- /dev/null
+++ b/tests/stories_test.cpp
@@ -0,0 +1,227 @@
+// Stories of whole controllers in a small world, each with a rule it guards.
+#include <gtest/gtest.h>
+
+#include "world.hpp"
+
+namespace cranklock::testing {
+namespace {
+
+wire::JobSpec spec(const std::string& id, std::uint32_t tasks = 2,
+                   wire::Shape shape = wire::Shape::array) {
+  return make_job(id, shape, tasks, 4).spec;
+}
+
+std::string text(const wire::JobSpec& s) {
+  wire::JsonWriter w;
+  wire::write_job(w, s);
+  return w.take();
+}
+
+TEST(Story, AJobIsTakenOnAnyNodeRunsAndStaysDone) {
+  World w;
+  w.run(1);
+  const int other = (w.leader() + 1) % 3;
+  w.submit(other, spec("j-000001"));
+  w.run(30);
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(w.state_of(i, "j-000001"), "done");
+  EXPECT_EQ(w.starts["j-000001/0"], 1);
+  // A late repeat, even one that has changed or is wrong by now, gets the state it is in.
+  auto again = spec("j-000001", 5);
+  EXPECT_EQ(w.ask(other, "POST", "/v1/jobs", text(again)).status, 200);
+  again.team = "nobody";
+  EXPECT_EQ(w.ask(other, "POST", "/v1/jobs", text(again)).status, 200);
+  EXPECT_EQ(w.ask(other, "POST", "/v1/jobs", R"({"Id":"j-000001"})").status, 200);
+}
+
+TEST(Story, BadRequestsGetTheirStatus) {
+  World w;
+  w.run(1);
+  EXPECT_EQ(w.ask(0, "POST", "/v1/jobs", "nonsense").status, 400);
+  EXPECT_EQ(w.ask(0, "POST", "/v1/jobs", "[1]").status, 400);
+  EXPECT_EQ(w.ask(0, "POST", "/v1/jobs", R"({"Id":"j-000009"})").status, 400);
+  auto s = spec("j-000009");
+  s.team = "nobody";
+  EXPECT_EQ(w.ask(0, "POST", "/v1/jobs", text(s)).status, 422);
+  s = spec("j-000009");
+  s.room.gpus = 9;
+  EXPECT_EQ(w.ask(0, "POST", "/v1/jobs", text(s)).status, 422);
+  s = spec("j-000009", 5, wire::Shape::service);  // 20 of 16
+  EXPECT_EQ(w.ask(0, "POST", "/v1/jobs", text(s)).status, 422);
+  EXPECT_EQ(w.ask(0, "GET", "/v1/jobs/j-000009").status, 404);
+  EXPECT_EQ(w.ask(0, "POST", "/v1/jobs/j-000009/withdraw").status, 404);
+  EXPECT_EQ(w.ask(0, "GET", "/elsewhere").status, 404);
+  const auto wrong = w.ask(0, "DELETE", "/v1/jobs/j-000009");
+  EXPECT_EQ(wrong.status, 405);
+  EXPECT_EQ(wrong.allow, "GET");
+  EXPECT_EQ(w.ask(0, "POST", "/checkin", "{}").status, 400);
+}
+
+TEST(Story, ACrashedLeadersTasksGoOnUnderTheNext) {
+  World w;
+  w.run_s = 20;
+  w.run(1);
+  w.submit(0, spec("j-000001"));
+  w.run(12);
+  ASSERT_EQ(w.running("j-000001"), 2);
+  const int old = w.leader();
+  w.crash_node(old);
+  w.run(6);
+  ASSERT_GE(w.leader(), 0);
+  EXPECT_NE(w.leader(), old);
+  w.run(20);
+  EXPECT_EQ(w.state_of(w.leader(), "j-000001"), "done");
+  EXPECT_EQ(w.starts["j-000001/0"], 1);
+  EXPECT_EQ(w.ran_twice, 0);
+}
+
+TEST(Story, EveryNodeKilledAtOnceLosesNoJob) {
+  World w;
+  w.run(1);
+  w.submit(1, spec("j-000001"));
+  for (int i = 0; i < 3; ++i) w.crash_node(i);
+  w.run(3);
+  for (int i = 0; i < 3; ++i) w.start_node(i);
+  w.run(40);
+  EXPECT_EQ(w.state_of(0, "j-000001"), "done");
+  EXPECT_EQ(w.ran_twice, 0);
+}
+
+TEST(Story, ACancellationOnAnyNodeStopsTheTasksInTime) {
+  World w;
+  w.run_s = 1000;
+  w.run(1);
+  w.submit(0, spec("j-000001", 2, wire::Shape::service));
+  w.run(12);
+  ASSERT_EQ(w.running("j-000001"), 2);
+  const int other = (w.leader() + 1) % 3;
+  EXPECT_EQ(w.ask(other, "POST", "/v1/jobs/j-000001/withdraw").status, 200);
+  for (int i = 0; i < 3; ++i) EXPECT_EQ(w.state_of(i, "j-000001"), "withdrawn");
+  w.run(3);
+  EXPECT_EQ(w.running("j-000001"), 0);
+  EXPECT_EQ(w.state_of(other, "j-000001"), "withdrawn");
+}
+
+// Without the bound on answering, a leader cut off from the state service would prolong its
+// workers' leases for ever, and a task cancelled elsewhere would outlive cancel_s.
+TEST(Story, ACutOffLeaderCannotKeepACancelledTaskAlive) {
+  World w;
+  w.run_s = 1000;
+  w.run(1);
+  w.submit(0, spec("j-000001", 1, wire::Shape::service));
+  w.run(12);
+  ASSERT_EQ(w.running("j-000001"), 1);
+  const int old = w.leader();
+  w.cut_from_state.insert(old);
+  for (int i = 0; i < 3; ++i) {
+    if (i != old) w.cut_from_workers.insert(i);
+  }
+  w.run(1);
+  ASSERT_EQ(w.ask((old + 1) % 3, "POST", "/v1/jobs/j-000001/withdraw").status, 200);
+  w.run(w.base_settings.cancel_s);
+  EXPECT_EQ(w.running("j-000001"), 0);
+}
+
+TEST(Story, AStateOutageIsAnsweredAtOnceAndSurvived) {
+  World w;
+  w.run_s = 10;
+  w.run(1);
+  w.submit(0, spec("j-000001"));
+  w.run(10);
+  w.state_down = true;
+  w.run(5);
+  const double before = w.reactor.now();
+  const auto refused = w.ask(1, "POST", "/v1/jobs", text(spec("j-000002")));
+  EXPECT_EQ(refused.status, 503);
+  EXPECT_GT(refused.retry_after_s, 0);
+  EXPECT_LT(w.reactor.now() - before, 0.5);
+  EXPECT_EQ(w.ask(1, "GET", "/v1/jobs/j-000001").status, 503);
+  w.run(10);
+  w.state_down = false;
+  w.run(30);
+  EXPECT_EQ(w.state_of(0, "j-000001"), "done");
+  EXPECT_EQ(w.ran_twice, 0);
+}
+
+TEST(Story, AnUnansweredTransactionIsSettledByReading) {
+  World w;
+  w.run(1);
+  // The acceptance was applied though its answer got lost.
+  w.swallow_txn_answers = 1;
+  const auto response = w.ask(0, "POST", "/v1/jobs", text(spec("j-000001")));
+  EXPECT_EQ(response.status, 200);
+  // So are the leader's next writes.
+  w.swallow_txn_answers = 3;
+  w.run(60);
+  EXPECT_EQ(w.state_of(0, "j-000001"), "done");
+  EXPECT_EQ(w.ran_twice, 0);
+}
+
+TEST(Story, AnUnansweredRentalIsAskedAgainUnderItsName) {
+  World w;
+  w.swallow_rental_answers = 1;
+  w.run(1);
+  w.submit(0, spec("j-000001", 1));
+  w.run(30);
+  EXPECT_EQ(w.rentals.size(), 1u);
+  EXPECT_EQ(w.state_of(0, "j-000001"), "done");
+}
+
+TEST(Story, AStartWhoseAnswerIsLostRunsOnceAndIsNotForgotten) {
+  World w;
+  w.add_worker();
+  w.run(3);
+  w.workers["n-1"]->swallow_commands = 1;
+  w.submit(0, spec("j-000001", 1));
+  w.run(15);
+  EXPECT_EQ(w.state_of(0, "j-000001"), "done");
+  EXPECT_EQ(w.starts["j-000001/0"], 1);
+  EXPECT_EQ(w.workers["n-1"]->swallow_commands, 0);
+  // A copy of that command may still come: the worker must go on knowing the attempt.
+  EXPECT_TRUE(w.workers["n-1"]->tasks.contains("j-000001/0"));
+}
+
+TEST(Story, ASilentMachinesWorkMovesOnlyWhenItsLeaseIsOver) {
+  World w;
+  w.run_s = 1000;
+  w.add_worker();
+  w.add_worker();
+  w.run(3);
+  w.submit(0, spec("j-000001", 1, wire::Shape::service));
+  w.run(3);
+  ASSERT_EQ(w.running("j-000001"), 1);
+  std::string first;
+  for (auto& [id, worker] : w.workers) {
+    if (!worker->tasks.empty()) first = id;
+  }
+  w.workers[first]->hangs = true;
+  w.run(w.base_settings.lease_s - 2);
+  EXPECT_EQ(w.starts["j-000001/0"], 1);
+  w.run(8);
+  EXPECT_EQ(w.starts["j-000001/0"], 2);
+}
+
+TEST(Story, AnotherNodeNamesTheLeaderAndNeverItself) {
+  World w;
+  w.run(2);
+  const int other = (w.leader() + 1) % 3;
+  wire::Report r = report("n-77", 1, 1);
+  const std::string body =
+      R"({"Rig":"n-77","Address":"x","Frame":"g8","Yard":"a","Loaners":false,"Shift":1,"Tick":1,"KeyTurn":0})";
+  const auto answer = w.ask(other, "POST", "/checkin", body);
+  EXPECT_EQ(answer.status, 421);
+  EXPECT_NE(answer.body.find("n" + std::to_string(w.leader())), std::string::npos);
+  w.crash_node(w.leader());
+  w.run(0.1);
+}
+
+TEST(Story, ALeaderThatMeetsAHigherTokenStepsDown) {
+  World w(1);
+  w.run(2);
+  ASSERT_EQ(w.leader(), 0);
+  const std::string body =
+      R"({"Rig":"n-77","Address":"x","Frame":"g8","Yard":"a","Loaners":false,"Shift":1,"Tick":1,"KeyTurn":999999})";
+  EXPECT_EQ(w.ask(0, "POST", "/checkin", body).status, 421);
+}
+
+}  // namespace
+}  // namespace cranklock::testing
