--- a/src/sched/picture.cpp
+++ b/src/sched/picture.cpp
@@ -183,7 +183,10 @@
   }
   if (job.withdrawn() && job.withdrawn_since == 0) job.withdrawn_since = now;
   Job& put = jobs_.emplace(id, std::move(job)).first->second;
-  for (auto& p : put.places) attach(put, p);
+  for (auto& p : put.places) {
+    if (p.decided_at == 0) p.decided_at = now;  // by a former leader, who knows when
+    attach(put, p);
+  }
   return put;
 }
 
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -166,6 +166,27 @@
   EXPECT_EQ(w.state_of(0, "j-000001"), "done");
 }
 
+// A name that was answered 200 rents nothing when it is used again, by whichever leader.
+TEST(Story, EveryRentalHasANameOfItsOwnAcrossLeaders) {
+  World w;
+  w.run_s = 1000;
+  w.run(1);
+  w.submit(0, spec("j-000001", 2, wire::Shape::service));
+  w.run(15);
+  w.submit(0, spec("j-000002", 2, wire::Shape::service));
+  w.run(15);
+  EXPECT_EQ(w.running("j-000002"), 2);
+  const auto before = w.rentals.size();
+  EXPECT_GE(before, 1u);
+  w.crash_node(w.leader());
+  w.run(5);
+  auto other = make_job("j-000003", wire::Shape::service, 2, 8, "blue").spec;
+  w.submit(w.leader(), other);
+  w.run(60);
+  EXPECT_EQ(w.running("j-000003"), 2);
+  EXPECT_GT(w.rentals.size(), before);
+}
+
 TEST(Story, AStartWhoseAnswerIsLostRunsOnceAndIsNotForgotten) {
   World w;
   w.add_worker();
