--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -135,7 +135,12 @@
     response.status = 503;
     return response;
   }
+  const auto* before = picture_.machine(report.machine);
+  const bool was_quarantined = before != nullptr && before->quarantined;
   const auto freshness = picture_.apply_report(report, true, at);
+  if (!was_quarantined && picture_.machine(report.machine)->quarantined) {
+    spdlog::info("machine {} is quarantined: it fails what it starts", report.machine);
+  }
   if (freshness == sched::Picture::Freshness::late_copy) {
     response.status = 503;  // renews nothing
     return response;
@@ -269,6 +274,11 @@
     if (!picture_.types().empty() && (picture_.take_changed() || overdue)) {
       last_pass = now();
       auto result = sched::place_waiting(picture_, refused_until_, last_pass);
+      if (shortfall_.wanted.empty() && !result.shortfall.wanted.empty()) {
+        const auto& [kind, count] = *result.shortfall.wanted.begin();
+        spdlog::info("work finds no place: {} more {} wanted in {}{}", count, kind.type, kind.zone,
+                     kind.spot ? ", spot" : "");
+      }
       shortfall_ = std::move(result.shortfall);
       if (result.placed > 0 || result.stopped > 0) {
         spdlog::debug("placed {} tasks, stopping {}", result.placed, result.stopped);
