--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -33,6 +33,20 @@
   EXPECT_EQ(w.ask(other, "POST", "/v1/jobs", R"({"Id":"j-000001"})").status, 200);
 }
 
+TEST(Story, AJobIsCalledDoneOnlyWhenAllItsTasksAre) {
+  World w;
+  w.run(1);
+  w.submit(0, spec("j-000001", 6));  // 24 of the team's 16: in two waves
+  bool some = false;
+  for (int i = 0; i < 120 && w.state_of(0, "j-000001") != "done"; ++i) {
+    w.run(0.5);
+    some = some || (w.starts.size() > 0 && w.starts.size() < 6);
+  }
+  EXPECT_TRUE(some);
+  EXPECT_EQ(w.starts.size(), 6u);
+  EXPECT_EQ(w.state_of(0, "j-000001"), "done");
+}
+
 TEST(Story, BadRequestsGetTheirStatus) {
   World w;
   w.run(1);
