Scale the spot machines of a type as a pool of their own

Headroom was always bought ordinary. Change: a pool is a type's ordinary or its spot machines; batch work that alone holds an ordinary machine is asked of the spot pool, so that the ordinary machine empties and goes.

--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -725,7 +725,8 @@
     const bool settled = first_ever_ || at - began_ >= figures.down_window_s;
     const auto readings = sched::read_pools(picture_, shortfall_, figures.high, at);
     std::vector<std::string> changed;
-    for (const auto& [name, reading] : readings) {
+    for (const auto& [id, reading] : readings) {
+      const std::string name = id.name();
       auto& pool = pools_.try_emplace(name, sched::Pool(figures)).first->second;
       const auto wall = services_.reactor.wall_ms();
       const auto before = pool.state;
@@ -737,9 +738,9 @@
         pool.stamp(reading.machines + change, wall);
         spdlog::info("pool {} grows by {} from {}: score {:.2f}", name, change, reading.machines,
                      reading.score);
-        grow(name, change);
+        grow(id, change);
       } else if (change < 0 && office_.certain(at)) {
-        const int given = shrink(name, -change);
+        const int given = shrink(id, -change);
         if (given > 0) {
           pool.stamp(reading.machines - given, wall);
           spdlog::info("pool {} shrinks by {} from {}: score {:.2f}", name, given, reading.machines,
@@ -755,35 +756,35 @@
   }
 }
 
-void Term::grow(const std::string& pool, int machines) {
-  // What waits decides on zone and kind; what the step adds beyond that is ordinary machines in
-  // the zone that has fewest.
+void Term::grow(const sched::PoolId& pool, int machines) {
+  // What waits decides on the zone; what the step adds beyond that goes to the zone that has
+  // fewest.
   std::map<sched::MachineKind, int> plan;
   auto wanted = shortfall_.wanted;
   for (bool any = true; any && machines > 0;) {
     any = false;
     for (auto& [kind, n] : wanted) {
-      if (kind.type != pool || n == 0 || machines == 0) continue;
+      if (sched::pool_of(kind) != pool || n == 0 || machines == 0) continue;
       --n, --machines, ++plan[kind];
       any = true;
     }
   }
-  const auto* type = picture_.type(pool);
+  const auto* type = picture_.type(pool.type);
   std::map<std::string, int> zones;
   for (const auto& zone : type->zones) zones[zone] = 0;
   for (const auto& [id, m] : picture_.machines()) {
-    if (m.kind.type == pool && zones.contains(m.kind.zone)) ++zones[m.kind.zone];
+    if (sched::pool_of(m.kind) == pool && zones.contains(m.kind.zone)) ++zones[m.kind.zone];
   }
   for (; machines > 0 && !zones.empty(); --machines) {
     auto least = zones.end();
     for (auto it = zones.begin(); it != zones.end(); ++it) {
-      const auto refused = refused_until_.find({pool, it->first, false});
+      const auto refused = refused_until_.find({pool.type, it->first, pool.spot});
       if (refused != refused_until_.end() && refused->second > now()) continue;
       if (least == zones.end() || it->second < least->second) least = it;
     }
     if (least == zones.end()) break;
     ++least->second;
-    ++plan[{pool, least->first, false}];
+    ++plan[{pool.type, least->first, pool.spot}];
   }
   constexpr int kMostAtOnce = 50;
   for (const auto& [kind, n] : plan) {
@@ -827,17 +828,16 @@
   }
 }
 
-int Term::shrink(const std::string& pool, int machines) {
+int Term::shrink(const sched::PoolId& pool, int machines) {
   std::vector<Machine*> idle;
   for (auto& [id, m] : picture_.machines()) {
-    if (m.kind.type == pool && sched::usable(picture_, m, now()) && m.idle() &&
+    if (sched::pool_of(m.kind) == pool && sched::usable(picture_, m, now()) && m.idle() &&
         now() - m.idle_since > services_.settings.report_s * 2) {
       idle.push_back(&m);
     }
   }
-  std::sort(idle.begin(), idle.end(), [](const Machine* a, const Machine* b) {
-    return std::pair(a->kind.spot, a->idle_since) < std::pair(b->kind.spot, b->idle_since);
-  });
+  std::sort(idle.begin(), idle.end(),
+            [](const Machine* a, const Machine* b) { return a->idle_since < b->idle_since; });
   int given = 0;
   for (Machine* m : idle) {
     if (given == machines) break;
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -97,8 +97,8 @@
   void push_orders();
   net::Task<void> push_to(std::string machine);
   net::Task<void> rent(sched::MachineKind kind, int count);
-  void grow(const std::string& pool, int machines);
-  int shrink(const std::string& pool, int machines);
+  void grow(const sched::PoolId& pool, int machines);
+  int shrink(const sched::PoolId& pool, int machines);
   net::Task<void> write_pool(std::string name);
   void give_back(sched::Machine& machine, const char* why);
   void watch_machine(sched::Machine& machine, double now);
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -365,20 +365,20 @@
       // Part of a gang may find room; only the rest is missing.
       const auto ready = std::find_if(slots_.begin(), slots_.end(), fits);
       if (ready != slots_.end()) {
-        result_.shortfall.waiting[ready->kind.type] += job.spec.room;
+        result_.shortfall.waiting[pool_of(ready->kind)] += job.spec.room;
         use(*ready);
         continue;
       }
     }
     const auto booting = std::find_if(booting_.begin(), booting_.end(), fits);
     if (booting != booting_.end()) {
-      result_.shortfall.waiting[booting->kind.type] += job.spec.room;
+      result_.shortfall.waiting[pool_of(booting->kind)] += job.spec.room;
       use(*booting);
       continue;
     }
     const auto rented = std::find_if(virtual_.begin(), virtual_.end(), fits);
     if (rented != virtual_.end()) {
-      result_.shortfall.waiting[rented->kind.type] += job.spec.room;
+      result_.shortfall.waiting[pool_of(rented->kind)] += job.spec.room;
       use(*rented);
       continue;
     }
@@ -404,7 +404,7 @@
     }
     if (!std::isfinite(best_price)) return;
     ++result_.shortfall.wanted[best];
-    result_.shortfall.waiting[best.type] += job.spec.room;
+    result_.shortfall.waiting[pool_of(best)] += job.spec.room;
     virtual_.push_back({best, picture_.type(best.type)->room, nullptr, {}, nullptr});
     use(virtual_.back());
   }
--- a/src/sched/placement.hpp
+++ b/src/sched/placement.hpp
@@ -9,12 +9,24 @@
 
 namespace cranklock::sched {
 
+/// What is scaled by itself: the ordinary machines of a type, or its spot ones. They are rented for
+/// different work at different prices, so room on the one says little about need of the other.
+struct PoolId {
+  std::string type;
+  bool spot = false;
+  auto operator<=>(const PoolId&) const = default;  // NOLINT(modernize-use-nullptr)
+  std::string name() const { return spot ? type + "/spot" : type; }
+};
+inline PoolId pool_of(const MachineKind& kind) {
+  return {kind.type, kind.spot};
+}
+
 /// Work that found no place though its team may run it, as machines to be added.
 struct Shortfall {
   /// New machines by kind, beyond those that are booting.
   std::map<MachineKind, int> wanted;
-  /// Room asked by waiting tasks, by machine type that would take them.
-  std::map<std::string, wire::Room> waiting;
+  /// Room asked by waiting tasks, by the pool that would take them.
+  std::map<PoolId, wire::Room> waiting;
 };
 
 struct PassResult {
--- a/src/sched/scaler.cpp
+++ b/src/sched/scaler.cpp
@@ -60,42 +60,48 @@
   state.scaled_ms = wall_ms;
 }
 
-std::map<std::string, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall,
-                                              double high, double now) {
+std::map<PoolId, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall, double high,
+                                         double now) {
   struct Sum {
     double booked = 0;
     int ready = 0, booting = 0;
+    wire::Room asked;
   };
-  std::map<std::string, Sum> sums;
-  for (const auto& [name, type] : picture.types()) sums[name];
+  std::map<PoolId, Sum> sums;
+  for (const auto& [name, type] : picture.types()) sums[{name, false}], sums[{name, true}];
   for (const auto& [id, m] : picture.machines()) {
     const auto* type = picture.type(m.kind.type);
     if (type == nullptr || m.failed || m.removing) continue;
-    Sum& sum = sums[m.kind.type];
+    Sum& sum = sums[pool_of(m.kind)];
     if (usable(picture, m, now)) {
       ++sum.ready;
       sum.booked += largest_share(m.used, type->room);
     } else if (!m.reported) {
       ++sum.booting;
     }
+    // An ordinary machine that holds nothing but work for spot ones could be given back.
+    const MachineKind as_spot{m.kind.type, m.kind.zone, true};
+    const bool could_go = !m.kind.spot && std::all_of(m.tasks.begin(), m.tasks.end(), [&](auto& t) {
+      const Job* job = picture.job(t.first);
+      return job != nullptr && allows(job->spec, as_spot);
+    });
+    if (could_go) sums[pool_of(as_spot)].asked += m.used;
   }
-  std::map<std::string, PoolReading> out;
-  for (const auto& [name, sum] : sums) {
+  for (const auto& [pool, room] : shortfall.waiting) sums[pool].asked += room;
+  std::map<PoolId, PoolReading> out;
+  for (const auto& [pool, sum] : sums) {
     PoolReading reading;
     reading.machines = sum.ready + sum.booting;
     for (const auto& [kind, n] : shortfall.wanted) {
-      if (kind.type == name) reading.wanted += n;
+      if (pool_of(kind) == pool) reading.wanted += n;
     }
-    const auto waiting = shortfall.waiting.find(name);
-    const double asked = waiting == shortfall.waiting.end()
-                             ? 0
-                             : largest_share(waiting->second, picture.type(name)->room);
+    const double asked = largest_share(sum.asked, picture.type(pool.type)->room);
     if (sum.ready > 0) reading.score = sum.booked / sum.ready;
     if (reading.machines > 0) reading.score += asked / reading.machines;
     reading.missing =
         static_cast<int>(std::ceil((sum.booked + asked) / high - 1e-9)) - reading.machines;
     if (sum.ready == 0 && asked > 0) reading.score = std::max(reading.score, high + 1);
-    out[name] = reading;
+    out[pool] = reading;
   }
   return out;
 }
--- a/src/sched/scaler.hpp
+++ b/src/sched/scaler.hpp
@@ -46,7 +46,9 @@
 
 /// The pools' readings now: the mean over ready machines of booked room over room, plus waiting
 /// room over ready and booting room; a pool with nothing ready and work waiting is above High.
-std::map<std::string, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall,
-                                              double high, double now);
+/// What an ordinary machine holds that has no other work than such as spot machines may do is asked
+/// of the spot pool too.
+std::map<PoolId, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall, double high,
+                                         double now);
 
 }  // namespace cranklock::sched
