Delete spot machines that went quiet, so that their work starts elsewhere sooner

Change: a spot machine quiet after its notice, or quiet alone in its zone for three reports, is deleted; the 200 is the proof. A whole quiet zone may be cut off and is left alone. Excluded: waiting for a place (first starts come at once after 120 s).

--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -654,6 +654,9 @@
     return;
   }
   if (m.silent && at - m.last_answered > 2 * s.lease_s) return give_back(m, "it is silent");
+  // Its deletion proves what its lease would prove only later: its work starts elsewhere the
+  // sooner.
+  if (sched::surely_taken(picture_, m, at)) return give_back(m, "it is taken");
   if (m.quarantined && m.idle()) return give_back(m, "it fails what it starts");
   if (!m.taken_at && !m.quarantined) return;
   // Its work moves while it still runs: what saves is told to save.
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -428,6 +428,22 @@
          m.strangers == 0;
 }
 
+bool surely_taken(Picture& picture, const Machine& m, double now) {
+  const double every = picture.settings().report_s;
+  if (!m.kind.spot || !m.reported || m.removing) return false;
+  const double quiet = now - m.last_report;
+  if (m.taken_at && now > *m.taken_at) return quiet > 1.5 * every;
+  if (quiet < 3 * every) return false;
+  int workers = 0, heard = 0;
+  for (const auto& [id, other] : picture.machines()) {
+    if (other.id == m.id || other.kind.zone != m.kind.zone) continue;
+    if (!other.reported || other.silent || other.removing || other.taken_at) continue;
+    ++workers;
+    heard += now - other.last_report < 2 * every ? 1 : 0;
+  }
+  return workers > 0 && heard >= 0.9 * workers;
+}
+
 PassResult place_waiting(Picture& picture, const std::map<MachineKind, double>& refused_until,
                          double now) {
   return Pass(picture, refused_until, now).run();
--- a/src/sched/placement.hpp
+++ b/src/sched/placement.hpp
@@ -47,4 +47,8 @@
 /// Whether new work may be put on this machine.
 bool usable(const Picture& picture, const Machine& machine, double now);
 
+/// A spot machine that has gone quiet after its notice, or for three reports while the other
+/// workers of its zone are heard. Those whose zone is quiet too may only be cut off.
+bool surely_taken(Picture& picture, const Machine& machine, double now);
+
 }  // namespace cranklock::sched
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -136,5 +136,42 @@
   EXPECT_EQ(s.pass().placed, 0);
 }
 
+// Guards against work of a spot machine taken without notice waiting for a lease that may be as
+// long as the work itself; and against giving back a whole zone that is only cut off.
+TEST(Placement, ASpotMachineThatAloneGoesQuietIsTaken) {
+  Fleet s({});
+  for (const char* id : {"n-1", "n-2", "n-3"}) {
+    auto r = report(id, 1, 1);
+    r.spot = true;
+    s.picture.apply_report(r, true, 0);
+  }
+  const auto taken = [&](double now) {
+    return surely_taken(s.picture, *s.picture.machine("n-1"), now);
+  };
+  EXPECT_FALSE(taken(5));  // the others are quiet too
+  for (const char* id : {"n-2", "n-3"}) {
+    auto r = report(id, 1, 2);
+    r.spot = true;
+    s.picture.apply_report(r, true, 4);
+  }
+  EXPECT_TRUE(taken(5));
+  EXPECT_FALSE(taken(2.9));  // a report or two may be lost
+  s.picture.machine("n-1")->kind.spot = false;
+  EXPECT_FALSE(taken(5));  // an ordinary one may only hang
+}
+
+TEST(Placement, ASpotMachineQuietAfterItsNoticeIsTaken) {
+  Fleet s({});
+  auto r = report("n-1", 1, 1);
+  r.spot = true;
+  r.notice_s = 10;
+  s.picture.apply_report(r, true, 0);
+  r.tick = 2;
+  r.notice_s = 1;
+  s.picture.apply_report(r, true, 9);
+  EXPECT_FALSE(surely_taken(s.picture, *s.picture.machine("n-1"), 10.1));
+  EXPECT_TRUE(surely_taken(s.picture, *s.picture.machine("n-1"), 10.6));
+}
+
 }  // namespace
 }  // namespace cranklock::sched
