--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -54,7 +54,8 @@
   }
   peer::Links links(
       reactor, settings, control::Node::hello_every(settings), [&] { return node.hello(); },
-      [&](const peer::Hello& hello) { node.heard(hello); });
+      [&](const std::string& from, peer::Frame frame) { node.heard(from, std::move(frame)); });
+  node.set_send([&](const std::string& to, const peer::Frame& frame) { links.send(to, frame); });
   if (!links.listen()) {
     spdlog::error("{} can't be listened on", settings.peer_listen);
     return 1;
@@ -73,7 +74,7 @@
   routines.spawn(node.feel_state());
   routines.spawn(node.run());
   routines.spawn(links.accept());
-  for (const auto& other : settings.others) routines.spawn(links.greet(other.address));
+  for (const auto& other : settings.others) routines.spawn(links.greet(other));
   spdlog::info("{} listens on {}", settings.name, settings.listen);
   reactor.run();
   spdlog::info("{} ends", settings.name);
--- /dev/null
+++ b/src/control/deputy.cpp
@@ -0,0 +1,95 @@
+#include "control/deputy.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace cranklock::control {
+
+using net::Response;
+using net::Task;
+
+void Deputy::heard(const peer::Hello& hello) {
+  if (hello.token == 0 || hello.token < token_) return;
+  token_ = hello.token;
+  leader_ = hello.name;
+  leader_ms_ = hello.sent_ms;
+  heard_at_ = reactor_.now();
+}
+
+void Deputy::describe(peer::Hello& hello) const {
+  hello.echo_token = token_;
+  hello.echo_ms = leader_ms_;
+  if (stood_in_at_ >= 0) {
+    const double age = (reactor_.now() - stood_in_at_) * 1000;
+    hello.stood_in_ms = static_cast<std::uint32_t>(std::min(age, peer::kNever - 1.0));
+  }
+}
+
+bool Deputy::reaches_leader() const {
+  return token_ > 0 && reactor_.now() - heard_at_ < patience(settings_);
+}
+
+// Guards the leader's timing of leases: it counts on no answer of ours while it is heard here, and
+// on none after what it allowed. A worker that has seen a newer token would drop the answer anyway.
+bool Deputy::stands_in(const wire::Report& report) const {
+  const auto it = trusted_.find(report.machine);
+  return it != trusted_.end() && it->second.token == token_ && report.token <= token_ &&
+         !reaches_leader() && reactor_.now() < it->second.until;
+}
+
+void Deputy::answered(const peer::CarriedAnswer& answer) {
+  const auto it = pending_.find(answer.id);
+  if (it == pending_.end()) return;  // too late: its worker has been answered otherwise
+  it->second->answer = answer;
+  it->second->done = true;
+  it->second->arrived.set();
+}
+
+Task<Response> Deputy::carry(wire::Report report, std::string body,
+                             std::function<double()> state_heard) {
+  constexpr double kWorkersPatience = 4.0;  // PROTOCOL: then it tries the next node
+  const double sent = reactor_.now();
+  const double until = sent + 0.8 * kWorkersPatience;
+  // What came last from outside is the leader's, give or take what lies between two hellos.
+  const auto cut_off = [&] { return state_heard() < heard_at_ + settings_.report_s / 2; };
+  Response response;
+  if (reaches_leader() && body.size() < peer::kMostText) {
+    Pending pending(reactor_);
+    const auto id = ++next_id_;
+    struct Listed {
+      std::map<std::uint32_t, Pending*>& in;
+      std::uint32_t id;
+      ~Listed() { in.erase(id); }
+    };
+    const Listed listed{pending_, id};
+    pending_[id] = &pending;
+    send_(leader_, peer::Carried{id, std::move(body)});
+    while (!pending.done && reactor_.now() < until) {
+      // Looked at again and again: the leader may have ended, and its successor be known.
+      if (!reaches_leader() && !cut_off()) break;
+      net::Signal::Wait wait(pending.arrived, settings_.report_s / 4);
+      co_await wait;
+    }
+    if (pending.done && pending.answer.status == 200) {
+      const auto& answer = pending.answer;
+      // Counted from the sending, which came before the leader's answer.
+      if (trusted_.size() > 4096) trusted_.clear();
+      trusted_[report.machine] = {answer.token, sent + answer.stand_in_ms / 1000.0};
+      response.body = answer.body;
+      co_return response;
+    }
+  }
+  if (cut_off() && stands_in(report)) {
+    if (stood_in_at_ < 0 || reactor_.now() - stood_in_at_ > settings_.lease_s) {
+      spdlog::info("answering the zone's workers in the leader's stead, token {}", token_);
+    }
+    stood_in_at_ = reactor_.now();
+    response.body = wire::orders_answer(token_, {});
+    co_return response;
+  }
+  response.status = 421;
+  co_return response;
+}
+
+}  // namespace cranklock::control
--- /dev/null
+++ b/src/control/deputy.hpp
@@ -0,0 +1,79 @@
+// A node that does not lead serves its own zone's workers: it carries their reports to the leader,
+// and when the zone is cut off it answers them in the leader's stead, for as long as that is safe.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+#include "base/settings.hpp"
+#include "net/http.hpp"
+#include "net/reactor.hpp"
+#include "net/task.hpp"
+#include "peer/frames.hpp"
+#include "wire/messages.hpp"
+
+namespace cranklock::control {
+
+class Deputy {
+ public:
+  using Send = std::function<void(const std::string& to, const peer::Frame&)>;
+
+  Deputy(net::Reactor& reactor, const base::Settings& settings)
+      : reactor_(reactor), settings_(settings) {}
+
+  /// Without it nothing is carried.
+  void set_send(Send send) { send_ = std::move(send); }
+
+  /// A leader that has not been heard for so long can't be reached. Only then does a deputy answer
+  /// in its stead; until then, so the leader knows, no deputy that it heard from has.
+  static double patience(const base::Settings& settings) {
+    return std::min(1.2 * settings.report_s, 3.0);
+  }
+
+  void heard(const peer::Hello& hello);
+  void answered(const peer::CarriedAnswer& answer);
+  /// What this node's hellos say of it.
+  void describe(peer::Hello& hello) const;
+  /// A leader is heard that may have reports carried to it.
+  bool reaches_leader() const;
+  bool may_carry(const wire::Report& report) const {
+    return send_ && report.zone == settings_.zone && (reaches_leader() || stands_in(report));
+  }
+
+  /// `state_heard` says when the state service last answered: that tells a zone that is cut off
+  /// from a leader that has ended, whose workers had better look for its successor. An answer of
+  /// status 421 means that they should go elsewhere.
+  net::Task<net::Response> carry(wire::Report report, std::string body,
+                                 std::function<double()> state_heard);
+
+ private:
+  struct Pending {
+    explicit Pending(net::Reactor& reactor) : arrived(reactor) {}
+    net::Signal arrived;
+    bool done = false;
+    peer::CarriedAnswer answer;
+  };
+  struct Trust {
+    std::uint64_t token = 0;
+    double until = 0;
+  };
+  bool stands_in(const wire::Report& report) const;
+
+  net::Reactor& reactor_;
+  const base::Settings& settings_;
+  Send send_;
+  std::string leader_;
+  std::uint64_t token_ = 0;  ///< the highest that a leader was heard with
+  std::uint64_t leader_ms_ = 0;
+  double heard_at_ = -1e9;
+  double stood_in_at_ = -1;
+  std::uint32_t next_id_ = 0;
+  std::map<std::uint32_t, Pending*> pending_;
+  std::map<std::string, Trust> trusted_;  ///< by worker, as the leader last allowed
+};
+
+}  // namespace cranklock::control
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -19,8 +19,10 @@
 Node::Node(Services services)
     : services_(services),
       users_(services),
+      deputy_(services.reactor, services.settings),
       lost_(services.reactor),
-      roster_(4 * hello_every(services.settings)) {}
+      roster_(4 * hello_every(services.settings)),
+      run_(static_cast<std::uint64_t>(services.reactor.wall_ms())) {}
 
 Node::~Node() {
   duties_.clear();
@@ -41,12 +43,48 @@
 
 peer::Hello Node::hello() const {
   const double now = services_.reactor.now();
-  return {services_.settings.name, leads() ? office_->token() : 0, reaches_state(),
-          now - workers_heard_ < 2 * services_.settings.report_s};
+  peer::Hello hello{services_.settings.name, leads() ? office_->token() : 0, reaches_state(),
+                    now - workers_heard_ < 2 * services_.settings.report_s};
+  hello.run = run_;
+  hello.sent_ms = static_cast<std::uint64_t>(now * 1000);
+  deputy_.describe(hello);
+  return hello;
 }
 
-void Node::heard(const peer::Hello& hello) {
-  roster_.heard(hello, services_.reactor.now());
+void Node::set_send(Deputy::Send send) {
+  send_ = send;
+  deputy_.set_send(std::move(send));
+}
+
+void Node::heard(const std::string& from, peer::Frame frame) {
+  if (const auto* hello = std::get_if<peer::Hello>(&frame)) return heard_hello(*hello);
+  if (const auto* carried = std::get_if<peer::Carried>(&frame))
+    return heard_carried(from, *carried);
+  deputy_.answered(std::get<peer::CarriedAnswer>(frame));
+}
+
+void Node::heard_carried(const std::string& from, const peer::Carried& carried) {
+  peer::CarriedAnswer answer{carried.id, 503, 0, 0, ""};
+  const auto report = wire::parse_report(carried.report);
+  if (report && leads()) answer = term_->carried_checkin(*report, from, carried.id);
+  if (send_) send_(from, answer);
+}
+
+std::string Node::deputy_for(const wire::Report& report) const {
+  if (!send_ || report.zone == services_.settings.zone) return {};
+  for (const auto& other : services_.settings.others) {
+    if (other.zone == report.zone && term_->may_hand_over(report.machine, other.name)) {
+      return other.name;
+    }
+  }
+  return {};
+}
+
+void Node::heard_hello(const peer::Hello& hello) {
+  const double now = services_.reactor.now();
+  roster_.heard(hello, now);
+  deputy_.heard(hello);
+  if (term_ != nullptr) term_->heard(hello);
   // A leader that lost only the state service learns here that it has a successor, long before it
   // would have to stop answering; until it does, its workers stay with it.
   if (term_ != nullptr && hello.token > office_->token()) {
@@ -239,16 +277,26 @@
   co_await dropping;
 }
 
-Response Node::checkin(const Request& request) {
-  const auto report = wire::parse_report(request.body);
+Task<Response> Node::checkin(Request request) {
+  auto report = wire::parse_report(request.body);
   if (!report) {
     spdlog::error("a malformed report was refused");
-    return plain_answer(400, wire::error_answer("malformed report"));
+    co_return plain_answer(400, wire::error_answer("malformed report"));
   }
   workers_heard_ = services_.reactor.now();
-  if (leads()) return term_->checkin(*report);
-  if (term_ != nullptr) return come_back("taking over");
-  return plain_answer(421, wire::misdirected_answer(believed_leader()));
+  if (leads()) {
+    const auto deputy = deputy_for(*report);
+    if (!deputy.empty()) co_return plain_answer(421, wire::misdirected_answer(deputy));
+    co_return term_->checkin(*report);
+  }
+  if (term_ != nullptr) co_return come_back("taking over");
+  if (deputy_.may_carry(*report)) {
+    auto carrying =
+        deputy_.carry(std::move(*report), std::move(request.body), [this] { return state_heard_; });
+    auto response = co_await carrying;
+    if (response.status == 200) co_return response;
+  }
+  co_return plain_answer(421, wire::misdirected_answer(believed_leader()));
 }
 
 Task<Response> Node::handle(Request request) {
@@ -261,7 +309,9 @@
   };
   if (path == "/checkin") {
     if (request.method != "POST") co_return only("POST");
-    co_return checkin(request);
+    auto work = checkin(std::move(request));
+    auto response = co_await work;
+    co_return response;
   }
   if (path == "/ready") {
     if (request.method != "GET") co_return only("GET");
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "control/deputy.hpp"
 #include "control/term.hpp"
 #include "control/users.hpp"
 #include "peer/roster.hpp"
@@ -28,7 +29,9 @@
   bool ready() const;
   /// What this node says to the others, and takes from them.
   peer::Hello hello() const;
-  void heard(const peer::Hello& hello);
+  void heard(const std::string& from, peer::Frame frame);
+  /// How frames reach the other nodes; without it each node serves only its own workers.
+  void set_send(Deputy::Send send);
   static double hello_every(const base::Settings& settings) { return settings.report_s / 3; }
   bool leads() const { return term_ != nullptr && serving_; }
   Term* term() { return term_.get(); }
@@ -41,7 +44,10 @@
   };
   net::Task<Taken> take_office();
   net::Task<void> serve_term(Taken taken);
-  net::Response checkin(const net::Request& request);
+  net::Task<net::Response> checkin(net::Request request);
+  void heard_hello(const peer::Hello& hello);
+  void heard_carried(const std::string& from, const peer::Carried& carried);
+  std::string deputy_for(const wire::Report& report) const;
   void note_leader(const store::ReadResult& found);
   bool reaches_state() const;
   bool cut_off_from_workers() const;
@@ -49,6 +55,8 @@
 
   Services services_;
   Users users_;
+  Deputy deputy_;
+  Deputy::Send send_;
   net::Signal lost_;
   peer::Roster roster_;
   std::unique_ptr<Office> office_;
@@ -61,6 +69,7 @@
   double state_heard_ = 0;
   double workers_heard_ = -1e9;
   std::uint64_t nonce_ = 0;
+  std::uint64_t run_;  ///< of this process, as its hellos name it
 };
 
 }  // namespace cranklock::control
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "control/deputy.hpp"
 #include "control/record.hpp"
 
 namespace cranklock::control {
@@ -166,6 +167,46 @@
   return response;
 }
 
+peer::CarriedAnswer Term::carried_checkin(const wire::Report& report, const std::string& deputy,
+                                          std::uint32_t id) {
+  const auto response = checkin(report);
+  peer::CarriedAnswer answer{id, static_cast<std::uint16_t>(response.status), office_.token(), 0,
+                             response.body};
+  Machine* m = picture_.machine(report.machine);
+  if (response.status != 200 || m == nullptr || response.body.size() > peer::kMostText) {
+    if (response.status == 200) answer.status = 503;
+    return answer;
+  }
+  // Nothing is prolonged alone that a stop may not have reached yet, be it this very answer.
+  const double until = office_.answer_until();
+  if (until > now() && !picture_.stopping(*m)) {
+    answer.stand_in_ms = static_cast<std::uint32_t>((until - now()) * 1000);
+    auto& kept = m->kept_until[deputy];
+    kept = std::max(kept, until);
+  }
+  return answer;
+}
+
+void Term::heard(const peer::Hello& hello) {
+  const bool ours = hello.echo_token == office_.token();
+  const double never = -1;
+  picture_.note_deputy(
+      hello.name, hello.run,
+      ours ? static_cast<double>(hello.echo_ms) / 1000 + Deputy::patience(services_.settings) * 0.98
+           : 0,
+      hello.stood_in_ms == peer::kNever ? never : now() - hello.stood_in_ms / 1000.0, now());
+}
+
+bool Term::may_hand_over(const std::string& id, const std::string& deputy) {
+  Machine* m = picture_.machine(id);
+  const double at = now();
+  if (m == nullptr || !m->shown_token || !picture_.deputy_heard(deputy, at)) return false;
+  // Once in a while only: a worker that comes back has found its deputy wanting.
+  if (m->handed_over > 0 && at - m->handed_over < 2 * services_.settings.lease_s) return false;
+  m->handed_over = at;
+  return true;
+}
+
 // ---- news of jobs ----
 
 Task<void> Term::follow_jobs() {
@@ -653,7 +694,9 @@
     }
     return;
   }
-  if (m.silent && at - m.last_answered > 2 * s.lease_s) return give_back(m, "it is silent");
+  if (m.silent && at - m.last_answered > 2 * s.lease_s && at > m.excused_until) {
+    return give_back(m, "it is silent");
+  }
   // Its deletion proves what its lease would prove only later: its work starts elsewhere the
   // sooner.
   if (sched::surely_taken(picture_, m, at)) return give_back(m, "it is taken");
@@ -685,6 +728,10 @@
       spdlog::info("machine {} is silent, its lease is over", id);
       work_.set();
     }
+    for (const auto& zone : picture_.watch_zones(at)) {
+      spdlog::info("zone {} is dark: none of its workers is heard", zone);
+      work_.set();
+    }
     std::vector<std::string> ids;
     for (const auto& [id, m] : picture_.machines()) {
       if (!m.removing) ids.push_back(id);
@@ -774,7 +821,9 @@
   }
   const auto* type = picture_.type(pool.type);
   std::map<std::string, int> zones;
-  for (const auto& zone : type->zones) zones[zone] = 0;
+  for (const auto& zone : type->zones) {
+    if (!picture_.dark(zone)) zones[zone] = 0;
+  }
   for (const auto& [id, m] : picture_.machines()) {
     if (sched::pool_of(m.kind) == pool && zones.contains(m.kind.zone)) ++zones[m.kind.zone];
   }
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -14,6 +14,7 @@
 #include "net/client.hpp"
 #include "net/reactor.hpp"
 #include "net/task.hpp"
+#include "peer/frames.hpp"
 #include "sched/picture.hpp"
 #include "sched/scaler.hpp"
 #include "store/client.hpp"
@@ -44,12 +45,14 @@
   bool certain(double now) const {
     return now < confirmed_sent_ + lease_life(settings_) * (1 - 2 * base::kClockDrift);
   }
-  /// Reports may be answered 200: even if a successor has promised a cancellation meanwhile, the
-  /// lease of every worker answered until now ends within cancel_s of that promise.
-  bool may_answer(double now) const {
+  /// Until then reports may be answered 200, by us or by a deputy in our stead: even if a successor
+  /// has promised a cancellation meanwhile, the lease of every worker answered until then ends
+  /// within cancel_s of that promise.
+  double answer_until() const {
     const double span = settings_.cancel_s - settings_.lease_s;
-    return now < confirmed_sent_ + span * 0.9;
+    return confirmed_sent_ + span * 0.9;
   }
+  bool may_answer(double now) const { return now < answer_until(); }
 
  private:
   const base::Settings& settings_;
@@ -68,6 +71,12 @@
   void start(net::Scope& scope);
 
   net::Response checkin(const wire::Report& report);
+  /// The same for a report that another node has carried here.
+  peer::CarriedAnswer carried_checkin(const wire::Report& report, const std::string& deputy,
+                                      std::uint32_t id);
+  void heard(const peer::Hello& hello);
+  /// Whether the worker may be sent to report to this node of its own zone.
+  bool may_hand_over(const std::string& machine, const std::string& deputy);
   bool is_lost() const { return is_lost_; }
   void lose(const char* why);
   /// Nothing was heard of any worker for so long that this node may be cut off from them.
--- a/src/peer/frames.cpp
+++ b/src/peer/frames.cpp
@@ -3,7 +3,7 @@
 namespace cranklock::peer {
 namespace {
 
-enum class Kind : std::uint8_t { hello = 1 };
+enum class Kind : std::uint8_t { hello = 1, carried = 2, carried_answer = 3 };
 
 class Packer {
  public:
@@ -20,6 +20,12 @@
     bytes_.append(v);
     return *this;
   }
+  Packer& long_text(std::string_view v) {
+    v = v.substr(0, kMostText);
+    number(static_cast<std::uint16_t>(v.size()));
+    bytes_.append(v);
+    return *this;
+  }
   std::string frame(Kind kind) && {
     Packer head;
     head.number(static_cast<std::uint16_t>(bytes_.size()));
@@ -44,51 +50,97 @@
     }
     return static_cast<N>(v);
   }
-  std::string text() {
-    const auto size = number<std::uint8_t>();
-    if (size > kMostName || size > bytes_.size()) return ok_ = false, std::string();
-    std::string out(bytes_.substr(0, size));
-    bytes_.remove_prefix(size);
-    return out;
+  std::string text() { return take(number<std::uint8_t>(), kMostName); }
+  std::string long_text() { return take(number<std::uint16_t>(), kMostText); }
+  bool flag() {
+    const auto v = number<std::uint8_t>();
+    ok_ = ok_ && v <= 1;
+    return v == 1;
   }
   /// Read whole, with nothing left over.
   bool whole() const { return ok_ && bytes_.empty(); }
 
  private:
+  std::string take(std::size_t size, std::size_t most) {
+    if (size > most || size > bytes_.size()) return ok_ = false, std::string();
+    std::string out(bytes_.substr(0, size));
+    bytes_.remove_prefix(size);
+    return out;
+  }
+
   std::string_view bytes_;
   bool ok_ = true;
 };
 
-}  // namespace
-
-std::string pack(const Hello& hello) {
+std::string pack_one(const Hello& hello) {
   Packer p;
   p.text(hello.name).number(hello.token);
   p.number(static_cast<std::uint8_t>(hello.reaches_state ? 1 : 0));
   p.number(static_cast<std::uint8_t>(hello.hears_workers ? 1 : 0));
+  p.number(hello.run).number(hello.sent_ms).number(hello.echo_token).number(hello.echo_ms);
+  p.number(hello.stood_in_ms);
   return std::move(p).frame(Kind::hello);
 }
 
-Unpacked unpack(std::string& buffer, Hello& out) {
+std::string pack_one(const Carried& carried) {
+  Packer p;
+  p.number(carried.id).long_text(carried.report);
+  return std::move(p).frame(Kind::carried);
+}
+
+std::string pack_one(const CarriedAnswer& answer) {
+  Packer p;
+  p.number(answer.id).number(answer.status).number(answer.token).number(answer.stand_in_ms);
+  p.long_text(answer.body);
+  return std::move(p).frame(Kind::carried_answer);
+}
+
+// The members of a braced list are read from left to right.
+Hello read_hello(Unpacker& in) {
+  return {in.text(),
+          in.number<std::uint64_t>(),
+          in.flag(),
+          in.flag(),
+          in.number<std::uint64_t>(),
+          in.number<std::uint64_t>(),
+          in.number<std::uint64_t>(),
+          in.number<std::uint64_t>(),
+          in.number<std::uint32_t>()};
+}
+
+}  // namespace
+
+std::string pack(const Frame& frame) {
+  return std::visit([](const auto& one) { return pack_one(one); }, frame);
+}
+
+Unpacked unpack(std::string& buffer, Frame& out) {
   if (buffer.size() < kHeader) return Unpacked::more;
   Unpacker head(std::string_view(buffer).substr(0, kHeader));
   const auto length = head.number<std::uint16_t>();
   const auto version = head.number<std::uint8_t>();
-  const auto kind = static_cast<Kind>(head.number<std::uint8_t>());
-  if (version != kVersion || kind != Kind::hello || length > 2 * kMostName) {
-    return Unpacked::broken;
-  }
+  const auto kind = head.number<std::uint8_t>();
+  const bool known = kind >= static_cast<std::uint8_t>(Kind::hello) &&
+                     kind <= static_cast<std::uint8_t>(Kind::carried_answer);
+  if (version != kVersion || !known) return Unpacked::broken;
   if (buffer.size() < kHeader + length) return Unpacked::more;
   Unpacker in(std::string_view(buffer).substr(kHeader, length));
-  Hello hello;
-  hello.name = in.text();
-  hello.token = in.number<std::uint64_t>();
-  const auto state = in.number<std::uint8_t>(), workers = in.number<std::uint8_t>();
-  if (!in.whole() || state > 1 || workers > 1) return Unpacked::broken;
-  hello.reaches_state = state == 1;
-  hello.hears_workers = workers == 1;
+  Frame frame;
+  switch (static_cast<Kind>(kind)) {
+    case Kind::hello:
+      frame = read_hello(in);
+      break;
+    case Kind::carried:
+      frame = Carried{in.number<std::uint32_t>(), in.long_text()};
+      break;
+    case Kind::carried_answer:
+      frame = CarriedAnswer{in.number<std::uint32_t>(), in.number<std::uint16_t>(),
+                            in.number<std::uint64_t>(), in.number<std::uint32_t>(), in.long_text()};
+      break;
+  }
+  if (!in.whole()) return Unpacked::broken;
   buffer.erase(0, kHeader + length);
-  out = std::move(hello);
+  out = std::move(frame);
   return Unpacked::frame;
 }
 
--- a/src/peer/frames.hpp
+++ b/src/peer/frames.hpp
@@ -5,12 +5,15 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <variant>
 
 namespace cranklock::peer {
 
-inline constexpr std::uint8_t kVersion = 1;
+inline constexpr std::uint8_t kVersion = 2;
 inline constexpr std::size_t kMostName = 64;
 inline constexpr std::size_t kHeader = 4;  ///< u16 length of what follows it, u8 version, u8 kind
+inline constexpr std::size_t kMostText = 60'000;
+inline constexpr std::uint32_t kNever = 0xffffffff;
 
 /// Who is there, and what it reaches.
 struct Hello {
@@ -18,13 +21,39 @@
   std::uint64_t token = 0;     ///< of its office; 0: it doesn't lead
   bool reaches_state = false;  ///< the state service answered it lately
   bool hears_workers = false;  ///< workers have reported to it lately, be it in vain
+  std::uint64_t run = 0;       ///< another one each time the process starts
+  std::uint64_t sent_ms = 0;   ///< its steady clock, for others to echo
+  /// The newest hello that it heard from a leader: whose office, and that leader's clock.
+  std::uint64_t echo_token = 0, echo_ms = 0;
+  /// How long ago it last answered a worker in a leader's stead.
+  std::uint32_t stood_in_ms = kNever;
   bool operator==(const Hello&) const = default;
 };
 
-std::string pack(const Hello& hello);
+/// A worker's report, carried to the leader by the node that it reports to.
+struct Carried {
+  std::uint32_t id = 0;
+  std::string report;
+  bool operator==(const Carried&) const = default;
+};
+
+/// What the leader has the worker answered.
+struct CarriedAnswer {
+  std::uint32_t id = 0;
+  std::uint16_t status = 0;
+  std::uint64_t token = 0;
+  /// For so long from the sending of what it answers, its carrier may answer this worker alone.
+  std::uint32_t stand_in_ms = 0;
+  std::string body;
+  bool operator==(const CarriedAnswer&) const = default;
+};
+
+using Frame = std::variant<Hello, Carried, CarriedAnswer>;
+
+std::string pack(const Frame& frame);
 
 enum class Unpacked { frame, more, broken };
 /// Takes one frame off the front of the buffer.
-Unpacked unpack(std::string& buffer, Hello& out);
+Unpacked unpack(std::string& buffer, Frame& out);
 
 }  // namespace cranklock::peer
--- a/src/peer/links.cpp
+++ b/src/peer/links.cpp
@@ -28,8 +28,8 @@
 }
 
 Task<void> Links::read(Fd fd) {
-  std::string buffer;
-  char bytes[512];
+  std::string buffer, from;  // whose connection it is, as its first hello says
+  char bytes[4096];
   for (;;) {
     auto reading =
         net::read_some(reactor_, fd.get(), bytes, sizeof bytes, reactor_.now() + 20 * every_s_);
@@ -37,35 +37,58 @@
     if (n <= 0) co_return;
     buffer.append(bytes, static_cast<std::size_t>(n));
     for (;;) {
-      Hello hello;
-      const auto result = unpack(buffer, hello);
+      Frame frame;
+      const auto result = unpack(buffer, frame);
       if (result == Unpacked::more) break;
-      const bool known = result == Unpacked::frame &&
-                         std::any_of(settings_.others.begin(), settings_.others.end(),
-                                     [&](const base::Peer& p) { return p.name == hello.name; });
+      const auto* hello = result == Unpacked::frame ? std::get_if<Hello>(&frame) : nullptr;
+      if (hello != nullptr && outboxes_.contains(hello->name)) from = hello->name;
+      const bool known =
+          result == Unpacked::frame && !from.empty() && (hello == nullptr || hello->name == from);
       if (!known) {
         spdlog::error("a malformed peer frame was refused");
         co_return;
       }
-      heard_(hello);
+      heard_(from, std::move(frame));
     }
   }
 }
 
-Task<void> Links::greet(std::string address) {
+void Links::send(const std::string& to, const Frame& frame) {
+  constexpr std::size_t kMostWaiting = 256;
+  const auto it = outboxes_.find(to);
+  if (it == outboxes_.end()) return;
+  Outbox& box = *it->second;
+  if (!box.connected || box.frames.size() >= kMostWaiting) return;
+  box.frames.push_back(pack(frame));
+  box.filled.set();
+}
+
+Task<void> Links::greet(base::Peer other) {
+  Outbox& box = *outboxes_.at(other.name);
   Fd fd;
+  double next_hello = 0;
   for (;;) {
     if (!fd.valid()) {
-      auto connecting = net::connect_to(reactor_, address, reactor_.now() + 2 * every_s_);
+      box.connected = false;
+      box.frames.clear();
+      auto connecting = net::connect_to(reactor_, other.address, reactor_.now() + 2 * every_s_);
       fd = co_await connecting;
+      box.connected = fd.valid();
+      next_hello = 0;
     }
     if (fd.valid()) {
-      const std::string out = pack(mine_());
+      std::string out;
+      if (reactor_.now() >= next_hello) {
+        out = pack(mine_());
+        next_hello = reactor_.now() + every_s_;
+      }
+      for (; !box.frames.empty(); box.frames.pop_front()) out += box.frames.front();
       auto writing = net::write_all(reactor_, fd.get(), out, reactor_.now() + 2 * every_s_);
       if (!co_await writing) fd = Fd();
     }
-    net::Sleep pause(reactor_, every_s_);
-    co_await pause;
+    const double pause = fd.valid() ? next_hello - reactor_.now() : every_s_;
+    net::Signal::Wait wait(box.filled, std::max(pause, 0.001));
+    co_await wait;
   }
 }
 
--- a/src/peer/links.hpp
+++ b/src/peer/links.hpp
@@ -1,7 +1,11 @@
-// Connections between the controllers: each says hello to each of the others, again and again.
+// Connections between the controllers: each says hello to each of the others, again and again, and
+// sends what else there is for them on the same connection.
 #pragma once
 
+#include <deque>
 #include <functional>
+#include <map>
+#include <memory>
 
 #include "base/settings.hpp"
 #include "net/stream.hpp"
@@ -11,27 +15,41 @@
 
 class Links {
  public:
+  using Heard = std::function<void(const std::string& from, Frame)>;
+
   /// `every_s` is the time between hellos. Names that the settings do not know are refused.
   Links(net::EvReactor& reactor, const base::Settings& settings, double every_s,
-        std::function<Hello()> mine, std::function<void(const Hello&)> heard)
+        std::function<Hello()> mine, Heard heard)
       : reactor_(reactor),
         settings_(settings),
         every_s_(every_s),
         mine_(std::move(mine)),
-        heard_(std::move(heard)) {}
+        heard_(std::move(heard)) {
+    for (const auto& other : settings.others)
+      outboxes_[other.name] = std::make_unique<Outbox>(reactor);
+  }
 
   bool listen();
   net::Task<void> accept();
-  net::Task<void> greet(std::string address);
+  net::Task<void> greet(base::Peer other);
+  /// Sends when connected; what can't be sent at once is dropped, never kept for later.
+  void send(const std::string& to, const Frame& frame);
 
  private:
+  struct Outbox {
+    explicit Outbox(net::Reactor& reactor) : filled(reactor) {}
+    net::Signal filled;
+    std::deque<std::string> frames;
+    bool connected = false;
+  };
   net::Task<void> read(net::Fd fd);
 
   net::EvReactor& reactor_;
   const base::Settings& settings_;
   double every_s_;
   std::function<Hello()> mine_;
-  std::function<void(const Hello&)> heard_;
+  Heard heard_;
+  std::map<std::string, std::unique_ptr<Outbox>> outboxes_;
   net::Fd listener_;
   net::Scope readers_;
 };
--- a/src/sched/picture.cpp
+++ b/src/sched/picture.cpp
@@ -462,12 +462,86 @@
   if (Machine* m = machine(id)) m->last_answered = now;
 }
 
+void Picture::note_deputy(const std::string& name, std::uint64_t run, double quiet_until,
+                          double stood_in_at, double now) {
+  const auto [it, first] = deputies_.try_emplace(name);
+  Deputy& deputy = it->second;
+  // What another run of it did until it ended, nobody remembers.
+  if (first || deputy.run != run) stood_in_at = now;
+  deputy.run = run;
+  deputy.quiet_until = std::max(deputy.quiet_until, quiet_until);
+  deputy.stood_in_at = std::max(deputy.stood_in_at, stood_in_at);
+}
+
+bool Picture::deputy_heard(const std::string& name, double now) const {
+  const auto it = deputies_.find(name);
+  return it != deputies_.end() && now < it->second.quiet_until;
+}
+
+bool Picture::stopping(const Machine& m) {
+  if (m.strangers > 0) return true;
+  for (const auto& [job_id, task] : m.tasks) {
+    const Job* j = job(job_id);
+    if (j == nullptr || j->withdrawn()) return true;
+    for (const auto& p : j->places) {
+      if (p.task == task && p.machine == m.id && !p.ended && p.stop) return true;
+    }
+  }
+  return false;
+}
+
+double Picture::maybe_answered(const Machine& m, double now) const {
+  double at = m.last_answered;
+  for (const auto& [name, until] : m.kept_until) {
+    const auto it = deputies_.find(name);
+    const bool heard = it != deputies_.end() && now < it->second.quiet_until;
+    at = std::max(at, std::min(until, heard ? it->second.stood_in_at : now));
+  }
+  return at;
+}
+
+std::vector<std::string> Picture::watch_zones(double now) {
+  constexpr int kFewest = 3;  // fewer may fail together by chance
+  struct Zone {
+    int workers = 0;
+    double heard = 0;
+  };
+  std::map<std::string, Zone> zones;
+  double heard = 0;
+  for (const auto& [id, m] : machines_) {
+    if (m.failed || m.removing || (!m.reported && (!m.listed || m.booting))) continue;
+    Zone& zone = zones[m.kind.zone];
+    ++zone.workers;
+    zone.heard = std::max(zone.heard, m.reported ? m.last_report : m.known_since);
+    if (m.reported) heard = std::max(heard, m.last_report);
+  }
+  // When nobody is heard, it is this node that is cut off.
+  const bool others_report = now - heard < 1.5 * settings_.report_s;
+  std::vector<std::string> out;
+  for (const auto& [name, zone] : zones) {
+    if (now - zone.heard < 3 * settings_.report_s) {
+      if (dark_until_.erase(name) > 0) changed_ = true;
+    } else if (others_report && zone.workers >= kFewest && !dark_until_.contains(name)) {
+      // The machines come back with their zone, and with their images; but not for ever.
+      dark_until_[name] = now + 3 * settings_.cancel_s;
+      for (auto& [id, m] : machines_) {
+        if (m.kind.zone == name) m.excused_until = dark_until_[name];
+      }
+      out.push_back(name);
+      changed_ = true;
+    }
+  }
+  // Then its silent machines are given back, and others are tried there.
+  std::erase_if(dark_until_, [&](const auto& dark) { return dark.second < now; });
+  return out;
+}
+
 std::vector<std::string> Picture::expire_leases(double now) {
   std::vector<std::string> out;
   for (auto& [id, m] : machines_) {
     // Only a worker that has shown our token has a lease that nobody but us can prolong.
     if (!m.reported || m.silent || !m.shown_token) continue;
-    if (now <= m.last_answered + lease_bound()) continue;
+    if (now <= maybe_answered(m, now) + lease_bound()) continue;
     m.silent = true;
     out.push_back(id);
     const auto tasks = m.tasks;
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -103,8 +103,12 @@
   std::uint64_t own_session = 0, own_tick = 0;  ///< newest report of its own
   double last_report = 0;
   double last_answered = 0;  ///< when a report was last answered 200
+  /// Until when a deputy, by name, may answer its reports in our stead.
+  std::map<std::string, double> kept_until;
+  double handed_over = 0;  ///< when it was last sent to a deputy
   std::optional<double> taken_at;
-  bool silent = false;  ///< its lease has certainly run out
+  bool silent = false;       ///< its lease has certainly run out
+  double excused_until = 0;  ///< its zone is cut off, or was until lately
   bool quarantined = false;
   bool removing = false;  ///< to be deleted; nothing is placed on it
   double idle_since = 0;
@@ -155,9 +159,26 @@
   std::vector<wire::Order> orders(const wire::Report& report, bool may_start, double now);
   void note_answered(const std::string& machine, double now);
 
+  /// What a deputy's hello proves: that it answers no worker in our stead before `quiet_until`,
+  /// save for what it did until `stood_in_at` (below 0: never).
+  void note_deputy(const std::string& name, std::uint64_t run, double quiet_until,
+                   double stood_in_at, double now);
+  /// The deputy has heard us, and we it, just now.
+  bool deputy_heard(const std::string& name, double now) const;
+  /// Something on it is to be stopped, or may still run though it is ended here.
+  bool stopping(const Machine& machine);
+  /// The latest time at which a report of it may have been answered by us or in our stead.
+  double maybe_answered(const Machine& machine, double now) const;
+
   /// Ends the places of machines whose lease has run out for certain; returns those machines.
   std::vector<std::string> expire_leases(double now);
 
+  /// Looks for zones whose workers have all gone quiet at once while others report; returns those
+  /// that turned dark just now. What is there may well run on, but nothing new is asked of it.
+  std::vector<std::string> watch_zones(double now);
+  bool dark(const std::string& zone) const { return dark_until_.contains(zone); }
+  bool any_dark() const { return !dark_until_.empty(); }
+
   void set_types(std::vector<wire::MachineType> types);
   const std::map<std::string, wire::MachineType>& types() const { return types_; }
   const wire::MachineType* type(const std::string& name) const;
@@ -185,6 +206,12 @@
   std::map<std::string, Machine> machines_;
   std::map<std::string, wire::Room> team_use_;
   std::map<std::string, wire::MachineType> types_;
+  struct Deputy {
+    std::uint64_t run = 0;
+    double quiet_until = 0, stood_in_at = 0;
+  };
+  std::map<std::string, Deputy> deputies_;
+  std::map<std::string, double> dark_until_;
   bool changed_ = true;
 };
 
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -43,7 +43,7 @@
       if (t == nullptr) continue;
       if (usable(picture, m, now)) {
         slots_.push_back({m.kind, t->room - m.used, &m, leaving_room(m), nullptr});
-      } else if (!m.reported && !m.removing && !m.failed) {
+      } else if (!m.reported && !m.removing && !m.failed && !picture.dark(m.kind.zone)) {
         booting_.push_back({m.kind, t->room, nullptr, {}, nullptr});
       }
     }
@@ -52,7 +52,10 @@
   PassResult run() {
     for (Job* job : waiting_jobs()) place(*job);
     for (auto* job : unplaced_) make_room(*job);
-    for (auto* job : unplaced_) add_shortfall(*job);
+    for (auto* job : unplaced_) {
+      add_shortfall(*job, zones_of(*job), job->pending_count(), false);
+    }
+    foresee_losses();
     return std::move(result_);
   }
 
@@ -68,7 +71,8 @@
   Room leaving_room(const Machine& m);
   void make_room(Job& job);
   bool make_room_for_task(Job& job, const ZoneCount& zones);
-  void add_shortfall(const Job& job);
+  void foresee_losses();
+  void add_shortfall(const Job& job, ZoneCount zones, std::uint32_t missing, bool replaces);
   bool may_preempt(const Job& for_job, const Job& victim) const;
   void reserve(const Job& job);
 
@@ -344,10 +348,30 @@
   return true;
 }
 
-void Pass::add_shortfall(const Job& job) {
+void Pass::foresee_losses() {
+  // What runs in a zone that is cut off will need room elsewhere once it is known to be gone, and
+  // machines take their time to boot.
+  if (!picture_.any_dark()) return;
+  for (auto& [id, job] : picture_.jobs()) {
+    if (job.withdrawn()) continue;
+    ZoneCount elsewhere;
+    std::uint32_t doomed = 0;
+    for (const auto& p : job.places) {
+      const Machine* m = p.ended ? nullptr : picture_.machine(p.machine);
+      if (m == nullptr) continue;
+      if (picture_.dark(m->kind.zone)) {
+        ++doomed;
+      } else {
+        ++elsewhere.count[m->kind.zone];
+        ++elsewhere.total;
+      }
+    }
+    if (doomed > 0) add_shortfall(job, std::move(elsewhere), doomed, true);
+  }
+}
+
+void Pass::add_shortfall(const Job& job, ZoneCount zones, std::uint32_t missing, bool replaces) {
   if (job.failures > 0) return;  // machines are not what it lacks
-  auto zones = zones_of(job);
-  auto missing = job.pending_count();
   const auto fits = [&](const Slot& slot) {
     return job.spec.room.fits_in(slot.free) && allows(job.spec, slot.kind) &&
            zone_allows(job, zones, slot.kind.zone);
@@ -359,10 +383,12 @@
   };
   for (; missing > 0; --missing) {
     Room& planned = planned_[job.spec.team];
-    if (!within_limit(picture_, job.spec.team, planned + job.spec.room)) return;
-    planned += job.spec.room;
-    if (job.spec.shape == Shape::gang) {
-      // Part of a gang may find room; only the rest is missing.
+    if (!replaces) {  // what is to be replaced is counted already
+      if (!within_limit(picture_, job.spec.team, planned + job.spec.room)) return;
+      planned += job.spec.room;
+    }
+    if (replaces || job.spec.shape == Shape::gang) {
+      // Part of a gang, or of what will be lost, may find room; only the rest is missing.
       const auto ready = std::find_if(slots_.begin(), slots_.end(), fits);
       if (ready != slots_.end()) {
         result_.shortfall.waiting[pool_of(ready->kind)] += job.spec.room;
@@ -388,6 +414,7 @@
     for (const auto& [name, type] : picture_.types()) {
       if (!job.spec.room.fits_in(type.room)) continue;
       for (const auto& zone : type.zones) {
+        if (picture_.dark(zone)) continue;
         for (const bool spot : {true, false}) {
           const MachineKind kind{name, zone, spot};
           if (!allows(job.spec, kind) || !zone_allows(job, zones, zone)) continue;
@@ -422,8 +449,8 @@
 }
 
 bool usable(const Picture& picture, const Machine& m, double now) {
-  (void)picture;
   (void)now;
+  if (picture.dark(m.kind.zone)) return false;
   return m.reported && !m.silent && !m.removing && !m.failed && !m.quarantined && !m.taken_at &&
          m.strangers == 0;
 }
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -7,34 +7,40 @@
 namespace {
 
 TEST(Peer, AFrameIsTheSameBytesEverywhereAndSurvivesSplitting) {
-  const Hello hello{"n1", 0x0102, true, false};
+  const Hello hello{"n1", 0x0102, true, false, 3, 4, 5, 6, 7};
   const std::string bytes = pack(hello);
-  EXPECT_EQ(bytes, std::string("\x00\x0d\x01\x01\x02n1\0\0\0\0\0\0\x01\x02\x01\x00", 17));
+  EXPECT_EQ(bytes, std::string("\x00\x31\x02\x01\x02n1\0\0\0\0\0\0\x01\x02\x01\x00"
+                               "\0\0\0\0\0\0\0\x03\0\0\0\0\0\0\0\x04"
+                               "\0\0\0\0\0\0\0\x05\0\0\0\0\0\0\0\x06\0\0\0\x07",
+                               53));
   std::string buffer;
-  Hello out;
+  Frame out;
   for (std::size_t i = 0; i + 1 < bytes.size(); ++i) {
     buffer += bytes[i];
     ASSERT_EQ(unpack(buffer, out), Unpacked::more);
   }
-  buffer += bytes.back() + bytes;
-  EXPECT_EQ(unpack(buffer, out), Unpacked::frame);
-  EXPECT_EQ(out, hello);
-  EXPECT_EQ(unpack(buffer, out), Unpacked::frame);
+  const Frame carried = Carried{9, "{}"}, answer = CarriedAnswer{9, 200, 41, 1500, "{\"a\":1}"};
+  buffer += bytes.back() + pack(carried) + pack(answer);
+  for (const Frame& expected : {Frame(hello), carried, answer}) {
+    ASSERT_EQ(unpack(buffer, out), Unpacked::frame);
+    EXPECT_EQ(out, expected);
+  }
   EXPECT_TRUE(buffer.empty());
 }
 
 TEST(Peer, MalformedFramesAreBroken) {
   const auto result = [](std::string bytes) {
-    Hello out;
+    Frame out;
     return unpack(bytes, out);
   };
-  std::string bytes = pack(Hello{"n1", 1, true, true});
+  const std::string bytes = pack(Hello{"n1", 1, true, true});
+  // Version, kind, the name's length, a flag that is neither 0 nor 1.
   for (const auto& [at, value] : {std::pair<std::size_t, char>{2, 9}, {3, 7}, {4, 60}, {15, 2}}) {
     std::string bad = bytes;
     bad[at] = value;
     EXPECT_EQ(result(bad), Unpacked::broken) << at;
   }
-  EXPECT_EQ(result(std::string("\xff\xff\x01\x01", 4)), Unpacked::broken);
+  EXPECT_EQ(result(std::string("\x00\x05\x02\x02\0\0\0\x01\xff", 9)), Unpacked::broken);
 }
 
 TEST(Peer, WhatWasSaidLongAgoDoesNotCount) {
--- a/tests/picture_test.cpp
+++ b/tests/picture_test.cpp
@@ -201,5 +201,68 @@
   EXPECT_EQ(s.pass(4).placed, 0);
 }
 
+// Guards against starting a task again while a deputy in a zone that is cut off may still prolong
+// its worker's lease.
+TEST(Picture, ALeaseIsNotOverWhileADeputyMayProlongIt) {
+  Fleet s;
+  s.add(make_job("j-000001", wire::Shape::service, 1, 8));
+  ASSERT_EQ(s.pass().placed, 1);
+  Machine& m = *s.picture.machine("n-1");
+  m.kept_until["n1"] = 25;
+  EXPECT_TRUE(s.picture.expire_leases(12).empty());  // last answered at 0, the lease is 10
+  EXPECT_TRUE(s.picture.expire_leases(35).empty());  // it may have answered until 25
+  EXPECT_EQ(s.picture.expire_leases(36).size(), 1u);
+}
+
+TEST(Picture, ADeputyThatIsHeardProvesThatItAnsweredNobody) {
+  Fleet s;
+  Machine& m = *s.picture.machine("n-1");
+  m.kept_until["n1"] = 25;
+  s.picture.note_deputy("n1", 1, 3, -1, 2);  // the first: what it did before is not known
+  s.picture.note_deputy("n1", 1, 13, -1, 12);
+  EXPECT_TRUE(s.picture.expire_leases(12.2).empty());  // perhaps answered at 2
+  EXPECT_TRUE(s.picture.expire_leases(13.5).empty());  // not heard any more
+  s.picture.note_deputy("n1", 1, 14, -1, 13);
+  EXPECT_EQ(s.picture.expire_leases(13.5).size(), 1u);
+}
+
+TEST(Picture, ADeputysOtherRunMayHaveAnsweredUntilItEnded) {
+  Fleet s;
+  Machine& m = *s.picture.machine("n-1");
+  m.kept_until["n1"] = 25;
+  s.picture.note_deputy("n1", 1, 3, -1, 2);
+  s.picture.note_deputy("n1", 2, 15, -1, 14);
+  EXPECT_TRUE(s.picture.expire_leases(14.5).empty());
+  s.picture.note_deputy("n1", 2, 26, -1, 25);
+  EXPECT_EQ(s.picture.expire_leases(25).size(), 1u);
+}
+
+TEST(Picture, AZoneIsDarkWhenAllItsWorkersGoQuietAndOthersDoNot) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}, {"n-3", "a"}, {"n-4", "b"}});
+  EXPECT_TRUE(s.picture.watch_zones(5).empty());  // nobody is heard: it is us who are cut off
+  s.picture.apply_report(report("n-4", 1, 2, {}, kToken, "b"), true, 5);
+  EXPECT_EQ(s.picture.watch_zones(5), std::vector<std::string>{"a"});
+  EXPECT_FALSE(usable(s.picture, *s.picture.machine("n-1"), 5));
+  EXPECT_TRUE(usable(s.picture, *s.picture.machine("n-4"), 5));
+  s.picture.apply_report(report("n-2", 1, 2), true, 6);
+  EXPECT_TRUE(s.picture.watch_zones(6).empty());
+  EXPECT_TRUE(usable(s.picture, *s.picture.machine("n-1"), 6));
+}
+
+// Guards against beginning to boot only when the leases are over, and against renting what can't be
+// reached.
+TEST(Picture, RoomForWhatACutZoneMayLoseIsRentedElsewhere) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}, {"n-3", "a"}, {"n-4", "b"}});
+  s.add(make_job("j-000001", wire::Shape::service, 2, 8));
+  ASSERT_EQ(s.pass().placed, 2);
+  ASSERT_TRUE(s.pass().shortfall.wanted.empty());
+  s.picture.apply_report(report("n-4", 1, 2, {}, kToken, "b"), true, 5);
+  s.picture.watch_zones(5);
+  const auto wanted = s.pass(5).shortfall.wanted;  // one of the two finds room on n-4
+  ASSERT_EQ(wanted.size(), 1u);
+  EXPECT_EQ(wanted.begin()->first.zone, "b");
+  EXPECT_EQ(wanted.begin()->second, 1);
+}
+
 }  // namespace
 }  // namespace cranklock::sched
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -258,5 +258,56 @@
   EXPECT_EQ(w.ask(0, "POST", "/checkin", body).status, 421);
 }
 
+// A zone that is cut off works on inside: what runs there outlives its workers' lease, is started
+// nowhere else meanwhile, and goes on when the cut ends.
+TEST(Story, ReplicasInAZoneThatIsCutOffRunOnAndRunOnce) {
+  World w(3, {"a", "a", "b"});
+  w.run_s = 1000;
+  w.run(1);
+  ASSERT_NE(w.leader(), 2);
+  auto s = spec("j-000001", 2, wire::Shape::service);
+  s.zone = "b";
+  w.submit(0, s);
+  w.run(20);
+  ASSERT_EQ(w.running("j-000001"), 2);
+  w.cut_zones = {"b"};
+  w.run(25);  // the lease is 10
+  EXPECT_EQ(w.running("j-000001"), 2);
+  EXPECT_EQ(w.starts["j-000001/0"], 1);
+  w.cut_zones.clear();
+  w.run(15);
+  EXPECT_EQ(w.running("j-000001"), 2);
+  EXPECT_EQ(w.starts["j-000001/0"] + w.starts["j-000001/1"], 2);
+  EXPECT_EQ(w.ran_twice, 0);
+}
+
+// When the cut lasts, they are gone before they start elsewhere, and nothing that was cancelled
+// meanwhile is left after cancel_s.
+TEST(Story, ACutThatLastsEndsTheTasksInTime) {
+  World w(3, {"a", "a", "b"});
+  w.run_s = 1000;
+  w.run(1);
+  ASSERT_NE(w.leader(), 2);
+  auto stays = spec("j-000001", 2, wire::Shape::service);
+  stays.spread = true;
+  w.submit(0, stays);
+  auto goes = spec("j-000002", 1, wire::Shape::service);
+  goes.zone = "b";
+  w.submit(0, goes);
+  w.run(20);
+  ASSERT_EQ(w.running("j-000001"), 2);
+  ASSERT_EQ(w.running("j-000002"), 1);
+  w.cut_zones = {"b"};
+  EXPECT_EQ(w.ask(0, "POST", "/v1/jobs/j-000002/withdraw").status, 200);
+  w.run(w.base_settings.cancel_s);
+  EXPECT_EQ(w.running("j-000002"), 0);
+  w.run(20);
+  EXPECT_EQ(w.running("j-000001"), 1);  // the other may only be in b
+  w.cut_zones.clear();
+  w.run(30);
+  EXPECT_EQ(w.running("j-000001"), 2);
+  EXPECT_EQ(w.ran_twice, 0);
+}
+
 }  // namespace
 }  // namespace cranklock::testing
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -53,12 +53,12 @@
   }
 };
 
-World::World(int nodes) {
+World::World(int nodes, std::vector<std::string> zones) : zones_(std::move(zones)) {
   base_settings.cloud = "cloud";
   base_settings.state = "state";
   base_settings.list_lag_s = 2;
   for (int i = 0; i < nodes; ++i) {
-    base_settings.others.push_back({"n" + std::to_string(i), "a", "peer"});
+    base_settings.others.push_back({"n" + std::to_string(i), zone_of(i), "peer"});
     hosts_.push_back(nullptr);
   }
   for (int i = 0; i < nodes; ++i) start_node(i);
@@ -72,7 +72,42 @@
 void World::start_node(int i) {
   auto settings = base_settings;
   settings.name = "n" + std::to_string(i);
-  hosts_[static_cast<std::size_t>(i)] = std::make_unique<Host>(*this, i, std::move(settings));
+  settings.zone = zone_of(i);
+  auto& host = hosts_[static_cast<std::size_t>(i)];
+  host = std::make_unique<Host>(*this, i, std::move(settings));
+  if (zones_.empty()) return;
+  host->node.set_send([this, i](const std::string& to, const peer::Frame& frame) {
+    scope_.spawn(deliver(i, to[1] - '0', frame));
+  });
+  host->scope.spawn(link(i));
+}
+
+std::string World::zone_of(int node) const {
+  return zones_.empty() ? "a" : zones_[static_cast<std::size_t>(node)];
+}
+
+bool World::apart(const std::string& zone, const std::string& other) const {
+  return zone != other && (cut_zones.contains(zone) || cut_zones.contains(other));
+}
+
+net::Task<void> World::link(int node) {
+  for (;;) {
+    const auto hello = hosts_[static_cast<std::size_t>(node)]->node.hello();
+    for (int other = 0; other < static_cast<int>(hosts_.size()); ++other) {
+      if (other != node) scope_.spawn(deliver(node, other, hello));
+    }
+    Sleep pause(reactor, control::Node::hello_every(base_settings));
+    co_await pause;
+  }
+}
+
+net::Task<void> World::deliver(int from, int to, peer::Frame frame) {
+  Sleep there(reactor, 0.003);
+  co_await there;
+  const auto& host = hosts_[static_cast<std::size_t>(to)];
+  if (host && !apart(zone_of(from), zone_of(to))) {
+    host->node.heard("n" + std::to_string(from), std::move(frame));
+  }
 }
 
 void World::crash_node(int i) {
@@ -134,6 +169,11 @@
   Sleep there(reactor, 0.003);
   co_await there;
   Reply lost;  // unknown
+  if (cut_zones.contains(zone_of(node)) && (address == "state" || address == "cloud")) {
+    Sleep wait(reactor, timeout_s);
+    co_await wait;
+    co_return lost;
+  }
   if (address == "state") {
     const bool watch = request.path == "/follow";
     const double until = reactor.now() + timeout_s;
@@ -172,7 +212,7 @@
   }
   for (auto& [id, w] : workers) {
     if (w->address != address) continue;
-    if (cut_from_workers.contains(node) || w->hangs) break;
+    if (cut_from_workers.contains(node) || w->hangs || apart(zone_of(node), w->zone)) break;
     Response response = commands(*w, request);
     if (w->swallow_commands > 0) {
       --w->swallow_commands;
@@ -417,8 +457,15 @@
       w.target = next;
       continue;
     }
+    if (apart(zone_of(w.target), w.zone)) {
+      Sleep patience(reactor, 4);
+      co_await patience;
+      w.target = next;
+      continue;
+    }
     auto asking = host->node.handle({"POST", "/checkin", "", report_of(w), true});
     const auto response = co_await asking;
+    if (apart(zone_of(w.target), w.zone)) continue;
     const JsonDocument document(response.body.empty() ? "{}" : response.body);
     if (response.status == 421) {
       const auto to = wire::read_text(document.root(), "Foreman").value_or("");
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -35,7 +35,8 @@
 
 class World {
  public:
-  explicit World(int nodes = 3);
+  /// Nodes are told apart by zones only when these are given, one each; then they are linked too.
+  explicit World(int nodes = 3, std::vector<std::string> zones = {});
   ~World();
 
   void run(double seconds) { reactor.run_until(reactor.now() + seconds); }
@@ -65,7 +66,8 @@
   bool state_down = false;
   std::set<int> cut_from_state;  ///< nodes whose requests get no answer and are not executed
   std::set<int> cut_from_workers;
-  int swallow_txn_answers = 0;  ///< so many transactions are executed, and not answered
+  std::set<std::string> cut_zones;  ///< cut off from everything outside, and working inside
+  int swallow_txn_answers = 0;      ///< so many transactions are executed, and not answered
 
   // The cloud.
   int rented = 0;
@@ -109,6 +111,10 @@
   void put(const std::string& key, const std::string& data, std::uint64_t lease);
   void erase(const std::string& key);
   void expire();
+  std::string zone_of(int node) const;
+  bool apart(const std::string& zone, const std::string& other) const;
+  net::Task<void> link(int node);
+  net::Task<void> deliver(int from, int to, peer::Frame frame);
 
   struct Event {
     std::string key, data;
@@ -117,6 +123,7 @@
   std::vector<Event> events_;
   std::map<std::uint64_t, std::pair<double, double>> leases_;  ///< life and end
   std::uint64_t next_lease_ = 0;
+  std::vector<std::string> zones_;
   std::vector<std::unique_ptr<Host>> hosts_;
   net::Scope scope_;
 };
