Make and keep room for whole gangs in one zone

Change: room is made for all of a gang or not at all, in the zone where least is lost, and its machines are kept until the last is free, or once it has waited a boot's time.

--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <optional>
+#include <set>
 
 namespace cranklock::sched {
 namespace {
@@ -69,12 +71,28 @@
   double cost(const Job& job, const Slot& slot, const ZoneCount& zones) const;
   void take(Job& job, std::uint32_t task, std::uint64_t attempt, Slot& slot);
   Room leaving_room(const Machine& m);
+  struct Victim {
+    double loss;
+    Job* job;
+    Place* place;
+  };
+  /// A machine that could take a task, and what would have to be stopped there for it.
+  struct Choice {
+    Slot* slot;
+    std::vector<Victim> victims;
+    double loss;
+  };
   void make_room(Job& job);
-  bool make_room_for_task(Job& job, const ZoneCount& zones);
+  void make_room_for_gang(Job& job);
+  std::optional<Choice> choose_room(const Job& job, const ZoneCount& zones,
+                                    const std::string& only_zone, const std::set<Slot*>& taken);
+  void stop_victims(const Job& job, const Choice& choice);
+  std::vector<std::string> gang_zones(const Job& job) const;
   void foresee_losses();
   void add_shortfall(const Job& job, ZoneCount zones, std::uint32_t missing, bool replaces);
   bool may_preempt(const Job& for_job, const Job& victim) const;
   void reserve(const Job& job);
+  void reserve_gang(const Job& job);
 
   Picture& picture_;
   const std::map<MachineKind, double>& refused_until_;
@@ -175,17 +193,19 @@
   ++result_.placed;
 }
 
-bool Pass::place_gang(Job& job, const std::vector<std::uint32_t>& tasks) {
-  std::vector<std::string> zones{""};
-  if (job.spec.one_zone) {
-    zones.clear();
-    for (const auto& slot : slots_) {
-      if (std::find(zones.begin(), zones.end(), slot.kind.zone) == zones.end()) {
-        zones.push_back(slot.kind.zone);
-      }
+std::vector<std::string> Pass::gang_zones(const Job& job) const {
+  if (!job.spec.one_zone) return {""};
+  std::vector<std::string> zones;
+  for (const auto& slot : slots_) {
+    if (std::find(zones.begin(), zones.end(), slot.kind.zone) == zones.end()) {
+      zones.push_back(slot.kind.zone);
     }
   }
-  for (const auto& zone : zones) {
+  return zones;
+}
+
+bool Pass::place_gang(Job& job, const std::vector<std::uint32_t>& tasks) {
+  for (const auto& zone : gang_zones(job)) {
     const auto before = slots_;
     ZoneCount count;
     std::vector<std::size_t> chosen;
@@ -219,7 +239,7 @@
     if (!within_limit(picture_, job.spec.team, job.spec.room * job.spec.tasks)) return;
     if (!place_gang(job, tasks)) {
       unplaced_.push_back(&job);
-      reserve(job);
+      reserve_gang(job);
     }
     return;
   }
@@ -258,6 +278,38 @@
   if (best != nullptr) best->reserved = &job;
 }
 
+// Guards against a gang of large tasks that never finds all its machines free at once: those of one
+// zone are kept for it as soon as what leaves them will do, or once it has waited as long as a
+// boot.
+void Pass::reserve_gang(const Job& job) {
+  std::vector<Slot*> best;
+  std::size_t best_fitting = 0;
+  for (const auto& zone : gang_zones(job)) {
+    std::vector<Slot*> fitting, others;
+    for (auto& slot : slots_) {
+      const auto* t = picture_.type(slot.kind.type);
+      if (slot.reserved != nullptr || !allows(job.spec, slot.kind)) continue;
+      if (!zone.empty() && slot.kind.zone != zone) continue;
+      if (job.spec.room.fits_in(slot.free + slot.leaving)) {
+        fitting.push_back(&slot);
+      } else if (job.spec.room.fits_in(t->room) && now_ - job.known_since > t->ready_s &&
+                 2 * share_of(job.spec.room, t->room) >= 1) {
+        others.push_back(&slot);
+      }
+    }
+    std::sort(others.begin(), others.end(),
+              [](const Slot* a, const Slot* b) { return a->free.gpus > b->free.gpus; });
+    const auto count = fitting.size();
+    fitting.insert(fitting.end(), others.begin(), others.end());
+    if (fitting.size() < job.spec.tasks || (!best.empty() && count <= best_fitting)) continue;
+    best = std::move(fitting);
+    best_fitting = count;
+  }
+  for (std::size_t i = 0; i < std::min<std::size_t>(best.size(), job.spec.tasks); ++i) {
+    best[i]->reserved = &job;
+  }
+}
+
 bool Pass::may_preempt(const Job& for_job, const Job& victim) const {
   if (for_job.spec.rank < victim.spec.rank) return !victim.guaranteed || for_job.guaranteed;
   // Work that another team runs beyond its guarantee, so that a team gets its own.
@@ -279,33 +331,57 @@
 }
 
 void Pass::make_room(Job& job) {
-  if (job.spec.shape == Shape::gang && job.spec.tasks > 1) return;
+  if (job.spec.shape == Shape::gang) return make_room_for_gang(job);
   auto zones = zones_of(job);
   Room planned;
   for (auto missing = job.pending_count(); missing > 0; --missing) {
     planned += job.spec.room;
     if (!within_limit(picture_, job.spec.team, planned)) return;
-    if (!make_room_for_task(job, zones)) return;
+    const auto choice = choose_room(job, zones, "", {});
+    if (!choice) return;
+    ++zones.count[choice->slot->kind.zone];
+    ++zones.total;
+    stop_victims(job, *choice);
   }
 }
 
-bool Pass::make_room_for_task(Job& job, const ZoneCount& zones) {
-  struct Victim {
-    double loss;
-    Job* job;
-    Place* place;
-  };
-  Slot* best = nullptr;
-  std::vector<Victim> best_victims;
+void Pass::make_room_for_gang(Job& job) {
+  // All of it or nothing: where the least is lost by making room for every task.
+  std::vector<Choice> best;
   double best_loss = std::numeric_limits<double>::infinity();
+  for (const auto& zone : gang_zones(job)) {
+    std::vector<Choice> choices;
+    std::set<Slot*> taken;
+    ZoneCount count;
+    double loss = 0;
+    while (choices.size() < job.spec.tasks) {
+      auto choice = choose_room(job, count, zone, taken);
+      if (!choice) break;
+      loss += choice->loss;
+      ++count.count[choice->slot->kind.zone];
+      ++count.total;
+      if (!choice->victims.empty()) taken.insert(choice->slot);
+      choice->slot->free -= job.spec.room;
+      choices.push_back(std::move(*choice));
+    }
+    for (const auto& choice : choices) choice.slot->free += job.spec.room;
+    if (choices.size() < job.spec.tasks || loss >= best_loss) continue;
+    best = std::move(choices);
+    best_loss = loss;
+  }
+  for (const auto& choice : best) stop_victims(job, choice);
+}
+
+std::optional<Pass::Choice> Pass::choose_room(const Job& job, const ZoneCount& zones,
+                                              const std::string& only_zone,
+                                              const std::set<Slot*>& taken) {
+  std::optional<Choice> best;
   for (auto& slot : slots_) {
     if (!allows(job.spec, slot.kind) || !zone_allows(job, zones, slot.kind.zone)) continue;
     if (slot.reserved != nullptr && slot.reserved != &job) continue;
+    if ((!only_zone.empty() && slot.kind.zone != only_zone) || taken.contains(&slot)) continue;
     Room room = slot.free + slot.leaving;
-    if (job.spec.room.fits_in(room)) {  // what leaves there suffices
-      slot.free -= job.spec.room;
-      return true;
-    }
+    if (job.spec.room.fits_in(room)) return Choice{&slot, {}, 0};  // what leaves there suffices
     std::vector<Victim> candidates;
     for (const auto& [victim_id, task] : slot.machine->tasks) {
       Job* victim = picture_.job(victim_id);
@@ -326,26 +402,27 @@
     std::sort(candidates.begin(), candidates.end(), [](const Victim& a, const Victim& b) {
       return std::pair(b.job->spec.rank, a.loss) < std::pair(a.job->spec.rank, b.loss);
     });
-    double loss = 0;
-    std::vector<Victim> victims;
+    Choice choice{&slot, {}, 0};
     for (const auto& c : candidates) {
       if (job.spec.room.fits_in(room)) break;
       room += c.job->spec.room;
-      loss += 1 + c.loss;
-      victims.push_back(c);
+      choice.loss += 1 + c.loss;
+      choice.victims.push_back(c);
     }
-    if (!job.spec.room.fits_in(room) || loss >= best_loss) continue;
-    best = &slot, best_loss = loss, best_victims = std::move(victims);
+    if (!job.spec.room.fits_in(room) || (best && choice.loss >= best->loss)) continue;
+    best = std::move(choice);
   }
-  if (best == nullptr) return false;
-  best->free -= job.spec.room;
-  for (auto& v : best_victims) {
+  return best;
+}
+
+void Pass::stop_victims(const Job& job, const Choice& choice) {
+  choice.slot->free -= job.spec.room;
+  for (const auto& v : choice.victims) {
     picture_.request_stop(*v.job, *v.place, v.job->spec.checkpoint_s > 0 ? v.job->spec.save_s : 0,
                           now_);
-    best->leaving += v.job->spec.room;
+    choice.slot->leaving += v.job->spec.room;
     ++result_.stopped;
   }
-  return true;
 }
 
 void Pass::foresee_losses() {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -173,5 +173,48 @@
   EXPECT_TRUE(surely_taken(s.picture, *s.picture.machine("n-1"), 10.6));
 }
 
+// Guards against a gang that waits while lower work holds its machines: room is made for all of it
+// at once, in one zone, and kept for it until the last has left.
+TEST(Placement, RoomIsMadeForAWholeGangInOneZone) {
+  Fleet s({{"n-1", "a"}, {"n-2", "b"}, {"n-3", "b"}});
+  auto low = make_job("j-000001", Shape::array, 6, 4, "blue");
+  low.spec.rank = wire::Rank::best_effort;
+  s.settings.teams[1].gpus_max = 24;
+  Job& batch = s.add(std::move(low));
+  ASSERT_EQ(s.pass().placed, 6);
+  s.written(batch);
+  auto spec = make_job("j-000002", Shape::gang, 2, 8);
+  spec.spec.rank = wire::Rank::high;
+  spec.spec.one_zone = true;
+  Job& gang = s.add(std::move(spec));
+  EXPECT_EQ(s.pass().stopped, 4);
+  for (const auto& p : batch.places) EXPECT_EQ(p.stop, p.machine != "n-1");
+  EXPECT_EQ(s.pass().stopped, 0);  // what leaves will do
+  // The first machine is free: what waits behind the gang does not get it.
+  for (auto& p : batch.places) {
+    if (p.machine == "n-2") s.picture.end_place(batch, p, 2);
+  }
+  EXPECT_EQ(s.pass(2).placed, 0);
+  for (auto& p : batch.places) {
+    if (p.machine == "n-3") s.picture.end_place(batch, p, 3);
+  }
+  EXPECT_EQ(s.pass(3).placed, 2);
+  EXPECT_EQ(gang.live(), 2u);
+}
+
+TEST(Placement, NothingIsStoppedForAGangThatWouldNotBeWhole) {
+  Fleet s({{"n-1", "a"}, {"n-2", "b"}});
+  auto low = make_job("j-000001", Shape::array, 4, 4, "blue");
+  low.spec.rank = wire::Rank::best_effort;
+  Job& batch = s.add(std::move(low));
+  ASSERT_EQ(s.pass().placed, 4);
+  s.written(batch);
+  auto spec = make_job("j-000002", Shape::gang, 2, 8);
+  spec.spec.rank = wire::Rank::high;
+  spec.spec.one_zone = true;
+  s.add(std::move(spec));
+  EXPECT_EQ(s.pass().stopped, 0);
+}
+
 }  // namespace
 }  // namespace cranklock::sched
