Ids of carried reports differ between runs; no dead parameters; docs of the deputies

Read once more: an answer to a question that a former run of a deputy had asked, held up on the way, could have been taken for one to the new run's question of the same number, and a start counted as carried by a report that it was not an answer to. Ids now begin at the time of day of the start. No measured failure; a story guards it. usable, request_stop and read_pools lose unused parameters.

--- a/src/control/deputy.cpp
+++ b/src/control/deputy.cpp
@@ -58,8 +58,8 @@
     Pending pending(reactor_);
     const auto id = ++next_id_;
     struct Listed {
-      std::map<std::uint32_t, Pending*>& in;
-      std::uint32_t id;
+      std::map<std::uint64_t, Pending*>& in;
+      std::uint64_t id;
       ~Listed() { in.erase(id); }
     };
     const Listed listed{pending_, id};
--- a/src/control/deputy.hpp
+++ b/src/control/deputy.hpp
@@ -23,7 +23,11 @@
   using Send = std::function<void(const std::string& to, const peer::Frame&)>;
 
   Deputy(net::Reactor& reactor, const base::Settings& settings)
-      : reactor_(reactor), settings_(settings) {}
+      : reactor_(reactor),
+        settings_(settings),
+        // Guards against an answer to a former run, whose question was held up on the way, being
+        // taken for one to ours: the time of day goes faster than reports come.
+        next_id_(static_cast<std::uint64_t>(reactor.wall_ms()) << 16) {}
 
   /// Without it nothing is carried.
   void set_send(Send send) { send_ = std::move(send); }
@@ -71,8 +75,8 @@
   std::uint64_t leader_ms_ = 0;
   double heard_at_ = -1e9;
   double stood_in_at_ = -1;
-  std::uint32_t next_id_ = 0;
-  std::map<std::uint32_t, Pending*> pending_;
+  std::uint64_t next_id_;
+  std::map<std::uint64_t, Pending*> pending_;
   std::map<std::string, Trust> trusted_;  ///< by worker, as the leader last allowed
 };
 
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -168,7 +168,7 @@
 }
 
 peer::CarriedAnswer Term::carried_checkin(const wire::Report& report, const std::string& deputy,
-                                          std::uint32_t id) {
+                                          std::uint64_t id) {
   const auto response = checkin(report);
   peer::CarriedAnswer answer{id, static_cast<std::uint16_t>(response.status), office_.token(), 0,
                              response.body};
@@ -712,7 +712,7 @@
       const bool saves = job->spec.checkpoint_s > 0;
       const double left = *m.taken_at - at;
       if (saves && left < 2 * job->spec.save_s + 3 * s.report_s) {
-        picture_.request_stop(*job, p, job->spec.save_s, at);
+        sched::Picture::request_stop(p, job->spec.save_s, at);
       }
     }
   }
@@ -773,7 +773,7 @@
     if (picture_.types().empty() || is_lost_) continue;
     const double at = now();
     const bool settled = first_ever_ || at - began_ >= figures.down_window_s;
-    const auto readings = sched::read_pools(picture_, shortfall_, figures.high, at);
+    const auto readings = sched::read_pools(picture_, shortfall_, figures.high);
     std::vector<std::string> changed;
     for (const auto& [id, reading] : readings) {
       const std::string name = id.name();
@@ -883,7 +883,7 @@
 int Term::shrink(const sched::PoolId& pool, int machines) {
   std::vector<Machine*> idle;
   for (auto& [id, m] : picture_.machines()) {
-    if (sched::pool_of(m.kind) == pool && sched::usable(picture_, m, now()) && m.idle() &&
+    if (sched::pool_of(m.kind) == pool && sched::usable(picture_, m) && m.idle() &&
         now() - m.idle_since > services_.settings.report_s * 2) {
       idle.push_back(&m);
     }
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -73,7 +73,7 @@
   net::Response checkin(const wire::Report& report);
   /// The same for a report that another node has carried here.
   peer::CarriedAnswer carried_checkin(const wire::Report& report, const std::string& deputy,
-                                      std::uint32_t id);
+                                      std::uint64_t id);
   void heard(const peer::Hello& hello);
   /// Whether the worker may be sent to report to this node of its own zone.
   bool may_hand_over(const std::string& machine, const std::string& deputy);
--- a/src/peer/frames.cpp
+++ b/src/peer/frames.cpp
@@ -131,10 +131,10 @@
       frame = read_hello(in);
       break;
     case Kind::carried:
-      frame = Carried{in.number<std::uint32_t>(), in.long_text()};
+      frame = Carried{in.number<std::uint64_t>(), in.long_text()};
       break;
     case Kind::carried_answer:
-      frame = CarriedAnswer{in.number<std::uint32_t>(), in.number<std::uint16_t>(),
+      frame = CarriedAnswer{in.number<std::uint64_t>(), in.number<std::uint16_t>(),
                             in.number<std::uint64_t>(), in.number<std::uint32_t>(), in.long_text()};
       break;
   }
--- a/src/peer/frames.hpp
+++ b/src/peer/frames.hpp
@@ -32,14 +32,14 @@
 
 /// A worker's report, carried to the leader by the node that it reports to.
 struct Carried {
-  std::uint32_t id = 0;
+  std::uint64_t id = 0;  ///< never used again, not even by another run of the node
   std::string report;
   bool operator==(const Carried&) const = default;
 };
 
 /// What the leader has the worker answered.
 struct CarriedAnswer {
-  std::uint32_t id = 0;
+  std::uint64_t id = 0;
   std::uint16_t status = 0;
   std::uint64_t token = 0;
   /// For so long from the sending of what it answers, its carrier may answer this worker alone.
--- a/src/sched/picture.cpp
+++ b/src/sched/picture.cpp
@@ -222,9 +222,8 @@
   detach(job, place, now);
 }
 
-void Picture::request_stop(Job& job, Place& place, double grace_s, double now) {
+void Picture::request_stop(Place& place, double grace_s, double now) {
   if (place.ended || place.stop) return;
-  (void)job;
   place.stop = true;
   place.grace_s = grace_s;
   place.stop_since = now;
@@ -273,7 +272,7 @@
 void Picture::break_gang(Job& job, std::uint64_t attempt, double now) {
   if (job.spec.shape != wire::Shape::gang) return;
   for (auto& p : job.places) {
-    if (p.attempt == attempt && !p.ended) request_stop(job, p, 0, now);
+    if (p.attempt == attempt && !p.ended) request_stop(p, 0, now);
   }
 }
 
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -139,7 +139,7 @@
   Place& add_place(Job& job, std::uint32_t task, std::uint64_t attempt, const std::string& machine,
                    double now);
   void end_place(Job& job, Place& place, double now);
-  void request_stop(Job& job, Place& place, double grace_s, double now);
+  static void request_stop(Place& place, double grace_s, double now);
   /// Erases ended places that a durable record no longer names.
   void forget_ended(Job& job, const std::vector<std::pair<std::uint32_t, std::uint64_t>>& which);
 
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -43,7 +43,7 @@
     for (auto& [id, m] : picture.machines()) {
       const auto* t = picture.type(m.kind.type);
       if (t == nullptr) continue;
-      if (usable(picture, m, now)) {
+      if (usable(picture, m)) {
         slots_.push_back({m.kind, t->room - m.used, &m, leaving_room(m), nullptr});
       } else if (!m.reported && !m.removing && !m.failed && !picture.dark(m.kind.zone)) {
         booting_.push_back({m.kind, t->room, nullptr, {}, nullptr});
@@ -418,8 +418,7 @@
 void Pass::stop_victims(const Job& job, const Choice& choice) {
   choice.slot->free -= job.spec.room;
   for (const auto& v : choice.victims) {
-    picture_.request_stop(*v.job, *v.place, v.job->spec.checkpoint_s > 0 ? v.job->spec.save_s : 0,
-                          now_);
+    Picture::request_stop(*v.place, v.job->spec.checkpoint_s > 0 ? v.job->spec.save_s : 0, now_);
     choice.slot->leaving += v.job->spec.room;
     ++result_.stopped;
   }
@@ -525,8 +524,7 @@
          (t->cpus_max <= 0 || sum.cpus <= t->cpus_max + kSlack);
 }
 
-bool usable(const Picture& picture, const Machine& m, double now) {
-  (void)now;
+bool usable(const Picture& picture, const Machine& m) {
   if (picture.dark(m.kind.zone)) return false;
   return m.reported && !m.silent && !m.removing && !m.failed && !m.quarantined && !m.taken_at &&
          m.strangers == 0;
--- a/src/sched/placement.hpp
+++ b/src/sched/placement.hpp
@@ -45,7 +45,7 @@
 bool within_limit(const Picture& picture, const std::string& team, const wire::Room& more);
 
 /// Whether new work may be put on this machine.
-bool usable(const Picture& picture, const Machine& machine, double now);
+bool usable(const Picture& picture, const Machine& machine);
 
 /// A spot machine that has gone quiet after its notice, or for three reports while the other
 /// workers of its zone are heard. Those whose zone is quiet too may only be cut off.
--- a/src/sched/scaler.cpp
+++ b/src/sched/scaler.cpp
@@ -60,8 +60,8 @@
   state.scaled_ms = wall_ms;
 }
 
-std::map<PoolId, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall, double high,
-                                         double now) {
+std::map<PoolId, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall,
+                                         double high) {
   struct Sum {
     double booked = 0;
     int ready = 0, booting = 0;
@@ -73,7 +73,7 @@
     const auto* type = picture.type(m.kind.type);
     if (type == nullptr || m.failed || m.removing) continue;
     Sum& sum = sums[pool_of(m.kind)];
-    if (usable(picture, m, now)) {
+    if (usable(picture, m)) {
       ++sum.ready;
       sum.booked += largest_share(m.used, type->room);
     } else if (!m.reported && !picture.dark(m.kind.zone)) {
--- a/src/sched/scaler.hpp
+++ b/src/sched/scaler.hpp
@@ -48,7 +48,6 @@
 /// room over ready and booting room; a pool with nothing ready and work waiting is above High.
 /// What an ordinary machine holds that has no other work than such as spot machines may do is asked
 /// of the spot pool too.
-std::map<PoolId, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall, double high,
-                                         double now);
+std::map<PoolId, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall, double high);
 
 }  // namespace cranklock::sched
--- a/tests/deputy_test.cpp
+++ b/tests/deputy_test.cpp
@@ -109,5 +109,25 @@
   EXPECT_EQ(c.carry(), 421);
 }
 
+TEST(Deputy, AnswersToAFormerRunAreNotTakenForItsOwn) {
+  Carrier before;
+  before.hear();
+  before.carry(7, 20'000);
+  Carrier c;  // the same node, restarted a little later
+  c.reactor.run_until(100.2);
+  Deputy restarted{c.reactor, c.settings};
+  restarted.set_send([&](const std::string&, const peer::Frame& frame) {
+    c.sent.push_back(std::get<peer::Carried>(frame));
+  });
+  peer::Hello hello{"n9", 7, true, true};
+  restarted.heard(hello);
+  auto task = restarted.carry(report("n-1", 1, 2), "{}", [] { return 0.0; });
+  task.start();
+  ASSERT_EQ(c.sent.size(), 1u);
+  EXPECT_GT(c.sent[0].id, before.sent[0].id + 10'000);
+  restarted.answered({before.sent[0].id, 200, 7, 20'000, "{}"});
+  EXPECT_FALSE(task.done());
+}
+
 }  // namespace
 }  // namespace cranklock::control
--- a/tests/picture_test.cpp
+++ b/tests/picture_test.cpp
@@ -45,7 +45,7 @@
   Placed s;
   s.checkin(report("n-1", 1, 2));
   s.picture.orders(report("n-1", 1, 2), true, 2);
-  s.picture.request_stop(s.job, s.place(), 0, 2);
+  Picture::request_stop(s.place(), 0, 2);
   // A copy of the same report proves nothing, nor does a direct answer that crossed the start.
   EXPECT_EQ(s.checkin(report("n-1", 1, 2)), Picture::Freshness::late_copy);
   s.picture.apply_report(report("n-1", 1, 3), false, 2);
@@ -66,7 +66,7 @@
 TEST(Picture, AStartInDoubtKeepsItsPlaceWhileTheSessionLasts) {
   Placed s;
   s.place().doubtful_session = 1;
-  s.picture.request_stop(s.job, s.place(), 0, 2);
+  Picture::request_stop(s.place(), 0, 2);
   s.checkin(report("n-1", 1, 5));
   EXPECT_FALSE(s.place().ended);
   s.checkin(report("n-1", 2, 6));
@@ -242,11 +242,11 @@
   EXPECT_TRUE(s.picture.watch_zones(5).empty());  // nobody is heard: it is us who are cut off
   s.picture.apply_report(report("n-4", 1, 2, {}, kToken, "b"), true, 5);
   EXPECT_EQ(s.picture.watch_zones(5), std::vector<std::string>{"a"});
-  EXPECT_FALSE(usable(s.picture, *s.picture.machine("n-1"), 5));
-  EXPECT_TRUE(usable(s.picture, *s.picture.machine("n-4"), 5));
+  EXPECT_FALSE(usable(s.picture, *s.picture.machine("n-1")));
+  EXPECT_TRUE(usable(s.picture, *s.picture.machine("n-4")));
   s.picture.apply_report(report("n-2", 1, 2), true, 6);
   EXPECT_TRUE(s.picture.watch_zones(6).empty());
-  EXPECT_TRUE(usable(s.picture, *s.picture.machine("n-1"), 6));
+  EXPECT_TRUE(usable(s.picture, *s.picture.machine("n-1")));
 }
 
 // Guards against beginning to boot only when the leases are over, and against renting what can't be
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -17,7 +17,7 @@
   Job& job = s.add(make_job("j-000001", Shape::array, 24, 1));
   EXPECT_EQ(s.pass().placed, 16);
   // What is not proven free still counts.
-  s.picture.request_stop(job, job.places[0], 0, 1);
+  Picture::request_stop(job.places[0], 0, 1);
   EXPECT_EQ(s.pass().placed, 0);
   // Nor is room beyond the limit asked of the cloud.
   EXPECT_TRUE(s.pass().shortfall.wanted.empty());
