Passes of bounded length, and places by pointer, for a fleet many times as large

A third of the leader's time went into looking jobs up by name, for every task on every machine in every pass, and every equal task of a burst searched the whole fleet again.

What changed: machines hold their places by pointer (Held), with one owner; a record's machine that is not known yet has its places in unseen_; removing a machine ends what it holds instead of walking all jobs; a search that found no room speaks for all later jobs that ask at least as much; a pass places at most 400 tasks and rests five times as long as it took; quiet machines are counted by zone once, not once for each.

Excluded: writing records and pushing orders, 1% each.

--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -18,7 +18,8 @@
 
 namespace {
 constexpr double kStoreTimeout = 2.0;
-constexpr double kPassEvery = 0.05;  ///< placement passes come no closer than this
+constexpr double kPassEvery = 0.05;   ///< placement passes come no closer than this
+constexpr double kRestAfterPass = 5;  ///< nor than so many times what the last one took
 constexpr std::size_t kTxnBytes = std::size_t{60} * 1024;
 }  // namespace
 
@@ -294,13 +295,12 @@
 // ---- decisions ----
 
 Task<void> Term::decide() {
-  double last_pass = 0;
+  double last_pass = 0, rest_until = 0;
   for (;;) {
     net::Signal::Wait wait(work_, services_.settings.report_s / 2);
     co_await wait;
-    const double since = now() - last_pass;
-    if (since < kPassEvery) {
-      Sleep pause(services_.reactor, kPassEvery - since);
+    if (now() < rest_until) {
+      Sleep pause(services_.reactor, rest_until - now());
       co_await pause;
     }
     if (is_lost_) co_return;
@@ -315,12 +315,16 @@
     if (!picture_.types().empty() && (picture_.take_changed() || overdue)) {
       last_pass = now();
       auto result = sched::place_waiting(picture_, refused_until_, last_pass);
+      if (result.cut_short) picture_.mark_changed();
       if (shortfall_.wanted.empty() && !result.shortfall.wanted.empty()) {
         const auto& [kind, count] = *result.shortfall.wanted.begin();
         spdlog::info("work finds no place: {} more {} wanted in {}{}", count, kind.type, kind.zone,
                      kind.spot ? ", spot" : "");
       }
-      shortfall_ = std::move(result.shortfall);
+      // Guards reports, users and the renewal of office against a fleet so large, or a processor so
+      // slow, that passes would fill the time.
+      rest_until = last_pass + std::max(kPassEvery, kRestAfterPass * (now() - last_pass));
+      if (!result.cut_short) shortfall_ = std::move(result.shortfall);
       if (result.placed > 0 || result.stopped > 0) {
         spdlog::debug("placed {} tasks, stopping {}", result.placed, result.stopped);
       }
@@ -498,21 +502,18 @@
   Machine* m = picture_.machine(id);
   std::vector<wire::Order> orders;
   const std::uint64_t session = m->session;
-  for (const auto& [job_id, task] : m->tasks) {
-    Job* job = picture_.job(job_id);
-    if (job == nullptr) continue;
-    for (auto& p : job->places) {
-      if (p.task != task || p.machine != id) continue;
-      if (start_due(*job, p)) {
-        orders.push_back({wire::Verb::start, {job_id, task}, p.attempt, 0});
-        // In doubt from the moment of sending until answered.
-        p.doubtful_session = session;
-        m->doubtful.insert({{job_id, task}, p.attempt});
-      } else if (stop_due(*job, p)) {
-        orders.push_back(
-            {wire::Verb::stop, {job_id, task}, p.attempt, job->withdrawn() ? 0 : p.grace_s});
-        p.stop_sent = true;
-      }
+  for (const auto& held : m->tasks) {
+    const Job& job = *held.job;
+    sched::Place& p = held.place();
+    const wire::TaskName task{job.spec.id, p.task};
+    if (start_due(job, p)) {
+      orders.push_back({wire::Verb::start, task, p.attempt, 0});
+      // In doubt from the moment of sending until answered.
+      p.doubtful_session = session;
+      m->doubtful.insert({task, p.attempt});
+    } else if (stop_due(job, p)) {
+      orders.push_back({wire::Verb::stop, task, p.attempt, job.withdrawn() ? 0 : p.grace_s});
+      p.stop_sent = true;
     }
   }
   if (orders.empty()) {
@@ -680,7 +681,8 @@
   }
 }
 
-void Term::watch_machine(Machine& m, double at) {
+void Term::watch_machine(Machine& m, const std::map<std::string, sched::ZoneWorkers>& zones,
+                         double at) {
   const auto& s = services_.settings;
   const auto* type = picture_.type(m.kind.type);
   const double ready_s = type != nullptr ? type->ready_s : s.lease_s;
@@ -699,21 +701,14 @@
   }
   // Its deletion proves what its lease would prove only later: its work starts elsewhere the
   // sooner.
-  if (sched::surely_taken(picture_, m, at)) return give_back(m, "it is taken");
+  if (sched::surely_taken(picture_, m, zones, at)) return give_back(m, "it is taken");
   if (m.quarantined && m.idle()) return give_back(m, "it fails what it starts");
-  if (!m.taken_at && !m.quarantined) return;
+  if (!m.taken_at) return;
   // Its work moves while it still runs: what saves is told to save.
-  const auto tasks = m.tasks;
-  for (const auto& [job_id, task] : tasks) {
-    Job* job = picture_.job(job_id);
-    if (job == nullptr || !m.taken_at) continue;
-    for (auto& p : job->places) {
-      if (p.task != task || p.machine != m.id || p.ended || p.stop) continue;
-      const bool saves = job->spec.checkpoint_s > 0;
-      const double left = *m.taken_at - at;
-      if (saves && left < 2 * job->spec.save_s + 3 * s.report_s) {
-        sched::Picture::request_stop(p, job->spec.save_s, at);
-      }
+  for (const auto& held : m.tasks) {
+    const auto& spec = held.job->spec;
+    if (spec.checkpoint_s > 0 && *m.taken_at - at < 2 * spec.save_s + 3 * s.report_s) {
+      sched::Picture::request_stop(held.place(), spec.save_s, at);
     }
   }
 }
@@ -732,11 +727,10 @@
       spdlog::info("zone {} is dark: none of its workers is heard", zone);
       work_.set();
     }
-    std::vector<std::string> ids;
-    for (const auto& [id, m] : picture_.machines()) {
-      if (!m.removing) ids.push_back(id);
+    const auto zones = sched::count_workers(picture_, at);
+    for (auto& [id, m] : picture_.machines()) {
+      if (!m.removing) watch_machine(m, zones, at);
     }
-    for (const auto& id : ids) watch_machine(*picture_.machine(id), at);
     // A machine that lost its list entry, is silent and holds nothing is forgotten.
     std::vector<std::string> gone;
     std::vector<std::pair<std::string, sched::MachineKind>> unknown;
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -110,7 +110,8 @@
   int shrink(const sched::PoolId& pool, int machines);
   net::Task<void> write_pool(std::string name);
   void give_back(sched::Machine& machine, const char* why);
-  void watch_machine(sched::Machine& machine, double now);
+  void watch_machine(sched::Machine& machine,
+                     const std::map<std::string, sched::ZoneWorkers>& zones, double now);
   double now() const { return services_.reactor.now(); }
 
   Services services_;
--- a/src/sched/picture.cpp
+++ b/src/sched/picture.cpp
@@ -130,19 +130,29 @@
 void Picture::attach(Job& job, Place& place) {
   if (place.ended) return;
   team_use_[job.spec.team] += job.spec.room;
+  const Held held{&job, place.task, place.attempt};
+  Machine* m = machine(place.machine);
   // A record may name a machine that neither list nor report has shown yet.
-  if (Machine* m = machine(place.machine)) {
-    m->used += job.spec.room;
-    m->tasks.emplace_back(job.spec.id, place.task);
+  if (m == nullptr) {
+    unseen_[place.machine].push_back(held);
+    return;
   }
+  m->used += job.spec.room;
+  m->tasks.push_back(held);
 }
 
 void Picture::detach(Job& job, const Place& place, double now) {
   team_use_[job.spec.team] -= job.spec.room;
+  const Held held{&job, place.task, place.attempt};
   Machine* m = machine(place.machine);
-  if (m == nullptr) return;
-  const auto it =
-      std::find(m->tasks.begin(), m->tasks.end(), std::make_pair(job.spec.id, place.task));
+  if (m == nullptr) {
+    const auto unseen = unseen_.find(place.machine);
+    if (unseen == unseen_.end()) return;
+    std::erase(unseen->second, held);
+    if (unseen->second.empty()) unseen_.erase(unseen);
+    return;
+  }
+  const auto it = std::find(m->tasks.begin(), m->tasks.end(), held);
   if (it == m->tasks.end()) return;
   m->tasks.erase(it);
   m->used -= job.spec.room;
@@ -244,29 +254,29 @@
   m.kind = kind;
   m.known_since = m.idle_since = m.rented_at = m.last_listed = now;
   Machine& put = machines_.emplace(id, std::move(m)).first->second;
-  for (auto& [job_id, j] : jobs_) {
-    for (const auto& p : j.places) {
-      if (p.ended || p.machine != id) continue;
-      put.used += j.spec.room;
-      put.tasks.emplace_back(job_id, p.task);
-    }
+  if (const auto unseen = unseen_.find(id); unseen != unseen_.end()) {
+    put.tasks = std::move(unseen->second);
+    unseen_.erase(unseen);
+    for (const auto& held : put.tasks) put.used += held.job->spec.room;
   }
   changed_ = true;
   return put;
 }
 
-void Picture::remove_machine(const std::string& id, double now) {
-  for (auto& [job_id, j] : jobs_) {
-    std::set<std::uint64_t> broken;
-    for (auto& p : j.places) {
-      if (p.machine != id || p.ended) continue;
-      end_place(j, p, now);
-      broken.insert(p.attempt);
-    }
-    for (const auto attempt : broken) break_gang(j, attempt, now);
+void Picture::end_all(Machine& m, double now) {
+  const auto tasks = m.tasks;  // ending a place changes the list
+  for (const auto& held : tasks) {
+    end_place(*held.job, held.place(), now);
+    break_gang(*held.job, held.attempt, now);
   }
-  machines_.erase(id);
+}
+
+void Picture::remove_machine(const std::string& id, double now) {
   changed_ = true;
+  Machine* m = machine(id);
+  if (m == nullptr) return;
+  end_all(*m, now);
+  machines_.erase(id);
 }
 
 void Picture::break_gang(Job& job, std::uint64_t attempt, double now) {
@@ -394,24 +404,20 @@
   // the order shuts out late copies and answers crossing on the way.
   if (!checkin || r.token != token_) return Freshness::fresh;
   const auto tasks = m.tasks;  // ending a place changes the list
-  for (const auto& [job_id, task] : tasks) {
-    Job* j = job(job_id);
-    if (j == nullptr) continue;
-    for (auto& p : j->places) {
-      if (p.task != task || p.machine != m.id || p.ended) continue;
-      if (reported.contains({{job_id, task}, p.attempt})) continue;
-      if (p.doubtful_session == r.session) continue;  // may still be executed
-      const bool carried = p.carried_session != 0;
-      if (carried && std::pair(r.session, r.tick) <= std::pair(p.carried_session, p.carried_tick)) {
-        continue;
-      }
-      const bool lost = p.seen || (carried && p.carried_session != r.session) ||
-                        (p.doubtful_session != 0 && p.doubtful_session != r.session);
-      if (!lost && !p.stop && !j->withdrawn()) continue;  // its start is sent (again)
-      const auto attempt = p.attempt;
-      end_place(*j, p, now);
-      break_gang(*j, attempt, now);
+  for (const auto& held : tasks) {
+    Job& j = *held.job;
+    Place& p = held.place();
+    if (reported.contains({{j.spec.id, p.task}, p.attempt})) continue;
+    if (p.doubtful_session == r.session) continue;  // may still be executed
+    const bool carried = p.carried_session != 0;
+    if (carried && std::pair(r.session, r.tick) <= std::pair(p.carried_session, p.carried_tick)) {
+      continue;
     }
+    const bool lost = p.seen || (carried && p.carried_session != r.session) ||
+                      (p.doubtful_session != 0 && p.doubtful_session != r.session);
+    if (!lost && !p.stop && !j.withdrawn()) continue;  // its start is sent (again)
+    end_place(j, p, now);
+    break_gang(j, held.attempt, now);
   }
   return Freshness::fresh;
 }
@@ -443,16 +449,14 @@
     }
   }
   if (!may_start || m->removing) return out;
-  for (const auto& [job_id, task] : m->tasks) {
-    Job* j = job(job_id);
-    if (j == nullptr || j->withdrawn()) continue;
-    for (auto& p : j->places) {
-      if (p.task != task || p.machine != m->id || p.ended || !p.durable || p.stop) continue;
-      if (reported.contains({{job_id, task}, p.attempt})) continue;
-      out.push_back({wire::Verb::start, {job_id, task}, p.attempt, 0});
-      p.carried_session = r.session;
-      p.carried_tick = r.tick;
-    }
+  for (const auto& held : m->tasks) {
+    const Job& j = *held.job;
+    Place& p = held.place();
+    if (j.withdrawn() || !p.durable || p.stop) continue;
+    if (reported.contains({{j.spec.id, p.task}, p.attempt})) continue;
+    out.push_back({wire::Verb::start, {j.spec.id, p.task}, p.attempt, 0});
+    p.carried_session = r.session;
+    p.carried_tick = r.tick;
   }
   return out;
 }
@@ -478,15 +482,9 @@
 }
 
 bool Picture::stopping(const Machine& m) {
-  if (m.strangers > 0) return true;
-  for (const auto& [job_id, task] : m.tasks) {
-    const Job* j = job(job_id);
-    if (j == nullptr || j->withdrawn()) return true;
-    for (const auto& p : j->places) {
-      if (p.task == task && p.machine == m.id && !p.ended && p.stop) return true;
-    }
-  }
-  return false;
+  return m.strangers > 0 || std::any_of(m.tasks.begin(), m.tasks.end(), [](const Held& held) {
+           return held.job->withdrawn() || held.place().stop;
+         });
 }
 
 double Picture::maybe_answered(const Machine& m, double now) const {
@@ -543,17 +541,7 @@
     if (now <= maybe_answered(m, now) + lease_bound()) continue;
     m.silent = true;
     out.push_back(id);
-    const auto tasks = m.tasks;
-    for (const auto& [job_id, task] : tasks) {
-      Job* j = job(job_id);
-      if (j == nullptr) continue;
-      for (auto& p : j->places) {
-        if (p.task != task || p.machine != id || p.ended) continue;
-        const auto attempt = p.attempt;
-        end_place(*j, p, now);
-        break_gang(*j, attempt, now);
-      }
-    }
+    end_all(m, now);
   }
   return out;
 }
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -82,6 +82,16 @@
   std::uint32_t pending_count() const;
 };
 
+/// A live place as its machine knows it: an index over the jobs' places, kept by Picture alone.
+struct Held {
+  Job* job;
+  std::uint32_t task;
+  std::uint64_t attempt;
+
+  Place& place() const { return *job->find(task, attempt); }
+  bool operator==(const Held&) const = default;
+};
+
 struct MachineKind {
   std::string type, zone;
   bool spot = false;
@@ -116,7 +126,7 @@
   int strangers = 0;                  ///< reported tasks without a place, not yet exited
   std::vector<std::pair<std::string, double>> images;  ///< most recently used last
   wire::Room used;
-  std::vector<std::pair<std::string, std::uint32_t>> tasks;  ///< job and task, of live places
+  std::vector<Held> tasks;
   /// Starts in doubt in the present session: what must not be forgotten there.
   std::set<std::pair<wire::TaskName, std::uint64_t>> doubtful;
 
@@ -140,6 +150,8 @@
                    double now);
   void end_place(Job& job, Place& place, double now);
   static void request_stop(Place& place, double grace_s, double now);
+  /// Ends everything a machine holds; what it held of gangs is stopped elsewhere too.
+  void end_all(Machine& machine, double now);
   /// Erases ended places that a durable record no longer names.
   void forget_ended(Job& job, const std::vector<std::pair<std::uint32_t, std::uint64_t>>& which);
 
@@ -166,7 +178,7 @@
   /// The deputy has heard us, and we it, just now.
   bool deputy_heard(const std::string& name, double now) const;
   /// Something on it is to be stopped, or may still run though it is ended here.
-  bool stopping(const Machine& machine);
+  static bool stopping(const Machine& machine);
   /// The latest time at which a report of it may have been answered by us or in our stead.
   double maybe_answered(const Machine& machine, double now) const;
 
@@ -204,6 +216,8 @@
   std::uint64_t token_;
   std::map<std::string, Job> jobs_;
   std::map<std::string, Machine> machines_;
+  /// Places on machines that neither list nor report has shown yet, by machine.
+  std::map<std::string, std::vector<Held>> unseen_;
   std::map<std::string, wire::Room> team_use_;
   std::map<std::string, wire::MachineType> types_;
   struct Deputy {
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -1,10 +1,12 @@
 #include "sched/placement.hpp"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <limits>
 #include <optional>
 #include <set>
+#include <tuple>
 
 namespace cranklock::sched {
 namespace {
@@ -28,6 +30,7 @@
   Machine* machine = nullptr;
   Room leaving;  ///< of tasks that are being stopped
   const Job* reserved = nullptr;
+  const wire::MachineType* type = nullptr;
 };
 
 /// Places of a job by zone, for OneZone and Apart. Everything not proven free counts.
@@ -36,23 +39,43 @@
   std::uint32_t total = 0;
 };
 
+// Guard against a pass that holds up reports, users and the renewal of office: a burst, or the loss
+// of many machines, is dealt with in several passes, the most entitled work first.
+constexpr int kMostPlaced = 400;          ///< tasks a pass
+constexpr std::size_t kMostRounds = 100;  ///< of all machines, to make room
+
 class Pass {
  public:
   Pass(Picture& picture, const std::map<MachineKind, double>& refused_until, double now)
       : picture_(picture), refused_until_(refused_until), now_(now) {
+    std::map<std::string, Room> leaving;  // by machine; few are being stopped
+    for (const auto& [id, job] : picture.jobs()) {
+      for (const auto& p : job.places) {
+        if (!p.ended && (p.stop || job.withdrawn())) leaving[p.machine] += job.spec.room;
+      }
+    }
     for (auto& [id, m] : picture.machines()) {
       const auto* t = picture.type(m.kind.type);
       if (t == nullptr) continue;
       if (usable(picture, m)) {
-        slots_.push_back({m.kind, t->room - m.used, &m, leaving_room(m), nullptr});
+        const auto stopped = leaving.find(id);
+        slots_.push_back({m.kind, t->room - m.used, &m,
+                          stopped == leaving.end() ? Room{} : stopped->second, nullptr, t});
       } else if (!m.reported && !m.removing && !m.failed && !picture.dark(m.kind.zone)) {
-        booting_.push_back({m.kind, t->room, nullptr, {}, nullptr});
+        booting_.push_back({m.kind, t->room, nullptr, {}, nullptr, t});
       }
     }
   }
 
   PassResult run() {
-    for (Job* job : waiting_jobs()) place(*job);
+    for (Job* job : waiting_jobs()) {
+      place(*job);
+      if (result_.placed >= kMostPlaced) {
+        result_.cut_short = true;
+        return std::move(result_);
+      }
+    }
+    most_looks_ = result_.looked_at + kMostRounds * slots_.size();
     for (auto* job : unplaced_) make_room(*job);
     for (auto* job : unplaced_) {
       add_shortfall(*job, zones_of(*job), job->pending_count(), false);
@@ -70,7 +93,6 @@
   bool zone_allows(const Job& job, const ZoneCount& zones, const std::string& zone) const;
   double cost(const Job& job, const Slot& slot, const ZoneCount& zones) const;
   void take(Job& job, std::uint32_t task, std::uint64_t attempt, Slot& slot);
-  Room leaving_room(const Machine& m);
   struct Victim {
     double loss;
     Job* job;
@@ -92,6 +114,9 @@
   void add_shortfall(const Job& job, ZoneCount zones, std::uint32_t missing, bool replaces);
   bool may_preempt(const Job& for_job, const Job& victim) const;
   void reserve(const Job& job);
+  static bool hopeless(const Job& job, const std::vector<const Job*>& failed);
+  static void note_hopeless(const Job& job, std::vector<const Job*>& failed);
+  bool may_preempt_any(const Job& job) const;
   void reserve_gang(const Job& job);
 
   Picture& picture_;
@@ -100,6 +125,12 @@
   std::vector<Slot> slots_, booting_;
   std::vector<Slot> virtual_;  ///< machines that would be rented
   std::vector<Job*> unplaced_;
+  std::vector<const Job*> no_room_for_;  ///< see hopeless()
+  /// The same for making room, by team, rank and guarantee.
+  std::map<std::tuple<std::string, wire::Rank, bool>, std::vector<const Job*>> no_victims_for_;
+  std::size_t most_looks_ = 0;
+  /// Whether anything runs of a rank, and whether some of it is not (0), or is (1), guaranteed.
+  std::map<wire::Rank, std::array<bool, 2>> running_;
   std::map<std::string, Room> planned_;  ///< by team, of shortfall already counted
   PassResult result_;
 };
@@ -121,6 +152,7 @@
     job->guaranteed = team != nullptr && (team->gpus > 0 || team->cpus > 0) &&
                       (team->gpus <= 0 || sum.gpus <= team->gpus) &&
                       (team->cpus <= 0 || sum.cpus <= team->cpus);
+    if (job->live() > 0) running_[job->spec.rank][job->guaranteed ? 1 : 0] = true;
     if (job->backoff_until > now_ || job->pending_count() == 0) continue;
     waiting.push_back(job);
   }
@@ -154,7 +186,7 @@
 }
 
 double Pass::cost(const Job& job, const Slot& slot, const ZoneCount& zones) const {
-  const auto* t = picture_.type(slot.kind.type);
+  const auto* t = slot.type;
   double seconds = 0;
   if (slot.machine != nullptr && !slot.machine->holds_image(job.spec.image)) {
     seconds += job.spec.image_gb / std::max(t->fetch_gb_per_s, 0.01);
@@ -171,9 +203,28 @@
   return seconds;
 }
 
+// Room only shrinks while jobs are placed, so what found none leaves none for more of the same: a
+// burst of equal jobs costs one search of the fleet, not one each.
+bool Pass::hopeless(const Job& job, const std::vector<const Job*>& failed) {
+  return std::any_of(failed.begin(), failed.end(), [&](const Job* other) {
+    const auto& f = other->spec;
+    return f.room.fits_in(job.spec.room) && (f.spot || !job.spec.spot) &&
+           (f.types.empty() || f.types == job.spec.types) &&
+           (f.zone.empty() || f.zone == job.spec.zone);
+  });
+}
+
+void Pass::note_hopeless(const Job& job, std::vector<const Job*>& failed) {
+  // Its failure must be for want of room alone.
+  if (job.spec.one_zone || job.spec.spread || job.failed_on.size() == 1) return;
+  constexpr std::size_t kMost = 16;  // sizes differ little
+  if (failed.size() < kMost) failed.push_back(&job);
+}
+
 Slot* Pass::best_slot(const Job& job, const ZoneCount& zones, const std::string& only_zone) {
   Slot* best = nullptr;
   double best_cost = std::numeric_limits<double>::infinity();
+  result_.looked_at += slots_.size();
   for (auto& slot : slots_) {
     if (!job.spec.room.fits_in(slot.free) || !allows(job.spec, slot.kind)) continue;
     if (!only_zone.empty() && slot.kind.zone != only_zone) continue;
@@ -237,17 +288,22 @@
     // The old attempt must be gone entirely before the next begins.
     if (live > 0 || tasks.size() != job.spec.tasks) return;
     if (!within_limit(picture_, job.spec.team, job.spec.room * job.spec.tasks)) return;
-    if (!place_gang(job, tasks)) {
+    if (hopeless(job, no_room_for_) || !place_gang(job, tasks)) {
       unplaced_.push_back(&job);
       reserve_gang(job);
     }
     return;
   }
   auto zones = zones_of(job);
+  Slot* slot = nullptr;
   for (const auto task : tasks) {
     if (!within_limit(picture_, job.spec.team, job.spec.room)) return;
-    Slot* slot = best_slot(job, zones, "");
+    // Where one task fits best the next does too, as long as it fits: less is left over there.
+    if (slot == nullptr || job.spec.spread || !job.spec.room.fits_in(slot->free)) {
+      slot = hopeless(job, no_room_for_) ? nullptr : best_slot(job, zones, "");
+    }
     if (slot == nullptr) {
+      note_hopeless(job, no_room_for_);
       unplaced_.push_back(&job);
       reserve(job);
       return;
@@ -263,17 +319,17 @@
   // machine takes to boot, the machine that has most of the room free is kept for it.
   Slot* best = nullptr;
   for (auto& slot : slots_) {
-    const auto* t = picture_.type(slot.kind.type);
-    if (slot.reserved != nullptr || !allows(job.spec, slot.kind)) continue;
+    if (slot.reserved != nullptr) continue;
     // Room that is being made is for whom it is made.
-    if (slot.leaving.gpus + slot.leaving.cpus > 0 &&
-        job.spec.room.fits_in(slot.free + slot.leaving)) {
-      slot.reserved = &job;
-      return;
-    }
-    if (!job.spec.room.fits_in(t->room) || now_ - job.known_since < t->ready_s) continue;
-    if (2 * share_of(job.spec.room, t->room) < 1) continue;
-    if (best == nullptr || slot.free.gpus > best->free.gpus) best = &slot;
+    const bool being_made = slot.leaving.gpus + slot.leaving.cpus > 0 &&
+                            job.spec.room.fits_in(slot.free + slot.leaving);
+    const bool better = job.spec.room.fits_in(slot.type->room) &&
+                        now_ - job.known_since >= slot.type->ready_s &&
+                        2 * share_of(job.spec.room, slot.type->room) >= 1 &&
+                        (best == nullptr || slot.free.gpus > best->free.gpus);
+    if (!(being_made || better) || !allows(job.spec, slot.kind)) continue;
+    best = &slot;
+    if (being_made) break;
   }
   if (best != nullptr) best->reserved = &job;
 }
@@ -287,7 +343,7 @@
   for (const auto& zone : gang_zones(job)) {
     std::vector<Slot*> fitting, others;
     for (auto& slot : slots_) {
-      const auto* t = picture_.type(slot.kind.type);
+      const auto* t = slot.type;
       if (slot.reserved != nullptr || !allows(job.spec, slot.kind)) continue;
       if (!zone.empty() && slot.kind.zone != zone) continue;
       if (job.spec.room.fits_in(slot.free + slot.leaving)) {
@@ -316,29 +372,18 @@
   return for_job.guaranteed && !victim.guaranteed && for_job.spec.team != victim.spec.team;
 }
 
-Room Pass::leaving_room(const Machine& m) {
-  Room room;
-  for (const auto& [id, task] : m.tasks) {
-    const Job* job = picture_.job(id);
-    if (job == nullptr) continue;
-    for (const auto& p : job->places) {
-      if (p.machine == m.id && p.task == task && !p.ended && (p.stop || job->withdrawn())) {
-        room += job->spec.room;
-      }
-    }
-  }
-  return room;
-}
-
 void Pass::make_room(Job& job) {
   if (job.spec.shape == Shape::gang) return make_room_for_gang(job);
   auto zones = zones_of(job);
   Room planned;
-  for (auto missing = job.pending_count(); missing > 0; --missing) {
+  auto& failed = no_victims_for_[{job.spec.team, job.spec.rank, job.guaranteed}];
+  if (hopeless(job, failed)) return;
+  for (auto missing = job.pending_count(); missing > 0 && result_.looked_at < most_looks_;
+       --missing) {
     planned += job.spec.room;
     if (!within_limit(picture_, job.spec.team, planned)) return;
     const auto choice = choose_room(job, zones, "", {});
-    if (!choice) return;
+    if (!choice) return note_hopeless(job, failed);
     ++zones.count[choice->slot->kind.zone];
     ++zones.total;
     stop_victims(job, *choice);
@@ -350,6 +395,7 @@
   std::vector<Choice> best;
   double best_loss = std::numeric_limits<double>::infinity();
   for (const auto& zone : gang_zones(job)) {
+    if (result_.looked_at >= most_looks_) break;
     std::vector<Choice> choices;
     std::set<Slot*> taken;
     ZoneCount count;
@@ -372,32 +418,40 @@
   for (const auto& choice : best) stop_victims(job, choice);
 }
 
+bool Pass::may_preempt_any(const Job& job) const {
+  return std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
+    const auto& [rank, guaranteed] = entry;
+    return (guaranteed[0] && (job.guaranteed || job.spec.rank < rank)) ||
+           (guaranteed[1] && job.guaranteed && job.spec.rank < rank);
+  });
+}
+
 std::optional<Pass::Choice> Pass::choose_room(const Job& job, const ZoneCount& zones,
                                               const std::string& only_zone,
                                               const std::set<Slot*>& taken) {
   std::optional<Choice> best;
+  const bool preempts = may_preempt_any(job);
+  result_.looked_at += slots_.size();
   for (auto& slot : slots_) {
-    if (!allows(job.spec, slot.kind) || !zone_allows(job, zones, slot.kind.zone)) continue;
+    Room room = slot.free + slot.leaving;
+    if (!preempts && !job.spec.room.fits_in(room)) continue;
     if (slot.reserved != nullptr && slot.reserved != &job) continue;
+    if (!allows(job.spec, slot.kind) || !zone_allows(job, zones, slot.kind.zone)) continue;
     if ((!only_zone.empty() && slot.kind.zone != only_zone) || taken.contains(&slot)) continue;
-    Room room = slot.free + slot.leaving;
     if (job.spec.room.fits_in(room)) return Choice{&slot, {}, 0};  // what leaves there suffices
     std::vector<Victim> candidates;
-    for (const auto& [victim_id, task] : slot.machine->tasks) {
-      Job* victim = picture_.job(victim_id);
-      if (victim == nullptr || victim->withdrawn() || !may_preempt(job, *victim)) continue;
+    for (const auto& held : slot.machine->tasks) {
+      Job* victim = held.job;
+      if (victim->withdrawn() || !may_preempt(job, *victim)) continue;
       if (victim->spec.shape == Shape::gang && victim->spec.tasks > 1) continue;
-      for (auto& p : victim->places) {
-        if (p.machine != slot.machine->id || p.task != task || p.ended || p.stop || !p.durable) {
-          continue;
-        }
-        const double ran = p.running_since > 0 ? now_ - p.running_since : 0;
-        // A replica's absence is noticed at once; other work loses what it did not save.
-        const double loss = victim->spec.shape == Shape::service ? picture_.settings().cancel_s
-                            : victim->spec.checkpoint_s > 0 ? std::min(ran, victim->spec.save_s)
-                                                            : ran;
-        candidates.push_back({loss, victim, &p});
-      }
+      Place& p = held.place();
+      if (p.stop || !p.durable) continue;
+      const double ran = p.running_since > 0 ? now_ - p.running_since : 0;
+      // A replica's absence is noticed at once; other work loses what it did not save.
+      const double loss = victim->spec.shape == Shape::service ? picture_.settings().cancel_s
+                          : victim->spec.checkpoint_s > 0      ? std::min(ran, victim->spec.save_s)
+                                                               : ran;
+      candidates.push_back({loss, victim, &p});
     }
     std::sort(candidates.begin(), candidates.end(), [](const Victim& a, const Victim& b) {
       return std::pair(b.job->spec.rank, a.loss) < std::pair(a.job->spec.rank, b.loss);
@@ -457,6 +511,9 @@
     ++zones.count[slot.kind.zone];
     ++zones.total;
   };
+  // What did not fit one task of the job does not fit the next: each list is gone through once.
+  auto ready = slots_.begin(), booting = booting_.begin();
+  std::size_t rented = 0;  // an index, as the list grows
   for (; missing > 0; --missing) {
     Room& planned = planned_[job.spec.team];
     if (!replaces) {  // what is to be replaced is counted already
@@ -465,23 +522,23 @@
     }
     if (replaces || job.spec.shape == Shape::gang) {
       // Part of a gang, or of what will be lost, may find room; only the rest is missing.
-      const auto ready = std::find_if(slots_.begin(), slots_.end(), fits);
+      ready = std::find_if(ready, slots_.end(), fits);
       if (ready != slots_.end()) {
         result_.shortfall.waiting[pool_of(ready->kind)] += job.spec.room;
         use(*ready);
         continue;
       }
     }
-    const auto booting = std::find_if(booting_.begin(), booting_.end(), fits);
+    booting = std::find_if(booting, booting_.end(), fits);
     if (booting != booting_.end()) {
       result_.shortfall.waiting[pool_of(booting->kind)] += job.spec.room;
       use(*booting);
       continue;
     }
-    const auto rented = std::find_if(virtual_.begin(), virtual_.end(), fits);
-    if (rented != virtual_.end()) {
-      result_.shortfall.waiting[pool_of(rented->kind)] += job.spec.room;
-      use(*rented);
+    while (rented < virtual_.size() && !fits(virtual_[rented])) ++rented;
+    if (rented < virtual_.size()) {
+      result_.shortfall.waiting[pool_of(virtual_[rented].kind)] += job.spec.room;
+      use(virtual_[rented]);
       continue;
     }
     // The kind that costs least for the share of it that one task takes.
@@ -508,7 +565,8 @@
     if (!std::isfinite(best_price)) return;
     ++result_.shortfall.wanted[best];
     result_.shortfall.waiting[pool_of(best)] += job.spec.room;
-    virtual_.push_back({best, picture_.type(best.type)->room, nullptr, {}, nullptr});
+    const auto* type = picture_.type(best.type);
+    virtual_.push_back({best, type->room, nullptr, {}, nullptr, type});
     use(virtual_.back());
   }
 }
@@ -530,20 +588,27 @@
          m.strangers == 0;
 }
 
-bool surely_taken(Picture& picture, const Machine& m, double now) {
+std::map<std::string, ZoneWorkers> count_workers(Picture& picture, double now) {
+  std::map<std::string, ZoneWorkers> out;
+  for (const auto& [id, m] : picture.machines()) {
+    if (!m.reported || m.silent || m.removing || m.taken_at) continue;
+    auto& zone = out[m.kind.zone];
+    ++zone.workers;
+    if (now - m.last_report < 2 * picture.settings().report_s) ++zone.heard;
+  }
+  return out;
+}
+
+bool surely_taken(const Picture& picture, const Machine& m,
+                  const std::map<std::string, ZoneWorkers>& zones, double now) {
   const double every = picture.settings().report_s;
   if (!m.kind.spot || !m.reported || m.removing) return false;
   const double quiet = now - m.last_report;
   if (m.taken_at && now > *m.taken_at) return quiet > 1.5 * every;
-  if (quiet < 3 * every) return false;
-  int workers = 0, heard = 0;
-  for (const auto& [id, other] : picture.machines()) {
-    if (other.id == m.id || other.kind.zone != m.kind.zone) continue;
-    if (!other.reported || other.silent || other.removing || other.taken_at) continue;
-    ++workers;
-    heard += now - other.last_report < 2 * every ? 1 : 0;
-  }
-  return workers > 0 && heard >= 0.9 * workers;
+  const auto zone = zones.find(m.kind.zone);
+  if (quiet < 3 * every || zone == zones.end()) return false;
+  const int others = zone->second.workers - (m.silent || m.taken_at ? 0 : 1);
+  return others > 0 && zone->second.heard >= 0.9 * others;
 }
 
 PassResult place_waiting(Picture& picture, const std::map<MachineKind, double>& refused_until,
--- a/src/sched/placement.hpp
+++ b/src/sched/placement.hpp
@@ -32,6 +32,9 @@
 struct PassResult {
   int placed = 0;
   int stopped = 0;
+  /// It ended before everything was looked at: the shortfall is not known, and more is to be done.
+  bool cut_short = false;
+  std::size_t looked_at = 0;  ///< machines, each time one was weighed for a task
   Shortfall shortfall;
 };
 
@@ -47,8 +50,15 @@
 /// Whether new work may be put on this machine.
 bool usable(const Picture& picture, const Machine& machine);
 
+struct ZoneWorkers {
+  int workers = 0, heard = 0;  ///< heard: within two reports
+};
+/// The workers of each zone that should report.
+std::map<std::string, ZoneWorkers> count_workers(Picture& picture, double now);
+
 /// A spot machine that has gone quiet after its notice, or for three reports while the other
 /// workers of its zone are heard. Those whose zone is quiet too may only be cut off.
-bool surely_taken(Picture& picture, const Machine& machine, double now);
+bool surely_taken(const Picture& picture, const Machine& machine,
+                  const std::map<std::string, ZoneWorkers>& zones, double now);
 
 }  // namespace cranklock::sched
--- a/src/sched/scaler.cpp
+++ b/src/sched/scaler.cpp
@@ -81,10 +81,10 @@
     }
     // An ordinary machine that holds nothing but work for spot ones could be given back.
     const MachineKind as_spot{m.kind.type, m.kind.zone, true};
-    const bool could_go = !m.kind.spot && std::all_of(m.tasks.begin(), m.tasks.end(), [&](auto& t) {
-      const Job* job = picture.job(t.first);
-      return job != nullptr && allows(job->spec, as_spot);
-    });
+    const bool could_go =
+        !m.kind.spot && std::all_of(m.tasks.begin(), m.tasks.end(), [&](const Held& held) {
+          return allows(held.job->spec, as_spot);
+        });
     if (could_go) sums[pool_of(as_spot)].asked += m.used;
   }
   for (const auto& [pool, room] : shortfall.waiting) sums[pool].asked += room;
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -146,7 +146,7 @@
     s.picture.apply_report(r, true, 0);
   }
   const auto taken = [&](double now) {
-    return surely_taken(s.picture, *s.picture.machine("n-1"), now);
+    return surely_taken(s.picture, *s.picture.machine("n-1"), count_workers(s.picture, now), now);
   };
   EXPECT_FALSE(taken(5));  // the others are quiet too
   for (const char* id : {"n-2", "n-3"}) {
@@ -169,8 +169,11 @@
   r.tick = 2;
   r.notice_s = 1;
   s.picture.apply_report(r, true, 9);
-  EXPECT_FALSE(surely_taken(s.picture, *s.picture.machine("n-1"), 10.1));
-  EXPECT_TRUE(surely_taken(s.picture, *s.picture.machine("n-1"), 10.6));
+  const auto taken = [&](double now) {
+    return surely_taken(s.picture, *s.picture.machine("n-1"), count_workers(s.picture, now), now);
+  };
+  EXPECT_FALSE(taken(10.1));
+  EXPECT_TRUE(taken(10.6));
 }
 
 // Guards against a gang that waits while lower work holds its machines: room is made for all of it
