Carry reports of workers that come back because they can't reach the leader

The leader lost its workers for 37 s while deputies went on carrying those of other zones, so it was never deaf and never gave its office up.

Change: a node that has sent a worker to the leader and sees it again within a lease carries its reports, whatever its zone. Such a carrier is never allowed to answer alone: that stays with the zone's own nodes, so what the deputies' argument rests on is unchanged.

--- a/src/control/deputy.cpp
+++ b/src/control/deputy.cpp
@@ -38,6 +38,19 @@
          !reaches_leader() && reactor_.now() < it->second.until;
 }
 
+void Deputy::sent_away(const std::string& machine) {
+  constexpr std::size_t kMost = 4096;
+  if (sent_away_.size() >= kMost) sent_away_.clear();
+  sent_away_[machine] = reactor_.now();
+}
+
+// Guards against workers sent to and fro until their leases end: one that is back so soon has found
+// that the leader, which this node hears, can't be reached from there.
+bool Deputy::came_back(const std::string& machine) const {
+  const auto it = sent_away_.find(machine);
+  return it != sent_away_.end() && reactor_.now() - it->second < settings_.lease_s;
+}
+
 void Deputy::answered(const peer::CarriedAnswer& answer) {
   const auto it = pending_.find(answer.id);
   if (it == pending_.end()) return;  // too late: its worker has been answered otherwise
--- a/src/control/deputy.hpp
+++ b/src/control/deputy.hpp
@@ -1,5 +1,6 @@
 // A node that does not lead serves its own zone's workers: it carries their reports to the leader,
 // and when the zone is cut off it answers them in the leader's stead, for as long as that is safe.
+// Workers of other zones it sends to the leader, and carries for those that can't reach it.
 #pragma once
 
 #include <algorithm>
@@ -45,8 +46,12 @@
   /// A leader is heard that may have reports carried to it.
   bool reaches_leader() const;
   bool may_carry(const wire::Report& report) const {
-    return send_ && report.zone == settings_.zone && (reaches_leader() || stands_in(report));
+    if (!send_) return false;
+    if (report.zone == settings_.zone) return reaches_leader() || stands_in(report);
+    return reaches_leader() && came_back(report.machine);
   }
+  /// The worker of another zone was told to report to the leader.
+  void sent_away(const std::string& machine);
 
   /// `state_heard` says when the state service last answered: that tells a zone that is cut off
   /// from a leader that has ended, whose workers had better look for its successor. An answer of
@@ -66,6 +71,7 @@
     double until = 0;
   };
   bool stands_in(const wire::Report& report) const;
+  bool came_back(const std::string& machine) const;
 
   net::Reactor& reactor_;
   const base::Settings& settings_;
@@ -78,6 +84,7 @@
   std::uint64_t next_id_;
   std::map<std::uint64_t, Pending*> pending_;
   std::map<std::string, Trust> trusted_;  ///< by worker, as the leader last allowed
+  std::map<std::string, double> sent_away_;
 };
 
 }  // namespace cranklock::control
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -290,13 +290,19 @@
     co_return term_->checkin(*report);
   }
   if (term_ != nullptr) co_return come_back("taking over");
+  const std::string machine = report->machine;
   if (deputy_.may_carry(*report)) {
     auto carrying =
         deputy_.carry(std::move(*report), std::move(request.body), [this] { return state_heard_; });
     auto response = co_await carrying;
-    if (response.status == 200) co_return response;
+    if (response.status == 200) {
+      deputy_.sent_away(machine);  // for as long as it comes here, it may go on doing so
+      co_return response;
+    }
   }
-  co_return plain_answer(421, wire::misdirected_answer(believed_leader()));
+  const auto leader = believed_leader();
+  if (!leader.empty()) deputy_.sent_away(machine);
+  co_return plain_answer(421, wire::misdirected_answer(leader));
 }
 
 Task<Response> Node::handle(Request request) {
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -180,7 +180,11 @@
   }
   // Nothing is prolonged alone that a stop may not have reached yet, be it this very answer.
   const double until = office_.answer_until();
-  if (until > now() && !picture_.stopping(*m)) {
+  const auto& others = services_.settings.others;
+  const bool own_zone = std::any_of(others.begin(), others.end(), [&](const base::Peer& peer) {
+    return peer.name == deputy && peer.zone == m->kind.zone;
+  });
+  if (own_zone && until > now() && !picture_.stopping(*m)) {
     answer.stand_in_ms = static_cast<std::uint32_t>((until - now()) * 1000);
     auto& kept = m->kept_until[deputy];
     kept = std::max(kept, until);
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -281,6 +281,28 @@
   EXPECT_EQ(w.ran_twice, 0);
 }
 
+// Guards against workers sent to and fro between a leader that they can't reach and nodes that can:
+// as long as other workers' reports are carried to it, it does not know that these are lost.
+TEST(Story, WorkersThatCannotReachTheLeaderAreCarriedByWhomTheyReach) {
+  World w(3, {"a", "a", "a"});
+  w.run_s = 1000;
+  w.run(1);
+  for (const char* zone : {"a", "b"}) {
+    w.add_worker(zone);
+    auto s = spec(zone[0] == 'a' ? "j-000001" : "j-000002", 2, wire::Shape::service);
+    s.zone = zone;
+    w.submit(0, s);
+  }
+  w.run(10);
+  ASSERT_EQ(w.running("j-000001") + w.running("j-000002"), 4);
+  w.cut_from_workers = {w.leader()};
+  w.run(3 * w.base_settings.lease_s);
+  EXPECT_EQ(w.running("j-000001"), 2);
+  EXPECT_EQ(w.running("j-000002"), 2);
+  EXPECT_EQ(w.starts["j-000002/0"] + w.starts["j-000002/1"], 2);
+  EXPECT_EQ(w.ran_twice, 0);
+}
+
 // When the cut lasts, they are gone before they start elsewhere, and nothing that was cancelled
 // meanwhile is left after cancel_s.
 TEST(Story, ACutThatLastsEndsTheTasksInTime) {
