Prefer zones where a controller stands for replicas and for headroom

Both zones of the deployment have machines, only one has controllers. Workers of the other lose their lease in a cut whatever is decided, and with them half of all ton replicas, which could as well have stood beside the controllers.

Change: a replica of a job that need not be spread counts half a boot more on a machine of such a zone, and half as much again when a machine is rented for it; headroom gives the zone half a share.

Tests: the preference, the index of places against a recount, and a burst in a fleet of 1,300 machines counted in machines looked at.

--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -1,6 +1,7 @@
 // The platform's settings (TOML) and the operator's own (XML).
 #pragma once
 
+#include <algorithm>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -62,6 +63,12 @@
   int fd_limit = 500;
   OperatorSettings operators;
 
+  /// Whether a controller stands in this zone.
+  bool has_node(const std::string& zone_name) const {
+    return zone == zone_name || std::any_of(others.begin(), others.end(), [&](const Peer& peer) {
+             return peer.zone == zone_name;
+           });
+  }
   const Team* team(const std::string& team_name) const {
     for (const auto& t : teams) {
       if (t.name == team_name) return &t;
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -806,7 +806,7 @@
 
 void Term::grow(const sched::PoolId& pool, int machines) {
   // What waits decides on the zone; what the step adds beyond that goes to the zone that has
-  // fewest.
+  // fewest; a zone without a controller, which loses its work in a cut, gets half of a share.
   std::map<sched::MachineKind, int> plan;
   auto wanted = shortfall_.wanted;
   for (bool any = true; any && machines > 0;) {
@@ -818,12 +818,17 @@
     }
   }
   const auto* type = picture_.type(pool.type);
+  const auto weight = [&](const std::string& zone) {
+    return pool.spot || services_.settings.has_node(zone) ? 1 : 2;
+  };
   std::map<std::string, int> zones;
   for (const auto& zone : type->zones) {
     if (!picture_.dark(zone)) zones[zone] = 0;
   }
   for (const auto& [id, m] : picture_.machines()) {
-    if (sched::pool_of(m.kind) == pool && zones.contains(m.kind.zone)) ++zones[m.kind.zone];
+    if (sched::pool_of(m.kind) == pool && zones.contains(m.kind.zone)) {
+      zones[m.kind.zone] += weight(m.kind.zone);
+    }
   }
   for (; machines > 0 && !zones.empty(); --machines) {
     auto least = zones.end();
@@ -833,7 +838,7 @@
       if (least == zones.end() || it->second < least->second) least = it;
     }
     if (least == zones.end()) break;
-    ++least->second;
+    least->second += weight(least->first);
     ++plan[{pool.type, least->first, pool.spot}];
   }
   constexpr int kMostAtOnce = 50;
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -41,7 +41,8 @@
 
 // Guard against a pass that holds up reports, users and the renewal of office: a burst, or the loss
 // of many machines, is dealt with in several passes, the most entitled work first.
-constexpr int kMostPlaced = 400;          ///< tasks a pass
+constexpr double kExposed = 0.5;  ///< of a boot: what a replica's place in an exposed zone weighs
+constexpr int kMostPlaced = 400;  ///< tasks a pass
 constexpr std::size_t kMostRounds = 100;  ///< of all machines, to make room
 
 class Pass {
@@ -113,6 +114,10 @@
   void foresee_losses();
   void add_shortfall(const Job& job, ZoneCount zones, std::uint32_t missing, bool replaces);
   bool may_preempt(const Job& for_job, const Job& victim) const;
+  /// Replicas in a zone where no controller stands: nobody keeps them running through a cut.
+  bool exposed(const Job& job, const std::string& zone) const {
+    return job.spec.shape == Shape::service && !picture_.settings().has_node(zone);
+  }
   void reserve(const Job& job);
   static bool hopeless(const Job& job, const std::vector<const Job*>& failed);
   static void note_hopeless(const Job& job, std::vector<const Job*>& failed);
@@ -196,6 +201,7 @@
   constexpr double kFragmentation = 0.1;
   seconds += kFragmentation * t->ready_s * share_of(slot.free - job.spec.room, t->room);
   if (job.spec.spot && !slot.kind.spot) seconds += t->ready_s;
+  if (exposed(job, slot.kind.zone)) seconds += kExposed * t->ready_s;
   if (job.spec.spread) {
     const auto it = zones.count.find(slot.kind.zone);
     if (it != zones.count.end()) seconds += t->ready_s * it->second;
@@ -554,6 +560,7 @@
           const auto refused = refused_until_.find(kind);
           if (refused != refused_until_.end() && refused->second > now_) continue;
           double price = (spot ? type.spot_price : type.price) * share_of(job.spec.room, type.room);
+          if (exposed(job, zone)) price *= 1 + kExposed;
           const auto here = zones.count.find(zone);
           if (here != zones.count.end()) price *= 1 + 0.01 * here->second;
           const auto wanted = result_.shortfall.wanted.find(kind);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -54,6 +54,88 @@
   EXPECT_FALSE(allows(spec, {"g8", "b", true}));
 }
 
+// Guards against replicas where nobody would keep them through a cut, when there is room elsewhere.
+TEST(Placement, ReplicasPreferZonesWhereAControllerStands) {
+  Fleet s({{"n-1", "b"}, {"n-2", "a"}});  // the only controller stands in a
+  Job& service = s.add(make_job("j-000001", Shape::service, 2, 4));
+  Job& batch = s.add(make_job("j-000002", Shape::array, 2, 4));
+  EXPECT_EQ(s.pass().placed, 4);
+  for (const auto& p : service.places) EXPECT_EQ(p.machine, "n-2");
+  for (const auto& p : batch.places) EXPECT_EQ(p.machine, "n-1");
+}
+
+// An index is only as good as its upkeep.
+TEST(Placement, WhatMachinesHoldIsWhatTheJobsPlacesSay) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}, {"n-3", "b"}});
+  s.add(make_job("j-000001", Shape::array, 12, 1));
+  auto stored = make_job("j-000002", Shape::array, 2, 1);
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    Place p;
+    p.task = i, p.attempt = i + 1, p.machine = "n-9", p.durable = true;
+    stored.places.push_back(p);
+  }
+  s.add(stored);
+  const auto recount = [&] {
+    for (auto& [id, m] : s.picture.machines()) {
+      std::size_t held = 0;
+      for (auto& [name, job] : s.picture.jobs()) {
+        held += static_cast<std::size_t>(
+            std::count_if(job.places.begin(), job.places.end(),
+                          [&](const Place& p) { return !p.ended && p.machine == m.id; }));
+      }
+      EXPECT_EQ(m.tasks.size(), held) << id;
+      EXPECT_DOUBLE_EQ(m.used.gpus, static_cast<double>(held)) << id;
+    }
+  };
+  s.pass();
+  recount();
+  s.picture.put_machine("n-9", {"g8", "a", false}, 1);  // a record named it before
+  recount();
+  EXPECT_EQ(s.picture.machine("n-9")->tasks.size(), 2u);
+  stored.places.pop_back();
+  s.picture.put_job(stored, 2);
+  recount();
+  s.picture.remove_machine("n-1", 3);
+  s.pass(4);
+  recount();
+  s.picture.drop_job("j-000001");
+  recount();
+}
+
+// Guards against a fleet searched once for each of thousands of equal tasks, and against a pass
+// that holds up everything else: counted in machines looked at.
+TEST(Placement, ABurstInALargeFleetCostsFewSearches) {
+  Fleet s;
+  s.settings.teams = {{"red", 0, 0, 100'000, 100'000}, {"blue", 0, 0, 0, 100'000}};
+  constexpr std::size_t kMachines = 1300;
+  for (std::size_t i = 0; i < kMachines; ++i) {
+    s.picture.apply_report(report("n-" + std::to_string(i + 10), 1, 1), true, 0);
+  }
+  const auto add = [&](int from, int jobs, std::uint32_t tasks, wire::Rank rank, const char* team) {
+    for (int i = 0; i < jobs; ++i) {
+      auto job = make_job("j-" + std::to_string(from + i), Shape::array, tasks, 1, team);
+      job.spec.rank = rank;
+      s.add(std::move(job));
+    }
+  };
+  add(1000, 600, 18, wire::Rank::standard, "blue");
+  std::size_t looked = 0;
+  int passes = 0;
+  for (PassResult r; passes == 0 || r.cut_short; ++passes) {
+    r = s.pass();
+    looked += r.looked_at;
+  }
+  EXPECT_GT(passes, 10);  // 10,400 tasks find a place
+  EXPECT_LT(looked, 3000 * kMachines);
+  for (auto& [id, job] : s.picture.jobs()) s.written(job);
+  add(2000, 400, 18, wire::Rank::best_effort, "blue");
+  EXPECT_LT(s.pass().looked_at, 10 * kMachines);
+  add(3000, 100, 8, wire::Rank::production, "red");
+  const auto r = s.pass();
+  EXPECT_GT(r.stopped, 50);
+  EXPECT_LT(r.looked_at, 120 * kMachines);
+}
+
 TEST(Placement, AGangIsPlacedWholeOrNotAtAll) {
   Fleet s({{"n-1", "a"}});
   s.add(make_job("j-000001", Shape::gang, 2, 8));
