Time leases after a take-over; bound calls, deletions and waits for a large fleet

Change: a machine that runs in a dark zone is excused; a worker that has not shown our token is timed from the last answer that a former leader can have given, the bound on which cancellations rest already (argument in docs/design.md, 'Leases after a take-over'). For size: calls under way to workers take at most an eighth of the sockets, a new leader calls a sixteenth at once and not 8, deletions follow each other, links hold a frame for each socket, the backlog is 4096, finished routines are reaped when their number has doubled, an unreadable watch leads to a new reading, deleted names are forgotten.

Excluded: the rates of state service and cloud, nothing was refused by either.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -37,13 +37,16 @@
   net::EvReactor reactor;
   // Answers hold at most a page of 512 KiB, or a watch's news.
   constexpr std::size_t kMostAnswer = std::size_t{4} * 1024 * 1024;
-  net::HttpClient client(reactor, kMostAnswer, static_cast<std::size_t>(settings.fd_limit) / 4);
+  net::HttpClient client(reactor, kMostAnswer, static_cast<std::size_t>(settings.fd_limit) / 6);
   store::Client store(reactor, client, settings);
   cloud::Client cloud(reactor, client, settings);
   const control::Services services{reactor, client, settings, store, cloud};
   control::Node node(services);
 
   net::ServerLimits limits;
+  // Of the sockets: six tenths for workers and users, an eighth of that on top while one goes for
+  // another, a sixth for kept connections to workers, an eighth for calls under way. The rest is
+  // for the other controllers, the state service and the cloud.
   limits.connections = static_cast<std::size_t>(settings.fd_limit) * 6 / 10;
   limits.idle_s = 4 * settings.lease_s;
   net::HttpServer server(reactor, limits,
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -80,6 +80,13 @@
 /// Throws SettingsError.
 Settings load_settings(const std::string& toml_path, const std::string& xml_path);
 
+/// How long after its last certain renewal a leader may answer reports: even if a successor has
+/// promised a cancellation meanwhile, the lease of every worker answered until then ends within
+/// cancel_s of that promise.
+inline double answer_span(const Settings& s) {
+  return (s.cancel_s - s.lease_s) * 0.9;
+}
+
 /// The share by which steady clocks of two machines may drift apart.
 inline constexpr double kClockDrift = 0.0005;
 
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -27,7 +27,7 @@
     : services_(services),
       office_(office),
       lost_(lost),
-      picture_(services.settings, office.token()),
+      picture_(services.settings, office.token(), services.reactor.now()),
       work_(services.reactor),
       deletions_(services.reactor),
       began_(services.reactor.now()),
@@ -217,6 +217,7 @@
 Task<void> Term::follow_jobs() {
   std::uint64_t since = loaded_revision_;
   const double wait = services_.settings.lease_s;
+  int unclear = 0;  // answers in a row
   for (;;) {
     auto watching = services_.store.watch(kJobsPrefix, since, wait);
     auto result = co_await watching;
@@ -226,7 +227,9 @@
       if (!result.page.items.empty()) work_.set();
       continue;
     }
-    if (result.outcome == Outcome::failed) {
+    // Guards against an answer that is too long to be read, and so would be asked for for ever.
+    unclear = result.outcome == Outcome::unknown ? unclear + 1 : 0;
+    if (result.outcome == Outcome::failed || unclear >= 3) {
       // Too far behind: read everything again, as news.
       auto reading = services_.store.read_all(kJobsPrefix, kStoreTimeout);
       auto all = co_await reading;
@@ -498,6 +501,7 @@
     if (m == nullptr || !m->reported || m->silent || m->removing || m->address.empty()) continue;
     // A worker not heard of lately would only leave starts in doubt.
     if (at - m->last_report > 2 * services_.settings.report_s) continue;
+    if (pushing_.size() >= most_calls()) return;
     if (pushing_.insert(id).second) scope_.spawn(push_to(id));
   }
 }
@@ -563,13 +567,14 @@
 // then on it drops the former leader's answers, and its lease is ours to time.
 Task<void> Term::make_known() {
   const auto& s = services_.settings;
-  constexpr std::size_t kAtOnce = 8;
   for (;;) {
     Sleep pause(services_.reactor, s.report_s / 2);
     co_await pause;
     const double at = now();
     if (at - began_ < 1.5 * s.report_s) continue;  // most come by themselves
     std::vector<std::string> due;
+    std::erase_if(called_,
+                  [&](const auto& call) { return picture_.machine(call.first) == nullptr; });
     for (const auto& [id, m] : picture_.machines()) {
       if (m.shown_token || m.removing || m.failed || m.address.empty() || !m.listed) continue;
       if (m.booting || at - m.last_report < 2 * s.report_s) continue;
@@ -578,7 +583,7 @@
       due.push_back(id);
     }
     for (const auto& id : due) {
-      if (pushing_.size() >= kAtOnce) break;
+      if (pushing_.size() >= most_calls() / 2) break;
       called_[id] = at;
       if (pushing_.insert(id).second) scope_.spawn(call_worker(id));
     }
@@ -677,14 +682,20 @@
       co_await pause;
       continue;
     }
-    for (const auto& name : names) {
-      deleted_.insert(name);
-      picture_.remove_machine(name, now());
-    }
+    note_deleted(names);
+    for (const auto& name : names) picture_.remove_machine(name, now());
     work_.set();
+    if (names.size() == kMost) deletions_.set();  // there may be more
   }
 }
 
+void Term::note_deleted(const std::vector<std::string>& names) {
+  const auto& s = services_.settings;
+  const double kept = 20 * std::max(s.list_lag_s, s.lease_s);
+  std::erase_if(deleted_, [&](const auto& entry) { return entry.second < now() - kept; });
+  for (const auto& name : names) deleted_[name] = now();
+}
+
 void Term::watch_machine(Machine& m, const std::map<std::string, sched::ZoneWorkers>& zones,
                          double at) {
   const auto& s = services_.settings;
@@ -695,7 +706,8 @@
     // A list alone proves nothing; a machine that has not reported for several boot times, to a
     // leader who has been there for long enough, does no work.
     const double patience = s.operators.boot_patience * ready_s;
-    if (at - m.rented_at > patience && at - began_ > s.lease_s * 2) {
+    // Nor has one that its zone's cut keeps from reporting failed to come up.
+    if (at - m.rented_at > patience && at - began_ > s.lease_s * 2 && at > m.excused_until) {
       give_back(m, "it never came up");
     }
     return;
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -45,13 +45,8 @@
   bool certain(double now) const {
     return now < confirmed_sent_ + lease_life(settings_) * (1 - 2 * base::kClockDrift);
   }
-  /// Until then reports may be answered 200, by us or by a deputy in our stead: even if a successor
-  /// has promised a cancellation meanwhile, the lease of every worker answered until then ends
-  /// within cancel_s of that promise.
-  double answer_until() const {
-    const double span = settings_.cancel_s - settings_.lease_s;
-    return confirmed_sent_ + span * 0.9;
-  }
+  /// Until then reports may be answered 200, by us or by a deputy in our stead.
+  double answer_until() const { return confirmed_sent_ + base::answer_span(settings_); }
   bool may_answer(double now) const { return now < answer_until(); }
 
  private:
@@ -128,13 +123,21 @@
 
   std::deque<wire::StoredValue> news_;
   std::set<std::string> to_reload_;
-  std::set<std::string> pushing_;
+  std::set<std::string> pushing_;  ///< workers being called
+  /// Guards the sockets against hung machines by the hundred, each of which holds one until its
+  /// call's time is over.
+  std::size_t most_calls() const {
+    return static_cast<std::size_t>(services_.settings.fd_limit) / 8;
+  }
   std::map<std::string, double> called_;  ///< workers told of our token, and when
   std::map<std::string, sched::Pool> pools_;
   std::map<std::string, std::uint64_t> pool_revisions_;
   std::map<sched::MachineKind, double> refused_until_;
   sched::Shortfall shortfall_;
-  std::set<std::string> deleted_;  ///< names never come back; a lagging list still shows them
+  /// When they were deleted: names never come back, but a lagging list or a late report may show
+  /// them for a while yet.
+  std::map<std::string, double> deleted_;
+  void note_deleted(const std::vector<std::string>& names);
   std::uint64_t rental_sequence_ = 0;
   net::Scope scope_;  ///< last, so that its routines end before what they use
 };
--- a/src/net/stream.cpp
+++ b/src/net/stream.cpp
@@ -64,7 +64,8 @@
   Fd fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   const int one = 1;
   ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
-  constexpr int kBacklog = 128;
+  // After a restart a whole fleet connects at once; the kernel lowers this where it must.
+  constexpr int kBacklog = 4096;
   if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&*local), sizeof *local) != 0 ||
       ::listen(fd.get(), kBacklog) != 0) {
     return Fd();
--- a/src/net/task.hpp
+++ b/src/net/task.hpp
@@ -106,7 +106,12 @@
   ~Scope() { clear(); }
 
   void spawn(Task<void> task) {
-    reap();
+    // Looked through only when it has doubled, so that a thousand connections coming at once cost
+    // a thousand steps and not a million.
+    if (tasks_.size() >= reap_at_) {
+      reap();
+      reap_at_ = 2 * tasks_.size() + 16;
+    }
     tasks_.push_back(std::move(task));
     tasks_.back().start();
   }
@@ -126,6 +131,7 @@
     tasks_.remove_if([](const Task<void>& t) { return t.done(); });
   }
   std::list<Task<void>> tasks_;
+  std::size_t reap_at_ = 16;
 };
 
 }  // namespace cranklock::net
--- a/src/peer/links.cpp
+++ b/src/peer/links.cpp
@@ -54,11 +54,12 @@
 }
 
 void Links::send(const std::string& to, const Frame& frame) {
-  constexpr std::size_t kMostWaiting = 256;
+  // A zone's workers may all report at once, each on a connection of its own.
+  const auto most_waiting = static_cast<std::size_t>(settings_.fd_limit);
   const auto it = outboxes_.find(to);
   if (it == outboxes_.end()) return;
   Outbox& box = *it->second;
-  if (!box.connected || box.frames.size() >= kMostWaiting) return;
+  if (!box.connected || box.frames.size() >= most_waiting) return;
   box.frames.push_back(pack(frame));
   box.filled.set();
 }
--- a/src/sched/picture.cpp
+++ b/src/sched/picture.cpp
@@ -489,6 +489,12 @@
 
 double Picture::maybe_answered(const Machine& m, double now) const {
   double at = m.last_answered;
+  // A worker that has not shown our token may still listen to a former leader. That one's last
+  // renewal came before our office, and it answers, or lets others answer, for no longer than this
+  // after it: what lets a successor promise cancellations.
+  if (!m.shown_token) {
+    at = std::max(at, began_ + base::answer_span(settings_) * (1 + 4 * base::kClockDrift));
+  }
   for (const auto& [name, until] : m.kept_until) {
     const auto it = deputies_.find(name);
     const bool heard = it != deputies_.end() && now < it->second.quiet_until;
@@ -497,6 +503,12 @@
   return at;
 }
 
+void Picture::excuse(const std::string& zone, double until) {
+  for (auto& [id, m] : machines_) {
+    if (m.kind.zone == zone) m.excused_until = until;
+  }
+}
+
 std::vector<std::string> Picture::watch_zones(double now) {
   constexpr int kFewest = 3;  // fewer may fail together by chance
   struct Zone {
@@ -517,13 +529,13 @@
   std::vector<std::string> out;
   for (const auto& [name, zone] : zones) {
     if (now - zone.heard < 3 * settings_.report_s) {
-      if (dark_until_.erase(name) > 0) changed_ = true;
+      if (dark_until_.erase(name) == 0) continue;
+      excuse(name, now + 2 * settings_.lease_s);  // who is there will be heard by then
+      changed_ = true;
     } else if (others_report && zone.workers >= kFewest && !dark_until_.contains(name)) {
       // The machines come back with their zone, and with their images; but not for ever.
       dark_until_[name] = now + 3 * settings_.cancel_s;
-      for (auto& [id, m] : machines_) {
-        if (m.kind.zone == name) m.excused_until = dark_until_[name];
-      }
+      excuse(name, dark_until_[name]);
       out.push_back(name);
       changed_ = true;
     }
@@ -536,8 +548,7 @@
 std::vector<std::string> Picture::expire_leases(double now) {
   std::vector<std::string> out;
   for (auto& [id, m] : machines_) {
-    // Only a worker that has shown our token has a lease that nobody but us can prolong.
-    if (!m.reported || m.silent || !m.shown_token) continue;
+    if (m.silent || (!m.reported && m.tasks.empty())) continue;
     if (now <= maybe_answered(m, now) + lease_bound()) continue;
     m.silent = true;
     out.push_back(id);
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -136,8 +136,9 @@
 
 class Picture {
  public:
-  Picture(const base::Settings& settings, std::uint64_t token)
-      : settings_(settings), token_(token) {}
+  /// `began` is when the office was known to be ours.
+  Picture(const base::Settings& settings, std::uint64_t token, double began)
+      : settings_(settings), token_(token), began_(began) {}
 
   // Jobs.
   Job& put_job(Job job, double now);
@@ -179,7 +180,8 @@
   bool deputy_heard(const std::string& name, double now) const;
   /// Something on it is to be stopped, or may still run though it is ended here.
   static bool stopping(const Machine& machine);
-  /// The latest time at which a report of it may have been answered by us or in our stead.
+  /// The latest time at which a report of it may have been answered by us, in our stead, or by a
+  /// former leader.
   double maybe_answered(const Machine& machine, double now) const;
 
   /// Ends the places of machines whose lease has run out for certain; returns those machines.
@@ -207,6 +209,7 @@
   void task_exited(Job& job, Place& place, const wire::TaskReport& report, Machine& machine,
                    double now);
   void task_failed(Job& job, Machine& machine, double now);
+  void excuse(const std::string& zone, double until);
   void break_gang(Job& job, std::uint64_t attempt, double now);
   void used_image(Machine& machine, const wire::JobSpec& spec);
   void attach(Job& job, Place& place);
@@ -214,6 +217,7 @@
 
   const base::Settings& settings_;
   std::uint64_t token_;
+  double began_;
   std::map<std::string, Job> jobs_;
   std::map<std::string, Machine> machines_;
   /// Places on machines that neither list nor report has shown yet, by machine.
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -1,6 +1,8 @@
 // Stories of whole controllers in a small world, each with a rule it guards.
 #include <gtest/gtest.h>
 
+#include <algorithm>
+
 #include "world.hpp"
 
 namespace cranklock::testing {
@@ -258,6 +260,58 @@
   EXPECT_EQ(w.ask(0, "POST", "/checkin", body).status, 421);
 }
 
+// A fleet many times as large, with a third of it and the leader lost at once. Guards against
+// deletions that wait for each other, a new leader that makes itself known to a few workers at a
+// time, and hung machines that use up the sockets.
+TEST(Story, ALargeFleetOutlivesTheLossOfAThirdOfItTogetherWithTheLeader) {
+  auto settings = small_settings();
+  settings.teams = {{"red", 0, 0, 10'000, 20'000}};
+  settings.state_rps = 350;
+  settings.state_write_rps = 120;
+  settings.cloud_rps = 20;
+  settings.fd_limit = 400;
+  World w(3, {}, settings);
+  w.run_s = 10'000;
+  w.run(1);
+  constexpr int kMachines = 1300, kJobs = 60, kTasks = 20;
+  for (int i = 0; i < kMachines; ++i) w.add_worker();
+  w.run(3);
+  const auto id = [](int i) { return "j-" + std::to_string(100'000 + i); };
+  for (int i = 0; i < kJobs; ++i) w.submit(i % 3, spec(id(i), kTasks, wire::Shape::service));
+  w.run(20);
+  const auto running = [&] {
+    int n = 0;
+    for (const auto& [name, worker] : w.workers) {
+      if (!worker->hangs) n += static_cast<int>(worker->tasks.size());
+    }
+    return n;
+  };
+  ASSERT_EQ(running(), kJobs * kTasks);
+  std::vector<std::string> lost;
+  for (auto& [name, worker] : w.workers) {
+    if (!worker->tasks.empty() && lost.size() < kMachines / 3) lost.push_back(name);
+  }
+  for (const auto& name : lost) w.workers[name]->hangs = true;
+  const int old = w.leader();
+  w.most_calls_under_way = 0;
+  w.crash_node(old);
+  w.run(2 * settings.lease_s);
+  ASSERT_GE(w.leader(), 0);
+  EXPECT_EQ(w.ran_twice, 0);
+  EXPECT_LE(w.most_calls_under_way, settings.fd_limit / 8);
+  w.run(180);
+  bool in_a_row = false;  // four requests, of a hundred machines each
+  for (std::size_t i = 3; i < w.deletions.size(); ++i) {
+    in_a_row = in_a_row || w.deletions[i] - w.deletions[i - 3] < settings.report_s;
+  }
+  EXPECT_TRUE(in_a_row);
+  EXPECT_EQ(running(), kJobs * kTasks);
+  EXPECT_EQ(w.ran_twice, 0);
+  for (const auto& name : lost) {
+    EXPECT_NE(std::find(w.deleted.begin(), w.deleted.end(), name), w.deleted.end()) << name;
+  }
+}
+
 // A zone that is cut off works on inside: what runs there outlives its workers' lease, is started
 // nowhere else meanwhile, and goes on when the cut ends.
 TEST(Story, ReplicasInAZoneThatIsCutOffRunOnAndRunOnce) {
