Give nothing more to machines that heed no answer

Change: a start that two later reports in a row do not show, or a worker that twice does not show the token it was answered with, makes the machine deaf for a lease: nothing is placed there. The place is free by the rule that stands (a newer report with our token, nothing in doubt).

--- a/src/sched/picture.cpp
+++ b/src/sched/picture.cpp
@@ -7,6 +7,10 @@
 using wire::Cause;
 using wire::TaskState;
 
+namespace {
+constexpr int kUnheeded = 2;  ///< answers in a row; one may be lost
+}
+
 void TaskSet::add(std::uint32_t task) {
   auto it = std::lower_bound(ranges_.begin(), ranges_.end(), task,
                              [](const Range& r, std::uint32_t t) { return r.second < t; });
@@ -370,6 +374,7 @@
     if (!m.taken_at) changed_ = true;
     m.taken_at = m.taken_at ? std::min(*m.taken_at, at) : at;
   }
+  if (m.deaf_until > 0 && now > m.deaf_until) m.deaf_until = 0, changed_ = true;
   if (!was_usable) changed_ = true;
 
   std::set<std::pair<wire::TaskName, std::uint64_t>> reported;
@@ -402,7 +407,11 @@
   // Absences. Only a report of the worker's own that shows our token counts, and only one newer
   // than what carried the start: the token shuts out a former leader's commands still under way,
   // the order shuts out late copies and answers crossing on the way.
+  if (checkin && r.token < token_ && m.last_answered > 0 && ++m.unheeded >= kUnheeded) {
+    m.deaf_until = now + settings_.lease_s;
+  }
   if (!checkin || r.token != token_) return Freshness::fresh;
+  m.unheeded = 0;
   const auto tasks = m.tasks;  // ending a place changes the list
   for (const auto& held : tasks) {
     Job& j = *held.job;
@@ -415,7 +424,12 @@
     }
     const bool lost = p.seen || (carried && p.carried_session != r.session) ||
                       (p.doubtful_session != 0 && p.doubtful_session != r.session);
-    if (!lost && !p.stop && !j.withdrawn()) continue;  // its start is sent (again)
+    if (!lost && !p.stop && !j.withdrawn()) {
+      // Guards against a machine whose reports arrive and whom no answer reaches: idle for ever, it
+      // would hold whatever is put on it. What it was not told it does not run.
+      if (!carried || ++p.unheeded < kUnheeded) continue;  // its start is sent (again)
+      m.deaf_until = now + settings_.lease_s;
+    }
     end_place(j, p, now);
     break_gang(j, held.attempt, now);
   }
--- a/src/sched/picture.hpp
+++ b/src/sched/picture.hpp
@@ -49,6 +49,7 @@
   double decided_at = 0;
   /// The newest report whose answer carried the start; an absence counts only in a newer report.
   std::uint64_t carried_session = 0, carried_tick = 0;
+  int unheeded = 0;  ///< reports that came after such an answer and did not show it
   /// A start sent straight to the worker in this session that was never answered: it may still be
   /// executed there. 0: none.
   std::uint64_t doubtful_session = 0;
@@ -119,6 +120,8 @@
   std::optional<double> taken_at;
   bool silent = false;       ///< its lease has certainly run out
   double excused_until = 0;  ///< its zone is cut off, or was until lately
+  double deaf_until = 0;     ///< what it is told does not reach it; 0: it does
+  int unheeded = 0;          ///< answers after which it still did not show our token
   bool quarantined = false;
   bool removing = false;  ///< to be deleted; nothing is placed on it
   double idle_since = 0;
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -592,7 +592,7 @@
 bool usable(const Picture& picture, const Machine& m) {
   if (picture.dark(m.kind.zone)) return false;
   return m.reported && !m.silent && !m.removing && !m.failed && !m.quarantined && !m.taken_at &&
-         m.strangers == 0;
+         m.strangers == 0 && m.deaf_until == 0;
 }
 
 std::map<std::string, ZoneWorkers> count_workers(Picture& picture, double now) {
--- a/tests/picture_test.cpp
+++ b/tests/picture_test.cpp
@@ -94,6 +94,49 @@
   EXPECT_EQ(orders[0].verb, Verb::forget);
 }
 
+// Guards against machines that report and hear nothing: idle for ever, they would swallow whatever
+// is put on them.
+TEST(Picture, AMachineThatHeedsNoAnswerHoldsNothingAndGetsNothing) {
+  Placed s;
+  const auto says_nothing_of_it = [&](std::uint64_t tick) {
+    const auto r = report("n-1", 1, tick);
+    s.checkin(r, static_cast<double>(tick));
+    s.picture.orders(r, true, static_cast<double>(tick));
+    s.picture.note_answered("n-1", static_cast<double>(tick));
+  };
+  says_nothing_of_it(2);
+  says_nothing_of_it(3);  // one answer may be lost
+  EXPECT_FALSE(s.place().ended);
+  says_nothing_of_it(4);
+  EXPECT_TRUE(s.place().ended);
+  s.written(s.job);
+  EXPECT_EQ(s.pass(5).placed, 0);
+  says_nothing_of_it(5 + static_cast<std::uint64_t>(s.settings.lease_s));  // tried once more
+  EXPECT_EQ(s.pass(20).placed, 1);
+}
+
+TEST(Picture, AMachineThatNeverShowsOurTokenGetsNothingMore) {
+  Fleet s;
+  s.add(make_job("j-000001", wire::Shape::service, 1, 4));
+  for (std::uint64_t tick = 2; tick <= 4; ++tick) {
+    s.picture.apply_report(report("n-1", 1, tick, {}, kToken - 1), true, 2);
+    s.picture.note_answered("n-1", 2);
+  }
+  EXPECT_EQ(s.pass(3).placed, 0);
+}
+
+// A start sent straight to the worker and never answered may be carried out yet.
+TEST(Picture, WhatAMachineMayHaveBeenToldDirectlyIsNotGivenUp) {
+  Placed s;
+  s.place().doubtful_session = 1;
+  for (std::uint64_t tick = 2; tick < 9; ++tick) {
+    const auto r = report("n-1", 1, tick);
+    s.checkin(r, 2);
+    s.picture.orders(r, true, 2);
+  }
+  EXPECT_FALSE(s.place().ended);
+}
+
 // A worker that has not shown our token may be kept by a former leader for as long as that one may
 // answer, which was settled before our office began; only then does its silence tell.
 TEST(Picture, ALeaseIsTimedFromOurTokenOrFromAFormerLeadersLastAnswer) {
