--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -12,10 +12,6 @@
 using net::Task;
 using store::Outcome;
 
-namespace {
-constexpr double kStoreTimeout = 2.0;
-}
-
 Node::Node(Services services)
     : services_(services),
       users_(services),
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -21,6 +21,8 @@
 
 namespace cranklock::control {
 
+inline constexpr double kStoreTimeout = 2.0;  ///< of a leader's requests to the state service
+
 /// What every part of a node works with.
 struct Services {
   net::Reactor& reactor;
--- /dev/null
+++ b/src/control/term_machines.cpp
@@ -0,0 +1,338 @@
+// The leader's machines: what the cloud lists, what is given back, and the scaler's steps.
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+#include "control/record.hpp"
+#include "control/term.hpp"
+
+namespace cranklock::control {
+
+using net::Sleep;
+using net::Task;
+using sched::Job;
+using sched::Machine;
+using store::Outcome;
+
+// ---- machines ----
+
+Task<void> Term::follow_types() {
+  for (;;) {
+    auto asking = services_.cloud.types();
+    auto types = co_await asking;
+    if (types && !types->empty()) {
+      picture_.set_types(std::move(*types));
+      picture_.mark_changed();
+      work_.set();
+    }
+    const bool known = !picture_.types().empty();
+    Sleep pause(services_.reactor, known ? 2 * services_.settings.list_lag_s : 1.0);
+    co_await pause;
+  }
+}
+
+Task<void> Term::follow_cloud() {
+  const double every = std::max(services_.settings.list_lag_s / 4, 1.0);
+  for (;;) {
+    auto asking = services_.cloud.list();
+    const auto machines = co_await asking;
+    const double at = now();
+    if (machines) {
+      for (const auto& item : *machines) {
+        if (deleted_.contains(item.id)) continue;
+        auto& m = picture_.put_machine(item.id, {item.type, item.zone, item.spot}, at);
+        m.listed = true;
+        m.last_listed = at;
+        m.rented_at = std::min(m.rented_at, at - item.age_s);
+        if (m.address.empty()) m.address = item.address;
+        if (item.state == wire::MachineState::failed) m.failed = true;
+        m.booting = item.state == wire::MachineState::booting;
+      }
+    }
+    Sleep pause(services_.reactor, every);
+    co_await pause;
+  }
+}
+
+void Term::give_back(Machine& m, const char* why) {
+  if (m.removing) return;
+  m.removing = true;
+  spdlog::info("machine {} ({} in {}{}) is given back: {}", m.id, m.kind.type, m.kind.zone,
+               m.kind.spot ? ", spot" : "", why);
+  picture_.mark_changed();
+  deletions_.set();
+}
+
+Task<void> Term::delete_machines() {
+  constexpr std::size_t kMost = 100;
+  for (;;) {
+    net::Signal::Wait wait(deletions_, services_.settings.report_s);
+    co_await wait;
+    std::vector<std::string> names;
+    for (const auto& [id, m] : picture_.machines()) {
+      if (m.removing && names.size() < kMost) names.push_back(id);
+    }
+    if (names.empty() || !office_.certain(now())) continue;
+    auto removing = services_.cloud.remove(names);
+    if (!co_await removing) {
+      Sleep pause(services_.reactor, services_.settings.report_s / 2);
+      co_await pause;
+      continue;
+    }
+    note_deleted(names);
+    for (const auto& name : names) picture_.remove_machine(name, now());
+    work_.set();
+    if (names.size() == kMost) deletions_.set();  // there may be more
+  }
+}
+
+void Term::note_deleted(const std::vector<std::string>& names) {
+  const auto& s = services_.settings;
+  const double kept = 20 * std::max(s.list_lag_s, s.lease_s);
+  std::erase_if(deleted_, [&](const auto& entry) { return entry.second < now() - kept; });
+  for (const auto& name : names) deleted_[name] = now();
+}
+
+void Term::watch_machine(Machine& m, const std::map<std::string, sched::ZoneWorkers>& zones,
+                         double at) {
+  const auto& s = services_.settings;
+  const auto* type = picture_.type(m.kind.type);
+  const double ready_s = type != nullptr ? type->ready_s : s.lease_s;
+  if (m.failed) return give_back(m, "it has stopped on its own");
+  if (!m.reported) {
+    // A list alone proves nothing; a machine that has not reported for several boot times, to a
+    // leader who has been there for long enough, does no work.
+    const double patience = s.operators.boot_patience * ready_s;
+    // Nor has one that its zone's cut keeps from reporting failed to come up.
+    if (at - m.rented_at > patience && at - began_ > s.lease_s * 2 && at > m.excused_until) {
+      give_back(m, "it never came up");
+    }
+    return;
+  }
+  if (m.silent && at - m.last_answered > 2 * s.lease_s && at > m.excused_until) {
+    return give_back(m, "it is silent");
+  }
+  // Its deletion proves what its lease would prove only later: its work starts elsewhere the
+  // sooner.
+  if (sched::surely_taken(picture_, m, zones, at)) return give_back(m, "it is taken");
+  if (m.quarantined && m.idle()) return give_back(m, "it fails what it starts");
+  if (!m.taken_at) return;
+  // Its work moves while it still runs: what saves is told to save.
+  for (const auto& held : m.tasks) {
+    const auto& spec = held.job->spec;
+    if (spec.checkpoint_s > 0 && *m.taken_at - at < 2 * spec.save_s + 3 * s.report_s) {
+      sched::Picture::request_stop(held.place(), spec.save_s, at);
+    }
+  }
+}
+
+Task<void> Term::keep_house() {
+  const auto& s = services_.settings;
+  for (;;) {
+    Sleep pause(services_.reactor, s.report_s / 3);
+    co_await pause;
+    const double at = now();
+    for (const auto& id : picture_.expire_leases(at)) {
+      spdlog::info("machine {} is silent, its lease is over", id);
+      work_.set();
+    }
+    for (const auto& zone : picture_.watch_zones(at)) {
+      spdlog::info("zone {} is dark: none of its workers is heard", zone);
+      work_.set();
+    }
+    const auto zones = sched::count_workers(picture_, at);
+    for (auto& [id, m] : picture_.machines()) {
+      if (!m.removing) watch_machine(m, zones, at);
+    }
+    // A machine that lost its list entry, is silent and holds nothing is forgotten.
+    std::vector<std::string> gone;
+    std::vector<std::pair<std::string, sched::MachineKind>> unknown;
+    for (auto& [id, job] : picture_.jobs()) {
+      for (const auto& p : job.places) {
+        if (p.ended) continue;
+        Machine* m = picture_.machine(p.machine);
+        if (m == nullptr) {
+          if (at - began_ > 2 * s.list_lag_s + s.lease_s) unknown.push_back({p.machine, {}});
+        } else if (job.withdrawn() && at - job.withdrawn_since > (s.cancel_s - s.report_s) / 2) {
+          // The end of a cancelled task could not be confirmed in time.
+          give_back(*m, "a cancelled task may still be on it");
+        }
+      }
+    }
+    // A record may name a machine that neither the list nor a report has shown: its deletion is
+    // the only proof left.
+    for (const auto& [name, kind] : unknown) {
+      give_back(picture_.put_machine(name, kind, at), "nothing is known of it");
+    }
+    for (auto it = refused_until_.begin(); it != refused_until_.end();) {
+      it = it->second < at ? refused_until_.erase(it) : std::next(it);
+    }
+  }
+}
+
+// ---- the scaler ----
+
+Task<void> Term::scale() {
+  const auto& figures = services_.settings.operators.scaler;
+  for (;;) {
+    Sleep pause(services_.reactor, figures.every_s);
+    co_await pause;
+    if (picture_.types().empty() || is_lost_) continue;
+    const double at = now();
+    const bool settled = first_ever_ || at - began_ >= figures.down_window_s;
+    const auto readings = sched::read_pools(picture_, shortfall_, figures.high);
+    std::vector<std::string> changed;
+    for (const auto& [id, reading] : readings) {
+      const std::string name = id.name();
+      auto& pool = pools_.try_emplace(name, sched::Pool(figures)).first->second;
+      const auto wall = services_.reactor.wall_ms();
+      const auto before = pool.state;
+      const int change = pool.decide(reading, settled, wall, at);
+      spdlog::debug("pool {}: score {:.2f}, {} machines, {} wanted, change {}", name, reading.score,
+                    reading.machines, reading.wanted, change);
+      if (change > 0 && office_.certain(at)) {
+        // Stamped now: a refused rental waits a cooldown like any other.
+        pool.stamp(reading.machines + change, wall);
+        spdlog::info("pool {} grows by {} from {}: score {:.2f}", name, change, reading.machines,
+                     reading.score);
+        grow(id, change);
+      } else if (change < 0 && office_.certain(at)) {
+        const int given = shrink(id, -change);
+        if (given > 0) {
+          pool.stamp(reading.machines - given, wall);
+          spdlog::info("pool {} shrinks by {} from {}: score {:.2f}", name, given, reading.machines,
+                       reading.score);
+        }
+      }
+      if (!(pool.state == before)) changed.push_back(name);
+    }
+    for (const auto& name : changed) {
+      auto writing = write_pool(name);
+      co_await writing;
+    }
+  }
+}
+
+void Term::grow(const sched::PoolId& pool, int machines) {
+  // What waits decides on the zone; what the step adds beyond that goes to the zone that has
+  // fewest; a zone without a controller, which loses its work in a cut, gets half of a share.
+  std::map<sched::MachineKind, int> plan;
+  auto wanted = shortfall_.wanted;
+  for (bool any = true; any && machines > 0;) {
+    any = false;
+    for (auto& [kind, n] : wanted) {
+      if (sched::pool_of(kind) != pool || n == 0 || machines == 0) continue;
+      --n, --machines, ++plan[kind];
+      any = true;
+    }
+  }
+  const auto* type = picture_.type(pool.type);
+  const auto weight = [&](const std::string& zone) {
+    return pool.spot || services_.settings.has_node(zone) ? 1 : 2;
+  };
+  std::map<std::string, int> zones;
+  for (const auto& zone : type->zones) {
+    if (!picture_.dark(zone)) zones[zone] = 0;
+  }
+  for (const auto& [id, m] : picture_.machines()) {
+    if (sched::pool_of(m.kind) == pool && zones.contains(m.kind.zone)) {
+      zones[m.kind.zone] += weight(m.kind.zone);
+    }
+  }
+  for (; machines > 0 && !zones.empty(); --machines) {
+    auto least = zones.end();
+    for (auto it = zones.begin(); it != zones.end(); ++it) {
+      const auto refused = refused_until_.find({pool.type, it->first, pool.spot});
+      if (refused != refused_until_.end() && refused->second > now()) continue;
+      if (least == zones.end() || it->second < least->second) least = it;
+    }
+    if (least == zones.end()) break;
+    least->second += weight(least->first);
+    ++plan[{pool.type, least->first, pool.spot}];
+  }
+  constexpr int kMostAtOnce = 50;
+  for (const auto& [kind, n] : plan) {
+    for (int left = n; left > 0; left -= kMostAtOnce) {
+      scope_.spawn(rent(kind, std::min(left, kMostAtOnce)));
+    }
+  }
+}
+
+Task<void> Term::rent(sched::MachineKind kind, int count) {
+  // The token makes the name unique among leaders, the sequence among our own.
+  const std::string name =
+      "r-" + std::to_string(office_.token()) + "-" + std::to_string(++rental_sequence_);
+  const auto& figures = services_.settings.operators.scaler;
+  for (;;) {
+    if (!office_.certain(now())) co_return;
+    auto renting = services_.cloud.rent({name, kind.type, kind.zone, kind.spot, count});
+    const auto result = co_await renting;
+    using Kind = cloud::RentResult::Kind;
+    if (result.kind == Kind::rented) {
+      for (const auto& id : result.machines) {
+        if (!deleted_.contains(id)) picture_.put_machine(id, kind, now());
+      }
+      if (static_cast<int>(result.machines.size()) < count) {
+        refused_until_[kind] = now() + figures.up_cooldown_s;
+      }
+      work_.set();
+      co_return;
+    }
+    if (result.kind == Kind::no_capacity) {
+      spdlog::info("no {} machine to be had in {}{}", kind.type, kind.zone,
+                   kind.spot ? " as spot" : "");
+      refused_until_[kind] = now() + figures.up_cooldown_s;
+      picture_.mark_changed();
+      co_return;
+    }
+    if (result.kind == Kind::refused) co_return;  // the next cooldown brings the next try
+    // No answer: it may have rented. The same name asks again without renting twice.
+    Sleep pause(services_.reactor, services_.settings.report_s);
+    co_await pause;
+  }
+}
+
+int Term::shrink(const sched::PoolId& pool, int machines) {
+  std::vector<Machine*> idle;
+  for (auto& [id, m] : picture_.machines()) {
+    if (sched::pool_of(m.kind) == pool && sched::usable(picture_, m) && m.idle() &&
+        now() - m.idle_since > services_.settings.report_s * 2) {
+      idle.push_back(&m);
+    }
+  }
+  std::sort(idle.begin(), idle.end(),
+            [](const Machine* a, const Machine* b) { return a->idle_since < b->idle_since; });
+  int given = 0;
+  for (Machine* m : idle) {
+    if (given == machines) break;
+    give_back(*m, "nothing needs it");
+    ++given;
+  }
+  return given;
+}
+
+Task<void> Term::write_pool(std::string name) {
+  const auto& pool = pools_.at(name);
+  wire::JsonWriter w;
+  w.begin()
+      .key("count")
+      .integer(pool.state.count)
+      .key("scaled")
+      .integer(pool.state.scaled_ms)
+      .end();
+  const std::string key = kPoolsPrefix + name;
+  std::vector<wire::Condition> conditions{{kLeaderKey, office_.token()},
+                                          {key, pool_revisions_[name]}};
+  std::vector<wire::Change> changes{{key, w.take(), 0}};
+  auto writing = services_.store.transact(std::move(conditions), std::move(changes), kStoreTimeout);
+  const auto result = co_await writing;
+  if (result.outcome == Outcome::ok) {
+    pool_revisions_[name] = result.revision;
+  } else if (result.outcome != Outcome::refused) {
+    auto reading = services_.store.read(key, kStoreTimeout);
+    const auto found = co_await reading;
+    if (found.outcome == Outcome::ok) pool_revisions_[name] = found.value.revision;
+  }
+}
+
+}  // namespace cranklock::control
--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -11,7 +11,7 @@
 using wire::JobState;
 
 namespace {
-constexpr double kStoreTimeout = 1.5;  // users wait 2 s for a status
+constexpr double kUserTimeout = 1.5;  // users wait 2 s for a status
 constexpr std::size_t kEndedKept = 4000;
 constexpr double kSlowAnswer = 0.1;
 
@@ -101,7 +101,7 @@
   }
   // First the live record, then the ended one: a job moves from the first to the second at once and
   // never back, so missing both, in this order, means that it was in neither when asked.
-  auto reading = services_.store.read(job_key(id), kStoreTimeout);
+  auto reading = services_.store.read(job_key(id), kUserTimeout);
   auto live = co_await reading;
   if (live.outcome == Outcome::ok) {
     int parts = 0;
@@ -114,7 +114,7 @@
     co_return found;
   }
   if (live.outcome != Outcome::failed) co_return found;
-  auto reading_ended = services_.store.read(ended_key(id), kStoreTimeout);
+  auto reading_ended = services_.store.read(ended_key(id), kUserTimeout);
   const auto ended = co_await reading_ended;
   if (ended.outcome == Outcome::failed) found.kind = Found::Kind::absent;
   if (ended.outcome != Outcome::ok) co_return found;
@@ -185,8 +185,7 @@
   }
   std::vector<wire::Condition> conditions{{job_key(*id), 0}, {ended_key(*id), 0}};
   std::vector<wire::Change> changes{{job_key(*id), texts[0], 0}};
-  auto creating =
-      services_.store.transact(std::move(conditions), std::move(changes), kStoreTimeout);
+  auto creating = services_.store.transact(std::move(conditions), std::move(changes), kUserTimeout);
   const auto created = co_await creating;
   if (created.outcome == Outcome::ok) {
     co_return plain_answer(201, wire::job_answer(*id, JobState::queued));
@@ -220,7 +219,7 @@
 
 Task<Response> Users::withdraw(std::string id) {
   if (!wire::valid_job_id(id)) co_return plain_answer(404, wire::error_answer("no such job"));
-  const double until = services_.reactor.now() + 2 * kStoreTimeout;
+  const double until = services_.reactor.now() + 2 * kUserTimeout;
   while (services_.reactor.now() < until) {
     auto looking = look_up(id);
     auto found = co_await looking;
@@ -243,7 +242,7 @@
     std::vector<wire::Condition> conditions{{job_key(id), found.job.revision}};
     std::vector<wire::Change> changes{{job_key(id), std::move(text), 0}};
     auto writing =
-        services_.store.transact(std::move(conditions), std::move(changes), kStoreTimeout);
+        services_.store.transact(std::move(conditions), std::move(changes), kUserTimeout);
     const auto written = co_await writing;
     if (written.outcome == Outcome::ok) {
       co_return plain_answer(200, wire::job_answer(id, JobState::withdrawn));
