Tests: a referee of all rules in every world, and the troubles that meet

The stand-ins learn late and lost transactions, late copies of reports, deaf and mute machines, commands that a hung machine executes when it goes on, refusal of one node, cuts from state and peers, limits on changes, and users who ask at all nodes within milliseconds. A world fails its story if it broke a rule that it was not made to break; one world each proves that every rule's check notices.

--- /dev/null
+++ b/tests/referee.hpp
@@ -0,0 +1,79 @@
+// Counts what breaks PROTOCOL's rules: what users are told, and what starts and stays where. Every
+// world has one, so that no story can pass over a broken rule.
+#pragma once
+
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "base/settings.hpp"
+#include "sched/picture.hpp"
+#include "wire/messages.hpp"
+
+namespace cranklock::testing {
+
+/// A task as its machine has it.
+struct Seen {
+  std::string job, machine;
+  std::uint32_t task = 0;
+  sched::MachineKind kind;
+  bool has_image = true;  ///< and so is on its machine, as PROTOCOL counts it
+};
+
+class Referee {
+ public:
+  explicit Referee(const base::Settings& settings) : settings_(settings) {}
+
+  /// How often each rule was broken, and how, the first time.
+  std::map<std::string, std::string> broken;
+  /// Not a rule, and counted by the operators all the same: starts that reached a machine after a
+  /// confirmed cancellation, and the longest that one was late.
+  int late_starts = 0;
+  double latest_start = 0;
+
+  // ---- what users ask and are told ----
+  struct Question {
+    enum class Kind { submit, status, cancel, other };
+    Kind kind = Kind::other;
+    std::string job;
+    int told = 0;        ///< when it was asked: 0 nothing, 1 accepted, 2 over
+    std::string ending;  ///< as told by then
+  };
+  Question ask(const std::string& method, const std::string& path, const std::string& body);
+  void answered(const Question& question, int status, const std::string& body, double now);
+
+  // ---- what machines do ----
+  void completed(const std::string& job, std::uint32_t task) { jobs_[job].done.insert(task); }
+  bool is_completed(const std::string& job, std::uint32_t task) const {
+    const auto it = jobs_.find(job);
+    return it != jobs_.end() && it->second.done.contains(task);
+  }
+  /// A task starts while these, the rest of what machines hold, are where they are.
+  void starts(const Seen& task, const std::vector<Seen>& others, double now);
+  /// Everything that machines hold at this moment.
+  void look(const std::vector<Seen>& held, double now);
+  /// A start command has reached a machine.
+  void told_to_start(const std::string& job, double now);
+
+  const wire::JobSpec* spec(const std::string& job) const;
+  std::vector<std::string> accepted() const;
+  /// "" while nobody was told of an end.
+  std::string ending(const std::string& job) const;
+  double cancelled_at(const std::string& job) const;
+
+ private:
+  struct Job {
+    bool submitted = false, described = false, cancel_asked = false;
+    int told = 0;
+    std::string ending;
+    double cancelled_at = -1;
+    wire::JobSpec spec;
+    std::set<std::uint32_t> done;
+  };
+  void breaks(const std::string& rule, const std::string& how);
+  const base::Settings& settings_;
+  std::map<std::string, Job> jobs_;
+};
+
+}  // namespace cranklock::testing
--- /dev/null
+++ b/tests/referee_test.cpp
@@ -0,0 +1,149 @@
+// Proves that the referee of every world notices each broken rule: each of these worlds breaks one.
+#include <gtest/gtest.h>
+
+#include "world.hpp"
+
+namespace cranklock::testing {
+namespace {
+
+using wire::Cause;
+using wire::TaskState;
+
+wire::JobSpec spec(const std::string& id, std::uint32_t tasks = 1) {
+  return make_job(id, wire::Shape::service, tasks, 4).spec;
+}
+
+/// A world with one job that runs on a machine of zone a, and another machine beside it.
+struct Broken : World {
+  explicit Broken(const std::string& rule) : World(3) {
+    expected_broken = {rule};
+    run_s = 1000;
+    add_worker("a");
+    add_worker("b");
+    run(3);
+    auto s = spec("j-000001");
+    s.zone = "a";
+    submit(0, s);
+    s = spec("j-000009");
+    s.zone = "b";  // so that both machines are kept
+    submit(0, s);
+    run(4);
+  }
+  Worker& beside() { return *workers.at("n-2"); }
+  void smuggle(Worker& to, const std::string& task) {
+    to.tasks[task] = {99, TaskState::fetching, Cause::none, reactor.now() - 1};
+  }
+};
+
+TEST(Referee, NoticesATaskThatStartsWhileItIsElsewhere) {
+  Broken w("ran_twice");
+  w.expected_broken.insert("wrong_place");  // the other machine is in another zone
+  w.smuggle(w.beside(), "j-000001/0");
+  w.run(0.5);
+}
+
+TEST(Referee, NoticesAStartInAZoneThatTheJobDoesNotAllow) {
+  Broken w("wrong_place");
+  auto s = spec("j-000002");
+  s.zone = "a";
+  w.workers.at("n-1")->hangs = true;
+  w.submit(0, s);
+  w.smuggle(w.beside(), "j-000002/0");
+  w.run(0.5);
+}
+
+TEST(Referee, NoticesOneZoneAndApartBroken) {
+  for (const bool one_zone : {true, false}) {
+    Broken w("wrong_place");
+    auto s = spec("j-000002", 2);
+    s.room = {1, 1, 8};
+    s.one_zone = one_zone;
+    s.spread = !one_zone;
+    w.submit(0, s);
+    w.run(5);
+    ASSERT_GE(w.running("j-000002"), 1);
+    // The task that is in the other zone, or in none yet, comes to be where the first one is not,
+    // or is.
+    std::string here, first, second;
+    for (auto& [id, worker] : w.workers) {
+      for (const char* task : {"j-000002/0", "j-000002/1"}) {
+        if (!worker->tasks.contains(task) || !first.empty()) continue;
+        first = task;
+        here = worker->zone;
+      }
+    }
+    second = first.ends_with("0") ? "j-000002/1" : "j-000002/0";
+    for (auto& [id, worker] : w.workers) {
+      if ((worker->zone == here) != one_zone) w.smuggle(*worker, second);
+    }
+    if (w.running("j-000002") == 2) w.expected_broken.insert("ran_twice");
+    w.run(0.5);
+  }
+}
+
+TEST(Referee, NoticesATeamBeyondItsLimit) {
+  Broken w("quota");
+  w.run(1);
+  w.submit(0, spec("j-000002", 4));
+  for (int i = 0; i < 4; ++i) w.smuggle(w.beside(), "j-000002/" + std::to_string(i));
+  w.run(0.5);
+}
+
+TEST(Referee, NoticesACancelledTaskThatIsStillThere) {
+  Broken w("ran_cancelled");
+  w.cancel(1, "j-000001");
+  w.run(w.base_settings.cancel_s + 1);
+  w.beside().mute = true;  // or it would be told to stop
+  w.smuggle(w.beside(), "j-000001/0");
+  w.expected_broken.insert("wrong_place");
+  w.run(1);
+  EXPECT_EQ(w.referee.late_starts, 0);
+  w.referee.told_to_start("j-000001", w.reactor.now());
+  EXPECT_EQ(w.referee.late_starts, 1);
+}
+
+TEST(Referee, NoticesAnAcceptedJobThatIsForgottenOrRefused) {
+  for (const bool asks : {true, false}) {
+    Broken w("forgotten");
+    w.store.erase("jobs/j-000001");
+    if (asks) {
+      EXPECT_EQ(w.ask(1, "GET", "/v1/jobs/j-000001").status, 404);
+    } else {
+      EXPECT_EQ(w.ask(1, "POST", "/v1/jobs", R"({"Id":"j-000001"})").status, 400);
+    }
+  }
+}
+
+TEST(Referee, NoticesAJobThatNobodySubmitted) {
+  Broken w("invented");
+  w.store["ended/j-000777"] = {R"({"s":"done","n":1})", 1, 0};
+  EXPECT_EQ(w.ask(1, "GET", "/v1/jobs/j-000777").status, 200);
+}
+
+TEST(Referee, NoticesAJobThatIsCalledDoneTooEarly) {
+  Broken w("not_done");
+  w.store.erase("jobs/j-000001");
+  w.store["ended/j-000001"] = {R"({"s":"done","n":1})", 1, 0};
+  EXPECT_EQ(w.state_of(1, "j-000001"), "done");
+}
+
+TEST(Referee, NoticesAnswersThatGoBack) {
+  Broken w("went_back");
+  const auto record = w.store.at("jobs/j-000001");
+  w.cancel(1, "j-000001");
+  w.run(5);
+  ASSERT_TRUE(w.store.contains("ended/j-000001"));
+  w.store.erase("ended/j-000001");
+  w.store["jobs/j-000001"] = record;
+  EXPECT_EQ(w.state_of(2, "j-000001"), "running");
+}
+
+TEST(Referee, NoticesACancellationThatNobodyAskedFor) {
+  Broken w("went_back");
+  w.store.erase("jobs/j-000001");
+  w.store["ended/j-000001"] = {R"({"s":"withdrawn","n":0})", 1, 0};
+  EXPECT_EQ(w.state_of(1, "j-000001"), "withdrawn");
+}
+
+}  // namespace
+}  // namespace cranklock::testing
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -53,8 +53,14 @@
   }
 };
 
+struct World::Exchange {
+  explicit Exchange(net::Reactor& reactor) : answered(reactor) {}
+  net::Signal answered;
+  std::optional<Response> response;
+};
+
 World::World(int nodes, std::vector<std::string> zones, base::Settings settings)
-    : base_settings(std::move(settings)), zones_(std::move(zones)) {
+    : base_settings(std::move(settings)), referee(base_settings), zones_(std::move(zones)) {
   base_settings.cloud = "cloud";
   base_settings.state = "state";
   base_settings.list_lag_s = 2;
@@ -62,10 +68,18 @@
     base_settings.others.push_back({"n" + std::to_string(i), zone_of(i), "peer"});
     hosts_.push_back(nullptr);
   }
+  base_settings.nodes = nodes;
   for (int i = 0; i < nodes; ++i) start_node(i);
+  scope_.spawn(watch_over());
 }
 
 World::~World() {
+  for (const auto& [rule, how] : referee.broken) {
+    EXPECT_TRUE(expected_broken.contains(rule)) << rule << ": " << how;
+  }
+  for (const auto& rule : expected_broken) {
+    EXPECT_TRUE(referee.broken.contains(rule)) << rule << " was not noticed";
+  }
   hosts_.clear();
   scope_.clear();
 }
@@ -106,6 +120,7 @@
   Sleep there(reactor, 0.003);
   co_await there;
   const auto& host = hosts_[static_cast<std::size_t>(to)];
+  if (cut_from_peers.contains(from) || cut_from_peers.contains(to)) co_return;
   if (host && !apart(zone_of(from), zone_of(to))) {
     host->node.heard("n" + std::to_string(from), std::move(frame));
   }
@@ -124,18 +139,33 @@
 
 Response World::ask(int node, const std::string& method, const std::string& path,
                     const std::string& body) {
+  const auto question = referee.ask(method, path, body);
   auto task = hosts_[static_cast<std::size_t>(node)]->node.handle({method, path, "", body, true});
   task.start();
   for (int i = 0; i < 1000 && !task.done(); ++i) run(0.01);
   EXPECT_TRUE(task.done()) << "an answer was held back";
-  return task.done() ? task.take() : Response{};
+  if (!task.done()) return {};
+  auto response = task.take();
+  referee.answered(question, response.status, response.body, reactor.now());
+  return response;
 }
 
-void World::submit(int node, const wire::JobSpec& spec) {
-  known_jobs.insert(spec.id);
+namespace {
+std::string text_of(const wire::JobSpec& spec) {
   JsonWriter w;
   wire::write_job(w, spec);
-  ASSERT_EQ(ask(node, "POST", "/v1/jobs", w.take()).status, 201);
+  return w.take();
+}
+}  // namespace
+
+void World::submit(int node, const wire::JobSpec& spec) {
+  const auto response = ask(node, "POST", "/v1/jobs", text_of(spec));
+  ASSERT_EQ(response.status, 201) << response.body;
+}
+
+void World::cancel(int node, const std::string& id) {
+  ASSERT_EQ(ask(node, "POST", "/v1/jobs/" + id + "/withdraw").status, 200);
+  ASSERT_EQ(referee.ending(id), "withdrawn");
 }
 
 std::string World::state_of(int node, const std::string& id) {
@@ -150,7 +180,7 @@
   w->id = "n-" + std::to_string(++rented);
   w->address = "worker:" + w->id;
   w->zone = zone;
-  w->answered_sent = reactor.now();
+  w->answered_sent = w->began = reactor.now();
   Worker& ref = *w;
   workers[w->id] = std::move(w);
   scope_.spawn(work(ref));
@@ -166,6 +196,109 @@
   return n;
 }
 
+int World::held(const std::string& job) const {
+  int n = 0;
+  for (const auto& [id, w] : workers) {
+    if (w->gone || lease_over(*w)) continue;
+    for (const auto& [name, t] : w->tasks) {
+      n += name.starts_with(job + "/") && t.state != TaskState::exited ? 1 : 0;
+    }
+  }
+  return n;
+}
+
+// ---- users ----
+
+net::Task<std::optional<Response>> World::user_asks(int node, std::string method, std::string path,
+                                                    std::string body) {
+  const auto question = referee.ask(method, path, body);
+  auto asking = exchange(node, {method, path, "", body, true}, 5);
+  auto response = co_await asking;
+  if (response) referee.answered(question, response->status, response->body, reactor.now());
+  co_return response;
+}
+
+net::Task<void> World::look_once(int node, wire::JobSpec spec, bool submits) {
+  Sleep moment(reactor, 0.01 * chance());
+  co_await moment;
+  auto asking =
+      user_asks(node, submits ? "POST" : "GET", submits ? "/v1/jobs" : "/v1/jobs/" + spec.id,
+                submits ? text_of(spec) : "");
+  co_await asking;
+}
+
+net::Task<void> World::look_closely(wire::JobSpec spec) {
+  for (int node = 0; node < nodes(); ++node) {
+    scope_.spawn(look_once(node, spec, false));
+    scope_.spawn(look_once(node, spec, true));
+  }
+  co_return;
+}
+
+void World::add_user(const wire::JobSpec& spec, UserHabits habits) {
+  scope_.spawn(use(spec, habits));
+}
+
+net::Task<void> World::use(wire::JobSpec spec, UserHabits habits) {
+  const double began = reactor.now();
+  const auto path = "/v1/jobs/" + spec.id;
+  std::string known;
+  for (;;) {
+    const bool cancels = habits.cancels_after >= 0 && reactor.now() - began >= habits.cancels_after;
+    std::optional<Response> response;
+    // Whoever has not heard that it is accepted, or cancelled, asks again.
+    if (known.empty()) {
+      auto asking = user_asks(any_node(), "POST", "/v1/jobs", text_of(spec));
+      response = co_await asking;
+    } else {
+      auto asking =
+          user_asks(any_node(), cancels ? "POST" : "GET", cancels ? path + "/withdraw" : path, "");
+      response = co_await asking;
+    }
+    if (response && (response->status == 200 || response->status == 201)) {
+      const JsonDocument document(response->body);
+      const auto state = wire::read_text(document.root(), "Stance").value_or("");
+      if (habits.looks && state != known) {
+        auto looking = look_closely(spec);
+        co_await looking;
+      }
+      known = state;
+      if (state == "done" || state == "withdrawn") co_return;
+    }
+    Sleep pause(reactor, cancels || known.empty() ? 1.0 : 0.3 + 0.4 * chance());
+    co_await pause;
+    if (!habits.cancels_at_end || habits.cancels_after >= 0) continue;
+    for (const auto& [id, w] : workers) {
+      for (const auto& [name, t] : w->tasks) {
+        const bool ends =
+            t.state == TaskState::exited || reactor.now() - t.since > run_time(name) - 0.5;
+        if (name.starts_with(spec.id + "/") && ends) habits.cancels_after = 0;
+      }
+    }
+  }
+}
+
+net::Task<void> World::serve(int node, Request request, std::shared_ptr<Exchange> exchange) {
+  auto handling = hosts_[static_cast<std::size_t>(node)]->node.handle(std::move(request));
+  auto response = co_await handling;
+  exchange->response = std::move(response);
+  exchange->answered.set();
+}
+
+net::Task<std::optional<Response>> World::exchange(int node, Request request, double timeout_s) {
+  Sleep there(reactor, 0.001);
+  co_await there;
+  const auto& host = hosts_[static_cast<std::size_t>(node)];
+  if (!host) co_return std::nullopt;
+  auto pending = std::make_shared<Exchange>(reactor);
+  host->scope.spawn(serve(node, std::move(request), pending));
+  net::Signal::Wait wait(pending->answered, timeout_s);
+  co_await wait;
+  co_return std::move(pending->response);
+}
+
+// ---- what passes between ----
+
 net::Task<Reply> World::call(int node, std::string address, Request request, double timeout_s) {
   Sleep there(reactor, 0.003);
   co_await there;
@@ -178,22 +311,44 @@
   if (address == "state") {
     const bool watch = request.path == "/follow";
     const double until = reactor.now() + timeout_s;
+    const double hold_s = watch ? std::stod(net::query_field(request.query, "HoldMs")) / 1000 : 0;
+    const double opened = reactor.now();
+    if (state_slow_s > 0) {
+      Sleep slowly(reactor, state_slow_s * chance());
+      co_await slowly;
+    }
+    if (unserved(node) && !cut_from_state.contains(node)) {
+      co_return Reply{Reply::Kind::answered, answer(503)};
+    }
     for (;;) {
       if (cut_from_state.contains(node)) {
         Sleep wait(reactor, until - reactor.now());
         co_await wait;
         co_return lost;
       }
-      Response response = state_down ? answer(503) : state(request);
+      const bool txn = request.path == "/txn";
+      if (txn && chance() < late_txns) {
+        scope_.spawn(apply_late(request, 2 + 10 * chance()));
+        Sleep wait(reactor, until - reactor.now());
+        co_await wait;
+        co_return lost;
+      }
+      if (watch && (unserved(node) || mute_watches.contains(node))) {
+        if (reactor.now() >= until) co_return lost;
+        Sleep wait(reactor, 0.02);
+        co_await wait;
+        continue;
+      }
+      Response response = state(request);
       const bool nothing =
           response.status == 200 && response.body.find("News\":[]") != std::string::npos;
-      if (watch && (nothing || state_down) && reactor.now() < until - 1) {
+      if (watch && nothing && reactor.now() < opened + hold_s) {
         Sleep wait(reactor, 0.02);
         co_await wait;
         continue;
       }
-      if (request.path == "/txn" && response.status == 200 && swallow_txn_answers > 0) {
-        --swallow_txn_answers;
+      if (txn && response.status == 200 && (swallow_txn_answers > 0 || chance() < lost_txns)) {
+        if (swallow_txn_answers > 0) --swallow_txn_answers;
         Sleep wait(reactor, until - reactor.now());
         co_await wait;
         co_return lost;
@@ -202,6 +357,9 @@
     }
   }
   if (address == "cloud") {
+    if (cloud_down) {
+      co_return Reply{Reply::Kind::answered, answer(503, R"({"error":"trouble"})")};
+    }
     Response response = cloud(request);
     if (request.path == "/rentals" && request.method == "POST" && swallow_rental_answers > 0) {
       --swallow_rental_answers;
@@ -219,7 +377,16 @@
   most_calls_under_way = std::max(most_calls_under_way, calls_under_way);
   for (auto& [id, w] : workers) {
     if (w->address != address) continue;
-    if (cut_from_workers.contains(node) || w->hangs || apart(zone_of(node), w->zone)) break;
+    if (w->gone || w->deaf || cut_from_workers.contains(node)) break;
+    if (apart(zone_of(node), w->zone)) break;
+    if (w->commands_late_s > 0) {
+      scope_.spawn(arrive_late(*w, request, w->commands_late_s));
+      break;
+    }
+    if (w->hangs) {
+      w->held.push_back(request);
+      break;
+    }
     Response response = commands(*w, request);
     if (w->swallow_commands > 0) {
       --w->swallow_commands;
@@ -244,6 +411,7 @@
 }
 
 void World::expire() {
+  if (state_down) return;
   for (auto it = leases_.begin(); it != leases_.end();) {
     if (it->second.second > reactor.now()) {
       ++it;
@@ -308,8 +476,28 @@
     expire();
     return answer(200);
   }
-  // A transaction.
+  return transaction(r);
+}
+
+Response World::transaction(const Request& r) {
+  JsonWriter w;
   const JsonDocument document(r.body);
+  if (limits_writes) {
+    const double rate = base_settings.state_write_rps;
+    if (write_level_at_ == 0) write_level_ = rate;
+    write_level_ = std::min(rate, write_level_ + (reactor.now() - write_level_at_) * rate);
+    write_level_at_ = reactor.now();
+    const double changes = document.root()["Then"].Size();
+    if (write_level_ < changes) {
+      ++refused_writes;
+      return answer(429);
+    }
+    write_level_ -= changes;
+  }
+  for (const auto& c : document.root()["Then"].GetArray()) {
+    const auto hold = wire::read_count(c, "Hold").value_or(0);
+    if (hold != 0 && !leases_.contains(hold)) return answer(400, R"({"error":"no such lease"})");
+  }
   w.begin();
   bool failed = false;
   w.key("failed").list();
@@ -349,7 +537,7 @@
     for (const auto& m : document.root()["Rigs"].GetArray()) {
       const auto it = workers.find(m.GetString());
       if (it == workers.end()) continue;
-      it->second->hangs = true;
+      it->second->hangs = it->second->gone = true;
       it->second->tasks.clear();
       deleted.emplace_back(m.GetString());
     }
@@ -371,7 +559,7 @@
   }
   w.begin().key("Rigs").list();
   for (const auto& [id, worker] : workers) {
-    if (std::find(deleted.begin(), deleted.end(), id) != deleted.end()) continue;
+    if (worker->gone || reactor.now() - worker->began < unlisted_s) continue;
     w.begin().key("Id").text(id).key("Address").text(worker->address).key("Frame").text("g8");
     w.key("Yard").text(worker->zone).key("Loaners").flag(false).key("Stance").text("running");
     w.key("HeldS").amount(1).end();
@@ -382,27 +570,126 @@
 
 // ---- workers ----
 
+bool World::lease_over(const Worker& w) const {
+  return reactor.now() - w.answered_sent > base_settings.lease_s;
+}
+
+double World::run_time(const std::string& task) const {
+  const auto it = run_s_of.find(task);
+  return it == run_s_of.end() ? run_s : it->second;
+}
+
+void World::end_lease(Worker& w) {
+  if (!lease_over(w)) return;
+  ++w.session;
+  w.tasks.clear();
+  w.answered_sent = reactor.now();
+}
+
+std::vector<Seen> World::everything() const {
+  std::vector<Seen> out;
+  for (const auto& [id, w] : workers) {
+    // What hangs beyond its lease kills its tasks before it does anything else.
+    if (w->gone || lease_over(*w)) continue;
+    for (const auto& [name, t] : w->tasks) {
+      const auto task = wire::parse_task(name);
+      if (t.state == TaskState::exited || !task) continue;
+      out.push_back(
+          {task->job, id, task->index, {"g8", w->zone, false}, t.state != TaskState::fetching});
+    }
+  }
+  return out;
+}
+
 void World::progress(Worker& w) {
   for (auto& [name, t] : w.tasks) {
     if (t.state == TaskState::fetching && reactor.now() - t.since > 0.5) {
-      for (const auto& [id, other] : workers) {
-        const auto it = other->tasks.find(name);
-        // What hangs beyond its lease kills its tasks before it does anything else.
-        const bool over = reactor.now() - other->answered_sent > base_settings.lease_s;
-        if (other.get() != &w && !over && it != other->tasks.end() &&
-            it->second.state == TaskState::running) {
-          ++ran_twice;
+      std::vector<Seen> others;
+      const auto task = *wire::parse_task(name);
+      if (referee.is_completed(task.job, task.index)) {  // its result was kept
+        t = {t.attempt, TaskState::exited, Cause::done, reactor.now()};
+        continue;
+      }
+      for (auto& seen : everything()) {
+        if (seen.job == task.job && seen.has_image) {
+          ran_twice += seen.task == task.index && seen.machine != w.id ? 1 : 0;
+          others.push_back(std::move(seen));
         }
       }
+      referee.starts({task.job, w.id, task.index, {"g8", w.zone, false}, true}, others,
+                     reactor.now());
       t = {t.attempt, TaskState::running, Cause::none, reactor.now()};
       ++starts[name];
     }
-    if (t.state == TaskState::running && reactor.now() - t.since > run_s) {
+    if (t.state == TaskState::running && reactor.now() - t.since > run_time(name)) {
       t = {t.attempt, TaskState::exited, Cause::done, reactor.now()};
+      const auto task = *wire::parse_task(name);
+      referee.completed(task.job, task.index);
     }
   }
 }
 
+void World::wake(Worker& w) {
+  if (w.gone) return;
+  w.hangs = false;
+  end_lease(w);
+  const auto held_back = std::move(w.held);
+  w.held.clear();
+  for (const auto& request : held_back) commands(w, request);
+}
+
+net::Task<void> World::arrive_late(Worker& w, Request request, double after) {
+  Sleep pause(reactor, after);
+  co_await pause;
+  if (w.hangs) {
+    w.held.push_back(std::move(request));
+  } else if (!w.gone) {
+    commands(w, request);
+  }
+}
+
+net::Task<void> World::apply_late(Request request, double after) {
+  Sleep pause(reactor, after);
+  co_await pause;
+  while (state_down) {
+    Sleep outage(reactor, 0.1);
+    co_await outage;
+  }
+  state(request);
+}
+
+net::Task<void> World::report_late(int node, std::string body, double after) {
+  Sleep pause(reactor, after);
+  co_await pause;
+  auto sending = exchange(node, {"POST", "/checkin", "", std::move(body), true}, 4);
+  co_await sending;  // whom the answer was meant for has long had another
+}
+
+// What goes on by itself: leases of workers and of the state service, and the referee's look.
+net::Task<void> World::watch_over() {
+  constexpr double kEvery = 0.25;
+  for (;;) {
+    Sleep pause(reactor, kEvery);
+    co_await pause;
+    for (auto& [id, life] : leases_) {
+      if (state_down) life.second = reactor.now() + life.first;
+    }
+    for (auto& [id, w] : workers) {
+      if (w->hangs) continue;
+      end_lease(*w);
+      progress(*w);
+    }
+    referee.look(everything(), reactor.now());
+    if (leader() == last_leader_) continue;
+    last_leader_ = leader();
+    if (last_leader_ < 0) continue;
+    for (const auto& [id, body] : kept_reports_) {
+      for (int node = 0; node < nodes(); ++node) scope_.spawn(report_late(node, body, kept_s));
+    }
+    kept_reports_.clear();
+  }
+}
+
 void World::execute(Worker& w, const Json& orders) {
   for (const auto& o : orders.GetArray()) {
     const std::string verb = o["Verb"].GetString(), name = o["Tooth"].GetString();
@@ -410,6 +697,7 @@
     const auto it = w.tasks.find(name);
     const bool held = it != w.tasks.end() && it->second.attempt == attempt;
     if (verb == "start" && !held) {
+      referee.told_to_start(wire::parse_task(name)->job, reactor.now());
       w.tasks[name] = {attempt, TaskState::fetching, Cause::none, reactor.now()};
     } else if (verb == "kill" && held && it->second.state != TaskState::exited) {
       it->second = {attempt, TaskState::exited, Cause::stopped, reactor.now()};
@@ -453,34 +741,47 @@
   for (;;) {
     Sleep pause(reactor, base_settings.report_s);
     co_await pause;
+    if (w.gone) co_return;
     if (w.hangs) continue;
     progress(w);
-    if (reactor.now() - w.answered_sent > base_settings.lease_s) {
-      ++w.session;
-      w.tasks.clear();
-      w.answered_sent = reactor.now();
-    }
+    end_lease(w);
     const double sent = reactor.now();
-    const auto& host = hosts_[static_cast<std::size_t>(w.target)];
-    const int next = (w.target + 1) % static_cast<int>(hosts_.size());
-    if (!host || cut_from_workers.contains(w.target)) {
+    const int target = w.target, next = (target + 1) % nodes();
+    if (w.mute || !is_up(target) || cut_from_workers.contains(target)) {
       w.target = next;
       continue;
     }
-    if (apart(zone_of(w.target), w.zone)) {
+    if (apart(zone_of(target), w.zone)) {
       Sleep patience(reactor, 4);
       co_await patience;
       w.target = next;
       continue;
     }
-    auto asking = host->node.handle({"POST", "/checkin", "", report_of(w), true});
+    const std::string body = report_of(w);
+    if (chance() < late_reports) {
+      const double after = 2 + chance() * (1.5 * base_settings.lease_s - 2);
+      scope_.spawn(report_late(any_node(), body, after));
+    }
+    if (keeps_reports) kept_reports_.emplace(w.id, body);
+    const auto session = w.session;
+    auto asking = exchange(target, {"POST", "/checkin", "", body, true}, 4);
     const auto response = co_await asking;
-    if (apart(zone_of(w.target), w.zone)) continue;
-    const JsonDocument document(response.body.empty() ? "{}" : response.body);
-    if (response.status == 421) {
+    if (w.deaf) {
+      Sleep patience(reactor, std::max(sent + 4 - reactor.now(), 0.0));
+      co_await patience;
+      w.target = next;
+      continue;
+    }
+    if (!response) {
+      w.target = next;
+      continue;
+    }
+    if (apart(zone_of(target), w.zone) || w.hangs || w.gone || session != w.session) continue;
+    const JsonDocument document(response->body.empty() ? "{}" : response->body);
+    if (response->status == 421) {
       const auto to = wire::read_text(document.root(), "Foreman").value_or("");
       w.target = to.empty() ? next : to[1] - '0';
-    } else if (response.status != 200) {
+    } else if (response->status != 200) {
       w.target = next;
     } else if (document.root()["KeyTurn"].GetUint64() >= w.token) {
       w.token = document.root()["KeyTurn"].GetUint64();
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -1,16 +1,18 @@
 // A small world in simulated time: state service, cloud, workers and controllers in one process,
-// with no sockets. It counts what breaks the rules on running.
+// with no sockets. It plays PROTOCOL's troubles, and its referee counts what breaks the rules.
 #pragma once
 
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
 
 #include "control/node.hpp"
 #include "fixtures.hpp"
+#include "referee.hpp"
 
 namespace cranklock::testing {
 
@@ -33,11 +35,21 @@
   double now_ = 0;
 };
 
+/// A user submits, asks about twice a second at any node, and may cancel after a while or at the
+/// moment of the end; with `looks`, all nodes are asked, and the job is submitted again, within
+/// milliseconds after each news.
+struct UserHabits {
+  double cancels_after = -1;
+  bool cancels_at_end = false;
+  bool looks = false;
+};
+
 class World {
  public:
   /// Nodes are told apart by zones only when these are given, one each; then they are linked too.
   explicit World(int nodes = 3, std::vector<std::string> zones = {},
                  base::Settings settings = small_settings());
+  /// Fails the test if a rule was broken that it did not expect.
   ~World();
 
   void run(double seconds) { reactor.run_until(reactor.now() + seconds); }
@@ -45,17 +57,28 @@
   void crash_node(int i);
   /// The index of the node that serves as leader, or -1.
   int leader() const;
+  int nodes() const { return static_cast<int>(hosts_.size()); }
+  bool is_up(int node) const { return hosts_[static_cast<std::size_t>(node)] != nullptr; }
   /// A user's request to one node; runs the world until it is answered.
   net::Response ask(int node, const std::string& method, const std::string& path,
                     const std::string& body = "");
   /// Submits to a node and expects to be accepted.
   void submit(int node, const wire::JobSpec& spec);
   std::string state_of(int node, const std::string& id);
+  /// Cancels at a node and expects to be told so.
+  void cancel(int node, const std::string& id);
   void add_worker(const std::string& zone = "a");
   int running(const std::string& job) const;
+  /// What tasks of it machines hold that may still go on, in any state but exited.
+  int held(const std::string& job) const;
+
+  void add_user(const wire::JobSpec& spec, UserHabits habits = {});
 
   FakeReactor reactor;
   base::Settings base_settings;
+  Referee referee;
+  std::set<std::string> expected_broken;  ///< rules that this world is made to break
+  std::mt19937 random{1};
 
   // The state service.
   struct Stored {
@@ -65,14 +88,24 @@
   std::map<std::string, Stored> store;
   std::uint64_t revision = 0;
   bool state_down = false;
-  std::set<int> cut_from_state;  ///< nodes whose requests get no answer and are not executed
+  double state_slow_s = 0;
+  std::set<int> refused_by_state;  ///< 503 for these alone; what they watch hangs
+  std::set<int> mute_watches;      ///< nodes whose watches hang while all else is served
+  std::set<int> cut_from_state;    ///< nodes whose requests get no answer and are not executed
+  std::set<int> cut_from_peers;
   std::set<int> cut_from_workers;
   std::set<std::string> cut_zones;  ///< cut off from everything outside, and working inside
   int swallow_txn_answers = 0;      ///< so many transactions are executed, and not answered
+  double late_txns = 0;             ///< this share is executed 2 to 12 s later, and not answered
+  double lost_txns = 0;             ///< this share is executed at once, and not answered
+  bool limits_writes = false;       ///< 429 above write_rps
+  int refused_writes = 0;
 
   // The cloud.
   int rented = 0;
+  bool cloud_down = false;
   int swallow_rental_answers = 0;
+  double unlisted_s = 0;                       ///< new machines are missing in the list for so long
   std::vector<double> deletions;               ///< when requests of it came
   std::map<std::string, std::string> rentals;  ///< by request name
   std::vector<std::string> deleted;
@@ -87,35 +120,71 @@
   struct Worker {
     std::string id, address, zone;
     std::uint64_t session = 1, tick = 0, token = 0;
-    double answered_sent = 0;
+    double answered_sent = 0, began = 0;
     int target = 0;
+    bool gone = false;         ///< deleted
     bool hangs = false;        ///< neither reports nor executes
+    bool deaf = false;         ///< reports arrive, answers and commands don't
+    bool mute = false;         ///< reaches no node, and executes commands
     int swallow_commands = 0;  ///< so many are executed, and not answered
+    /// Commands arrive so much later, and are answered to nobody; what comes while it hangs is
+    /// executed when it goes on.
+    double commands_late_s = 0;
+    std::vector<net::Request> held;
     std::map<std::string, Task> tasks;
   };
   std::map<std::string, std::unique_ptr<Worker>> workers;
-  double run_s = 5;  ///< of array tasks
+  /// A machine that hangs goes on.
+  void wake(Worker& w);
+  double run_s = 5;                        ///< of tasks
+  std::map<std::string, double> run_s_of;  ///< of single tasks, where it differs
+  /// Of reports, this share comes once more from 2 s to one and a half leases later.
+  double late_reports = 0;
+  bool keeps_reports = false;  ///< copies of reports come to all nodes when a new leader begins
+  double kept_s = 0;           ///< or so long after
   int ran_twice = 0;
   int calls_under_way = 0, most_calls_under_way = 0;  ///< to workers, from all nodes
   std::map<std::string, int> starts;                  ///< by task
-  std::set<std::string> known_jobs;
 
   net::Task<net::Reply> call(int node, std::string address, net::Request request, double timeout_s);
+  /// A request to a node's public address that outlives the node; nothing if it is not answered.
+  net::Task<std::optional<net::Response>> exchange(int node, net::Request request,
+                                                   double timeout_s);
+  /// The same for a user, with the referee listening.
+  net::Task<std::optional<net::Response>> user_asks(int node, std::string method, std::string path,
+                                                    std::string body);
+  double chance() { return std::uniform_real_distribution<>(0, 1)(random); }
+  int any_node() { return static_cast<int>(chance() * nodes()) % nodes(); }
 
  private:
   struct Host;
+  struct Exchange;
   net::Response state(const net::Request& r);
+  net::Response transaction(const net::Request& r);
   net::Response cloud(const net::Request& r);
   net::Response commands(Worker& w, const net::Request& r);
   net::Task<void> work(Worker& w);
+  net::Task<void> serve(int node, net::Request request, std::shared_ptr<Exchange> exchange);
+  net::Task<void> arrive_late(Worker& w, net::Request request, double after);
+  net::Task<void> apply_late(net::Request request, double after);
+  net::Task<void> report_late(int node, std::string body, double after);
+  net::Task<void> watch_over();
+  net::Task<void> use(wire::JobSpec spec, UserHabits habits);
+  net::Task<void> look_closely(wire::JobSpec spec);
+  net::Task<void> look_once(int node, wire::JobSpec spec, bool submits);
   void execute(Worker& w, const wire::Json& orders);
   void progress(Worker& w);
+  void end_lease(Worker& w);
+  bool lease_over(const Worker& w) const;
+  double run_time(const std::string& task) const;
+  std::vector<Seen> everything() const;
   std::string report_of(Worker& w);
   void put(const std::string& key, const std::string& data, std::uint64_t lease);
   void erase(const std::string& key);
   void expire();
   std::string zone_of(int node) const;
   bool apart(const std::string& zone, const std::string& other) const;
+  bool unserved(int node) const { return state_down || refused_by_state.contains(node); }
   net::Task<void> link(int node);
   net::Task<void> deliver(int from, int to, peer::Frame frame);
 
@@ -126,8 +195,11 @@
   std::vector<Event> events_;
   std::map<std::uint64_t, std::pair<double, double>> leases_;  ///< life and end
   std::uint64_t next_lease_ = 0;
+  double write_level_ = 0, write_level_at_ = 0;
   std::vector<std::string> zones_;
   std::vector<std::unique_ptr<Host>> hosts_;
+  std::map<std::string, std::string> kept_reports_;  ///< by machine
+  int last_leader_ = -1;
   net::Scope scope_;
 };
 
