Start nothing while an exchange for news is missing

Excluded: answers to reports, which rest on their own bound. By a test of Office; not measured by itself.

--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -241,6 +241,7 @@
       note_news(std::move(result.page.items), sent);
       continue;
     }
+    office_.miss();
     // Guards against an answer that is too long to be read, and so would be asked for for ever. In
     // an outage renewals are not answered either.
     const bool served = office_.confirmed_sent() > sent;
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -46,11 +46,17 @@
   /// Every cancellation stored before this time has been taken in: it is when the exchange was sent
   /// whose answer held all changes of jobs up to its revision. Office is not knowledge: after a
   /// refusal or an outage a renewal may well come through before the news do.
-  void learn(double sent) { known_sent_ = std::max(known_sent_, sent); }
+  void learn(double sent) {
+    known_sent_ = std::max(known_sent_, sent);
+    deaf_ = false;
+  }
+  /// An exchange for news was refused or not answered: until one succeeds nothing is started, since
+  /// others may be cancelling meanwhile.
+  void miss() { deaf_ = true; }
   /// Nobody else can hold office now.
   bool certain(double now) const { return now < confirmed_sent_ + certain_span(); }
   /// Nothing that is started now was cancelled longer ago than this office is certain for.
-  bool may_start(double now) const { return now < grounded() + certain_span(); }
+  bool may_start(double now) const { return !deaf_ && now < grounded() + certain_span(); }
   /// Until then reports may be answered 200, by us or by a deputy in our stead.
   double answer_until() const { return grounded() + base::answer_span(settings_); }
   bool may_answer(double now) const { return now < answer_until(); }
@@ -65,6 +71,7 @@
   std::uint64_t token_;
   double confirmed_sent_;
   double known_sent_ = -1e9;
+  bool deaf_ = false;
 };
 
 class Term {
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -144,6 +144,9 @@
     EXPECT_TRUE(office.certain(101));
     office.learn(100.5);
     EXPECT_TRUE(office.may_start(101));
+    office.miss();
+    EXPECT_FALSE(office.may_start(101));  // others may be cancelling
+    EXPECT_TRUE(office.may_answer(101));
     office.learn(95);  // an answer that comes after a later one proves no less
     EXPECT_TRUE(office.may_start(101));
   }
