Tell users at once when the state service does not answer this node

Cause: a leader or another node that is cut off from the state service let every question wait for 1.5 s before its 503, though it had known for seconds. A node that misses it asks four times a second, so that it is back as soon as before. The gap story now waits half a second before it submits to a node whose refusal has just ended.

--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -14,7 +14,7 @@
 
 Node::Node(Services services)
     : services_(services),
-      users_(services),
+      users_(services, [this] { return reaches_state(); }),
       deputy_(services.reactor, services.settings),
       lost_(services.reactor),
       roster_(4 * hello_every(services.settings)),
@@ -138,6 +138,7 @@
 }
 
 Task<void> Node::feel_state() {
+  constexpr double kEvery = 1.0, kWhileMissed = 0.25;
   for (;;) {
     auto reading = services_.store.read(kLeaderKey, 1.0);
     const auto found = co_await reading;
@@ -145,7 +146,7 @@
       state_heard_ = services_.reactor.now();
       note_leader(found);
     }
-    Sleep pause(services_.reactor, 1.0);
+    Sleep pause(services_.reactor, reaches_state() ? kEvery : kWhileMissed);
     co_await pause;
   }
 }
--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -34,8 +34,10 @@
   return r;
 }
 
-Users::Users(Services services)
-    : services_(services), limiter_(4, services.settings.fd_limit / 8.0, kSlowAnswer) {}
+Users::Users(Services services, std::function<bool()> state_reached)
+    : services_(services),
+      state_reached_(std::move(state_reached)),
+      limiter_(4, services.settings.fd_limit / 8.0, kSlowAnswer) {}
 
 Task<Response> Users::handle(Request request) {
   if (!limiter_.try_enter()) co_return come_back("too many requests in progress");
@@ -99,6 +101,9 @@
     found.ending = it->second;
     co_return found;
   }
+  // Guards against users who wait for a state service that does not answer this node: they are told
+  // at once, and find another node the sooner.
+  if (!state_reached_()) co_return found;
   // First the live record, then the ended one: a job moves from the first to the second at once and
   // never back, so missing both, in this order, means that it was in neither when asked.
   auto reading = services_.store.read(job_key(id), kUserTimeout);
@@ -179,6 +184,7 @@
   if (const auto it = ended_.find(*id); it != ended_.end()) {
     co_return plain_answer(200, wire::job_answer(*id, it->second.state));
   }
+  if (!state_reached_()) co_return come_back("the state service does not answer");
   sched::Job job;
   job.spec = std::move(std::get<wire::JobSpec>(parsed));
   job.created_ms = services_.reactor.wall_ms();
--- a/src/control/users.hpp
+++ b/src/control/users.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <deque>
+#include <functional>
 #include <map>
 #include <string>
 
@@ -14,7 +15,8 @@
 
 class Users {
  public:
-  explicit Users(Services services);
+  /// `state_reached` says whether the state service has answered this node lately.
+  Users(Services services, std::function<bool()> state_reached);
 
   /// Answers anything under /v1/jobs.
   net::Task<net::Response> handle(net::Request request);
@@ -42,6 +44,7 @@
   std::string impossible(const wire::JobSpec& spec) const;
 
   Services services_;
+  std::function<bool()> state_reached_;
   net::Limiter limiter_;
   std::vector<wire::MachineType> types_;
   std::map<std::string, Ending> ended_;  ///< bounded; endings never change
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -109,6 +109,7 @@
   w.mute_watches.clear();
   w.run(5);
   w.refused_by_state.clear();
+  w.run(0.5);  // a node that was refused notices
   w.submit(0, spec("j-000002", 1));
   EXPECT_TRUE(wait_for(w, 90, [&] { return w.running("j-000002") == 1; }));
   EXPECT_EQ(w.state_of(1, "j-000001"), "withdrawn");
@@ -698,7 +699,10 @@
     ASSERT_TRUE(wait_for(w, 30, [&] { return w.leader() >= 0 && w.leader() != old; }));
     w.run(1);
     w.cancel(w.leader(), name(1));
+    const double asked = w.reactor.now();
     EXPECT_EQ(w.ask(old, "GET", "/v1/jobs/" + name(1)).status, 503);
+    EXPECT_EQ(w.ask(old, "POST", "/v1/jobs/" + name(1) + "/withdraw").status, 503);
+    EXPECT_LT(w.reactor.now() - asked, 0.1);  // at once, though nothing answers it
     w.run(settings.cancel_s + 5);
     EXPECT_EQ(w.held(name(0)) + w.held(name(1)), 0);
     w.cut_from_state.clear();
