--- a/tests/scaler_test.cpp
+++ b/tests/scaler_test.cpp
@@ -71,8 +71,8 @@
   EXPECT_EQ(s.steps(30, 0.1, 3, 0), 0);
 }
 
-// Found by the sweep: a job bound to a zone without machines waited for ever, as free room in another
-// kept the score between Low and High.
+// Found by the sweep: a job bound to a zone without machines waited for ever, as free room in
+// another kept the score between Low and High.
 TEST(Scaler, WorkThatWantsMachinesForAWholeDownWindowCountsAsAboveHigh) {
   for (const double score : {0.1, 0.7}) {
     Story s;
