The leader hands workers of its own zone to a second node there while reports crowd it

Excluded: the other zones' workers, which are handed on already. Change: while such reports cost more than a tenth of its share, one worker after the other is handed to a node of the same zone, which carries it as it does those that came there by themselves; and each worker begins at another of a zone's nodes, not always at the first.

--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -89,6 +89,9 @@
   return (s.cancel_s - s.lease_s) * 0.9;
 }
 
+/// Seconds of a core that a packet costs a node, sent or received, as measured (docs/profile.md).
+inline constexpr double kPacketCost = 0.00005;
+
 /// The share by which steady clocks of two machines may drift apart.
 inline constexpr double kClockDrift = 0.0005;
 
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <functional>
 
 namespace cranklock::control {
 
@@ -18,6 +19,7 @@
       deputy_(services.reactor, services.settings),
       lost_(services.reactor),
       roster_(4 * hello_every(services.settings)),
+      direct_reports_(2 * services.settings.report_s),
       run_(static_cast<std::uint64_t>(services.reactor.wall_ms())) {}
 
 Node::~Node() {
@@ -66,12 +68,34 @@
   if (send_) send_(from, answer);
 }
 
-std::string Node::deputy_for(const wire::Report& report) const {
-  if (!send_ || report.zone == services_.settings.zone) return {};
+// A report that comes straight here costs two packets; carried ones come and go together with
+// others, at the expense of a node that has more to spare.
+bool Node::reports_crowd() {
+  constexpr double kMostShare = 0.1;  // of this node's own, for reports of its own zone
+  constexpr double kPackets = 2;      // a report and its answer
+  const double cost =
+      direct_reports_.per_second(services_.reactor.now()) * kPackets * base::kPacketCost;
+  return cost > kMostShare * services_.settings.core_share;
+}
+
+std::string Node::deputy_for(const wire::Report& report) {
+  if (!send_) return {};
+  const bool own_zone = report.zone == services_.settings.zone;
+  const double now = services_.reactor.now();
+  if (own_zone && (now < next_relief_ || !reports_crowd())) return {};
+  std::vector<const base::Peer*> candidates;
   for (const auto& other : services_.settings.others) {
-    if (other.zone == report.zone && term_->may_hand_over(report.machine, other.name)) {
-      return other.name;
-    }
+    if (other.zone == report.zone) candidates.push_back(&other);
+  }
+  // Each worker begins at another of them, so that they share the work.
+  const auto first = std::hash<std::string>{}(report.machine);
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const auto& name = candidates[(first + i) % candidates.size()]->name;
+    if (!term_->may_hand_over(report.machine, name)) continue;
+    // One after the other: the rate tells only later what each has changed.
+    constexpr double kReliefsPerReport = 10;
+    if (own_zone) next_relief_ = now + services_.settings.report_s / kReliefsPerReport;
+    return name;
   }
   return {};
 }
@@ -282,6 +306,7 @@
   }
   workers_heard_ = services_.reactor.now();
   if (leads()) {
+    direct_reports_.note(workers_heard_);
     const auto deputy = deputy_for(*report);
     if (!deputy.empty()) co_return plain_answer(421, wire::misdirected_answer(deputy));
     co_return term_->checkin(*report);
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -4,6 +4,7 @@
 #include <memory>
 #include <string>
 
+#include "base/event_rate.hpp"
 #include "control/deputy.hpp"
 #include "control/term.hpp"
 #include "control/users.hpp"
@@ -47,7 +48,10 @@
   net::Task<net::Response> checkin(net::Request request);
   void heard_hello(const peer::Hello& hello);
   void heard_carried(const std::string& from, const peer::Carried& carried);
-  std::string deputy_for(const wire::Report& report) const;
+  /// The node that is to carry this worker's reports from now on, or none.
+  std::string deputy_for(const wire::Report& report);
+  /// Reports that come straight here take more of this node's share than they should.
+  bool reports_crowd();
   void note_leader(const store::ReadResult& found);
   bool reaches_state() const;
   bool cut_off_from_workers() const;
@@ -68,6 +72,8 @@
   double abstain_until_ = 0;
   double state_heard_ = 0;
   double workers_heard_ = -1e9;
+  base::EventRate direct_reports_;  ///< to this node as the leader
+  double next_relief_ = 0;          ///< when a worker of this zone may be handed on again
   std::uint64_t nonce_ = 0;
   std::uint64_t run_;  ///< of this process, as its hellos name it
 };
--- a/src/peer/write_pacing.hpp
+++ b/src/peer/write_pacing.hpp
@@ -26,9 +26,10 @@
 /// The interval with which the writes of one link take no more than a twenty-fifth of a node's
 /// share of a core, but no longer than a quarter of the time between two reports of a worker.
 inline double write_interval(const base::Settings& settings) {
-  constexpr double kPacketCost = 0.0001;  ///< seconds of a core to send a packet and get its answer
-  constexpr double kLinkShare = 0.04;     ///< of the node's own share
-  return std::min(kPacketCost / (kLinkShare * settings.core_share), settings.report_s / 4);
+  constexpr double kLinkShare = 0.04;  // of the node's own share
+  constexpr double kPackets = 2;       // a write, and what answers it
+  return std::min(kPackets * base::kPacketCost / (kLinkShare * settings.core_share),
+                  settings.report_s / 4);
 }
 
 }  // namespace cranklock::peer
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -357,6 +357,28 @@
   EXPECT_EQ(w.ran_twice, 0);
 }
 
+// A small node that leads is charged most for the reports that come straight to it. Those of its
+// own zone are carried by a second node there, until few enough are left.
+TEST(Story, AZonesSecondNodeRelievesALeaderThatReportsCrowd) {
+  auto settings = small_settings();
+  constexpr int kWorkers = 30;
+  const double most_a_second = 0.1 * settings.core_share / (2 * base::kPacketCost);
+  settings.core_share *= kWorkers / 3.0 / most_a_second;  // a third of them would not crowd it
+  World w(3, {"a", "a", "a"}, settings);
+  w.run(1);
+  for (int i = 0; i < kWorkers; ++i) w.add_worker("a");
+  const auto at_leader = [&] {
+    return std::count_if(w.workers.begin(), w.workers.end(),
+                         [&](const auto& entry) { return entry.second->target == w.leader(); });
+  };
+  w.run(3);
+  EXPECT_GT(at_leader(), kWorkers / 2);
+  w.run(20);
+  EXPECT_LE(at_leader(), kWorkers / 3);
+  EXPECT_GE(at_leader(), 1);
+  for (const auto& [id, worker] : w.workers) EXPECT_EQ(worker->session, 1U) << id;
+}
+
 // When the cut lasts, they are gone before they start elsewhere, and nothing that was cancelled
 // meanwhile is left after cancel_s.
 TEST(Story, ACutThatLastsEndsTheTasksInTime) {
