--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -92,7 +92,7 @@
   net::Scope routines;
   routines.spawn(server.run());
   routines.spawn(node.learn_types());
-  routines.spawn(node.feel_state());
+  routines.spawn(node.probe_state_service());
   routines.spawn(node.run());
   routines.spawn(links.accept());
   for (const auto& other : settings.others) routines.spawn(links.keep_link(other));
--- /dev/null
+++ b/src/control/leader_lease.hpp
@@ -0,0 +1,54 @@
+// What a leader may do, given when its lease was renewed and when it last saw all changes of jobs.
+#pragma once
+
+#include <algorithm>
+#include <cstdint>
+
+#include "base/settings.hpp"
+
+namespace cranklock::control {
+
+/// The lease under which a node leads, and what it may do by it at a given time. All times are on
+/// the steady clock and are judged at the moment of sending (invariants 6 and 10, docs/design.md).
+class LeaderLease {
+ public:
+  LeaderLease(const base::Settings& settings, std::uint64_t token, double confirmed_sent)
+      : settings_(settings), token_(token), confirmed_sent_(confirmed_sent) {}
+
+  static double lease_life(const base::Settings& settings) { return settings.lease_s / 5; }
+
+  std::uint64_t token() const { return token_; }
+  /// A renewal that was sent at this time has succeeded.
+  void confirm(double sent) { confirmed_sent_ = std::max(confirmed_sent_, sent); }
+  /// Every cancellation stored before this time has been taken in: it is when the exchange was sent
+  /// whose answer held all changes of jobs up to its revision. A leader lease is not knowledge:
+  /// after a refusal or an outage a renewal may well come through before the news do.
+  void caught_up(double sent) {
+    caught_up_sent_ = std::max(caught_up_sent_, sent);
+    behind_ = false;
+  }
+  /// An exchange for news was refused or not answered: until one succeeds nothing is started, since
+  /// others may be cancelling meanwhile.
+  void fell_behind() { behind_ = true; }
+  /// Nobody else can lead now.
+  bool valid(double now) const { return now < confirmed_sent_ + validity(); }
+  /// Nothing that is started now was cancelled longer ago than this leader lease is certain for.
+  bool may_start(double now) const { return !behind_ && now < known_until() + validity(); }
+  /// Until then reports may be answered 200, by us or by a deputy in our stead.
+  double answer_until() const { return known_until() + base::answer_span(settings_); }
+  bool may_answer(double now) const { return now < answer_until(); }
+  double confirmed_sent() const { return confirmed_sent_; }
+
+ private:
+  double validity() const { return lease_life(settings_) * (1 - 2 * base::kClockDrift); }
+  /// The later doubt of the two: who leads, and what was cancelled.
+  double known_until() const { return std::min(confirmed_sent_, caught_up_sent_); }
+
+  const base::Settings& settings_;
+  std::uint64_t token_;
+  double confirmed_sent_;
+  double caught_up_sent_ = -1e9;
+  bool behind_ = false;
+};
+
+}  // namespace cranklock::control
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -41,7 +41,7 @@
 
 peer::Hello Node::hello() const {
   const double now = services_.reactor.now();
-  peer::Hello hello{services_.settings.name, leads() ? office_->token() : 0, reaches_state(),
+  peer::Hello hello{services_.settings.name, leads() ? leader_lease_->token() : 0, reaches_state(),
                     now - workers_heard_ < 2 * services_.settings.report_s};
   hello.run = run_;
   hello.sent_ms = static_cast<std::uint64_t>(now * 1000);
@@ -107,7 +107,7 @@
   if (term_ != nullptr) term_->heard(hello);
   // A leader that lost only the state service learns here that it has a successor, long before it
   // would have to stop answering; until it does, its workers stay with it.
-  if (term_ != nullptr && hello.token > office_->token()) {
+  if (term_ != nullptr && hello.token > leader_lease_->token()) {
     term_->lose("another node leads with a higher token");
   }
 }
@@ -119,12 +119,12 @@
 }
 
 bool Node::cut_off_from_workers() const {
-  if (!term_->deaf() || services_.settings.others.empty()) return false;
+  if (!term_->hears_no_worker() || services_.settings.others.empty()) return false;
   const double now = services_.reactor.now();
   // Nobody hears any: there are none, or they are cut off from all. But a node that hears neither
   // workers nor peers has itself lost the network.
   return roster_.any_hears_workers(now) ||
-         (!roster_.any_heard(now) && !term_->picture().machines().empty());
+         (!roster_.any_heard(now) && !term_->cluster().machines().empty());
 }
 
 Task<void> Node::learn_types() {
@@ -161,7 +161,7 @@
   if (const auto leader = read_leader(found.value.data)) leader_ = leader->name;
 }
 
-Task<void> Node::feel_state() {
+Task<void> Node::probe_state_service() {
   constexpr double kEvery = 1.0, kWhileMissed = 0.25;
   for (;;) {
     auto reading = services_.store.read(kLeaderKey, 1.0);
@@ -175,9 +175,9 @@
   }
 }
 
-Task<Node::Taken> Node::take_office() {
+Task<Node::Taken> Node::acquire_leadership() {
   Taken taken;
-  const double life = Office::lease_life(services_.settings);
+  const double life = LeaderLease::lease_life(services_.settings);
   taken.sent = services_.reactor.now();
   auto granting = services_.store.grant_lease(life, life / 3);
   const auto lease = co_await granting;
@@ -219,7 +219,7 @@
 }
 
 Task<void> Node::run() {
-  const double life = Office::lease_life(services_.settings);
+  const double life = LeaderLease::lease_life(services_.settings);
   for (;;) {
     auto reading = services_.store.read(kLeaderKey, kStoreTimeout);
     const auto found = co_await reading;
@@ -242,7 +242,7 @@
       co_await pause;
       continue;
     }
-    auto taking = take_office();
+    auto taking = acquire_leadership();
     const auto taken = co_await taking;
     if (!taken.ok) {
       Sleep pause(services_.reactor, life / 8);
@@ -255,32 +255,32 @@
 }
 
 Task<void> Node::serve_term(Taken taken) {
-  const double life = Office::lease_life(services_.settings);
-  spdlog::info("office taken, token {}", taken.token);
+  const double life = LeaderLease::lease_life(services_.settings);
+  spdlog::info("leadership acquired, token {}", taken.token);
   leader_ = services_.settings.name;
   services_.store.set_leading(true);
-  office_ = std::make_unique<Office>(services_.settings, taken.token, taken.sent);
-  term_ = std::make_unique<Term>(services_, *office_, lost_);
+  leader_lease_ = std::make_unique<LeaderLease>(services_.settings, taken.token, taken.sent);
+  term_ = std::make_unique<Term>(services_, *leader_lease_, lost_);
   auto loading = term_->load();
   bool keeps = co_await loading;
   if (keeps) {
     serving_ = true;
     term_->start(duties_);
-    spdlog::info("serving with token {}: {} jobs", taken.token, term_->picture().jobs().size());
+    spdlog::info("serving with token {}: {} jobs", taken.token, term_->cluster().jobs().size());
   }
   while (keeps && !term_->is_lost()) {
     const double sent = services_.reactor.now();
     auto renewing = services_.store.renew_lease(taken.lease, life / 3);
     const auto renewed = co_await renewing;
     if (renewed == Outcome::ok) {
-      office_->confirm(sent);
+      leader_lease_->confirm(sent);
     } else if (renewed == Outcome::failed) {
-      spdlog::info("office lost, token {}: its lease has ended", taken.token);
+      spdlog::info("leadership lost, token {}: its lease has ended", taken.token);
       break;
     }
     if (cut_off_from_workers()) {
       // Another node may hear the workers where this one can't.
-      spdlog::info("office given up, token {}: no worker is heard", taken.token);
+      spdlog::info("leadership given up, token {}: no worker is heard", taken.token);
       abstain_until_ = services_.reactor.now() + 2 * services_.settings.lease_s;
       break;
     }
@@ -292,7 +292,7 @@
   leader_.clear();
   duties_.clear();
   term_.reset();
-  office_.reset();
+  leader_lease_.reset();
   services_.store.set_leading(false);
   auto dropping = services_.store.drop_lease(taken.lease, life / 3);
   co_await dropping;
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -22,7 +22,7 @@
   /// Learns the machine types for users' submissions.
   net::Task<void> learn_types();
   /// Keeps in touch with the state service, so that /ready is true to fact.
-  net::Task<void> feel_state();
+  net::Task<void> probe_state_service();
 
   /// Answers whatever comes on the public address.
   net::Task<net::Response> handle(net::Request request);
@@ -43,7 +43,7 @@
     std::uint64_t lease = 0, token = 0;
     double sent = 0;
   };
-  net::Task<Taken> take_office();
+  net::Task<Taken> acquire_leadership();
   net::Task<void> serve_term(Taken taken);
   net::Task<net::Response> checkin(net::Request request);
   void heard_hello(const peer::Hello& hello);
@@ -63,10 +63,10 @@
   Deputy::Send send_;
   net::Signal lost_;
   peer::Roster roster_;
-  std::unique_ptr<Office> office_;
+  std::unique_ptr<LeaderLease> leader_lease_;
   std::unique_ptr<Term> term_;
   net::Scope duties_;
-  bool serving_ = false;  ///< the term has loaded its picture
+  bool serving_ = false;  ///< the term has loaded its cluster state
   std::string leader_;    ///< whom the state service named last; empty: nobody
   std::uint64_t leader_token_ = 0;
   double abstain_until_ = 0;
--- a/src/control/record.hpp
+++ b/src/control/record.hpp
@@ -10,7 +10,7 @@
 #include <string>
 #include <vector>
 
-#include "sched/picture.hpp"
+#include "sched/cluster_state.hpp"
 #include "wire/messages.hpp"
 
 namespace cranklock::control {
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -16,11 +16,11 @@
 using sched::Machine;
 using store::Outcome;
 
-Term::Term(Services services, Office& office, net::Signal& lost)
+Term::Term(Services services, LeaderLease& lease, net::Signal& lost)
     : services_(services),
-      office_(office),
+      leader_lease_(lease),
       lost_(lost),
-      picture_(services.settings, office.token(), services.reactor.now()),
+      cluster_(services.settings, lease.token(), services.reactor.now()),
       work_(services.reactor),
       unsettled_(services.reactor),
       deletions_(services.reactor),
@@ -30,11 +30,11 @@
 void Term::lose(const char* why) {
   if (is_lost_) return;
   is_lost_ = true;
-  spdlog::info("office lost, token {}: {}", office_.token(), why);
+  spdlog::info("leadership lost, token {}: {}", leader_lease_.token(), why);
   lost_.set();
 }
 
-bool Term::deaf() const {
+bool Term::hears_no_worker() const {
   const auto& s = services_.settings;
   const double span = std::max(3 * s.report_s, s.lease_s / 3);
   return now() > last_heard_ + span;
@@ -59,7 +59,7 @@
   const auto types = co_await reading_types;
   if (types.outcome == Outcome::ok) {
     if (auto parsed = wire::parse_machine_types(types.value.data)) {
-      picture_.set_types(std::move(*parsed));
+      cluster_.set_types(std::move(*parsed));
     }
   } else if (types.outcome != Outcome::failed) {
     co_return false;
@@ -83,7 +83,7 @@
   auto jobs = co_await reading_jobs;
   if (jobs.outcome != Outcome::ok) co_return false;
   loaded_revision_ = jobs.page.revision;
-  office_.learn(sent);
+  leader_lease_.caught_up(sent);
   for (const auto& item : jobs.page.items) {
     int parts = 0;
     auto job = read_record(item.data, parts);
@@ -118,7 +118,7 @@
 
 void Term::put_job(Job job) {
   if (job.withdrawn()) job.withdrawn_since = cancelled_since(job.withdrawn_ms);
-  picture_.put_job(std::move(job), now());
+  cluster_.put_job(std::move(job), now());
 }
 
 void Term::start(net::Scope& scope) {
@@ -128,9 +128,9 @@
   scope.spawn(follow_cloud());
   scope.spawn(follow_types());
   scope.spawn(scale());
-  scope.spawn(keep_house());
+  scope.spawn(supervise_machines());
   scope.spawn(delete_machines());
-  scope.spawn(make_known());
+  scope.spawn(announce_token());
 }
 
 // ---- reports ----
@@ -138,31 +138,31 @@
 Response Term::checkin(const wire::Report& report) {
   Response response;
   const double at = now();
-  if (report.token > office_.token()) {
+  if (report.token > leader_lease_.token()) {
     lose("a worker has seen a higher token");
     response.status = 421;
     response.body = wire::misdirected_answer("");
     return response;
   }
   // Judged now, at the moment of answering: the process may have been held up.
-  if (is_lost_ || !office_.may_answer(at) || deleted_.contains(report.machine)) {
+  if (is_lost_ || !leader_lease_.may_answer(at) || deleted_.contains(report.machine)) {
     response.status = 503;
     return response;
   }
-  const auto* before = picture_.machine(report.machine);
+  const auto* before = cluster_.machine(report.machine);
   const bool was_quarantined = before != nullptr && before->quarantined;
-  const auto freshness = picture_.apply_report(report, true, at);
-  if (!was_quarantined && picture_.machine(report.machine)->quarantined) {
+  const auto freshness = cluster_.apply_report(report, true, at);
+  if (!was_quarantined && cluster_.machine(report.machine)->quarantined) {
     spdlog::info("machine {} is quarantined: it fails what it starts", report.machine);
   }
-  if (freshness == sched::Picture::Freshness::late_copy) {
+  if (freshness == sched::ClusterState::Freshness::late_copy) {
     response.status = 503;  // renews nothing
     return response;
   }
   last_heard_ = at;
   if (spdlog::should_log(spdlog::level::debug)) {
     for (const auto& t : report.tasks) {
-      Job* job = picture_.job(t.task.job);
+      Job* job = cluster_.job(t.task.job);
       const auto* p = job != nullptr ? job->find(t.task.index, t.attempt) : nullptr;
       if (p == nullptr || p->running_since != at) continue;
       spdlog::debug("{} of {} runs on {}: {:.1f} s after its decision, {:.1f} s known",
@@ -171,11 +171,11 @@
     }
   }
   std::vector<wire::Order> orders;
-  if (freshness == sched::Picture::Freshness::fresh) {
-    orders = picture_.orders(report, office_.may_start(at), at);
+  if (freshness == sched::ClusterState::Freshness::fresh) {
+    orders = cluster_.orders(report, leader_lease_.may_start(at), at);
   }
-  picture_.note_answered(report.machine, at);
-  response.body = wire::orders_answer(office_.token(), orders);
+  cluster_.note_answered(report.machine, at);
+  response.body = wire::orders_answer(leader_lease_.token(), orders);
   work_.set();
   return response;
 }
@@ -183,20 +183,20 @@
 peer::CarriedAnswer Term::carried_checkin(const wire::Report& report, const std::string& deputy,
                                           std::uint64_t id) {
   const auto response = checkin(report);
-  peer::CarriedAnswer answer{id, static_cast<std::uint16_t>(response.status), office_.token(), 0,
-                             response.body};
-  Machine* m = picture_.machine(report.machine);
+  peer::CarriedAnswer answer{id, static_cast<std::uint16_t>(response.status), leader_lease_.token(),
+                             0, response.body};
+  Machine* m = cluster_.machine(report.machine);
   if (response.status != 200 || m == nullptr || response.body.size() > peer::kMostText) {
     if (response.status == 200) answer.status = 503;
     return answer;
   }
   // Nothing is prolonged alone that a stop may not have reached yet, be it this very answer.
-  const double until = office_.answer_until();
+  const double until = leader_lease_.answer_until();
   const auto& others = services_.settings.others;
   const bool own_zone = std::any_of(others.begin(), others.end(), [&](const base::Peer& peer) {
     return peer.name == deputy && peer.zone == m->kind.zone;
   });
-  if (own_zone && until > now() && !picture_.stopping(*m)) {
+  if (own_zone && until > now() && !cluster_.stopping(*m)) {
     answer.stand_in_ms = static_cast<std::uint32_t>((until - now()) * 1000);
     auto& kept = m->kept_until[deputy];
     kept = std::max(kept, until);
@@ -205,9 +205,9 @@
 }
 
 void Term::heard(const peer::Hello& hello) {
-  const bool ours = hello.echo_token == office_.token();
+  const bool ours = hello.echo_token == leader_lease_.token();
   const double never = -1;
-  picture_.note_deputy(
+  cluster_.note_deputy(
       hello.name, hello.run,
       ours ? static_cast<double>(hello.echo_ms) / 1000 + Deputy::patience(services_.settings) * 0.98
            : 0,
@@ -215,9 +215,9 @@
 }
 
 bool Term::may_hand_over(const std::string& id, const std::string& deputy) {
-  Machine* m = picture_.machine(id);
+  Machine* m = cluster_.machine(id);
   const double at = now();
-  if (m == nullptr || !m->shown_token || !picture_.deputy_heard(deputy, at)) return false;
+  if (m == nullptr || !m->shown_token || !cluster_.deputy_heard(deputy, at)) return false;
   // Once in a while only: a worker that comes back has found its deputy wanting.
   if (m->handed_over > 0 && at - m->handed_over < 2 * services_.settings.lease_s) return false;
   m->handed_over = at;
@@ -229,7 +229,7 @@
 Task<void> Term::follow_jobs() {
   std::uint64_t since = loaded_revision_;
   // As long as the pause between renewals: what an answer proves is as old as its question.
-  const double wait = Office::lease_life(services_.settings) / 4;
+  const double wait = LeaderLease::lease_life(services_.settings) / 4;
   int unclear = 0;  // answers in a row
   for (;;) {
     const double sent = now();
@@ -241,10 +241,10 @@
       note_news(std::move(result.page.items), sent);
       continue;
     }
-    office_.miss();
+    leader_lease_.fell_behind();
     // Guards against an answer that is too long to be read, and so would be asked for for ever. In
     // an outage renewals are not answered either.
-    const bool served = office_.confirmed_sent() > sent;
+    const bool served = leader_lease_.confirmed_sent() > sent;
     unclear = result.outcome == Outcome::unknown && served ? unclear + 1 : 0;
     if (result.outcome == Outcome::failed || unclear >= 3) {
       // Too far behind: read everything again, as news.
@@ -268,16 +268,16 @@
 void Term::note_news(std::vector<wire::StoredValue> items, double sent) {
   bool stops = false;
   for (auto& item : items) {
-    Job* known = picture_.job(item.key.substr(std::string(kJobsPrefix).size()));
+    Job* known = cluster_.job(item.key.substr(std::string(kJobsPrefix).size()));
     if (known != nullptr && item.revision > known->revision && !known->withdrawn()) {
       if (const auto at_ms = read_withdrawn(item.data); at_ms != 0) {
-        picture_.withdraw(*known, at_ms, cancelled_since(at_ms));
+        cluster_.withdraw(*known, at_ms, cancelled_since(at_ms));
         stops = true;
       }
     }
     news_.push_back(std::move(item));
   }
-  office_.learn(sent);
+  leader_lease_.caught_up(sent);
   known_before_ = std::max(known_before_, sent);
   if (!news_.empty()) work_.set();
   if (stops) push_orders();
@@ -289,10 +289,10 @@
     auto item = std::move(news_.front());
     news_.pop_front();
     const auto id = item.key.substr(std::string(kJobsPrefix).size());
-    Job* known = picture_.job(id);
+    Job* known = cluster_.job(id);
     if (known != nullptr && item.revision <= known->revision) continue;
     if (item.data.empty()) {
-      if (known != nullptr) picture_.drop_job(id);
+      if (known != nullptr) cluster_.drop_job(id);
       continue;
     }
     int parts = 0;
@@ -348,7 +348,7 @@
     auto reading = services_.store.read(job_key(id), kStoreTimeout);
     const auto found = co_await reading;
     if (found.outcome == Outcome::failed) {
-      picture_.drop_job(id);
+      cluster_.drop_job(id);
       co_return true;
     }
     if (found.outcome != Outcome::ok) co_return false;
@@ -360,7 +360,7 @@
     if (!co_await reading_parts) continue;
     // The news may have overtaken this reading. Nor does it tell anything that is not known: a
     // write of ours without an answer may still be carried out on top of it.
-    const Job* known = picture_.job(id);
+    const Job* known = cluster_.job(id);
     if (known != nullptr && known->revision > job->revision) continue;
     if (known != nullptr && known->revision == job->revision) co_return true;
     put_job(std::move(*job));
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -1,5 +1,5 @@
 // One term of leadership: everything the leader knows and does, from the transaction that took the
-// office until it is lost. Destroying it cancels its routines.
+// leadership until it is lost. Destroying it cancels its routines.
 #pragma once
 
 #include <deque>
@@ -11,11 +11,12 @@
 
 #include "base/settings.hpp"
 #include "cloud/client.hpp"
+#include "control/leader_lease.hpp"
 #include "net/client.hpp"
 #include "net/reactor.hpp"
 #include "net/task.hpp"
 #include "peer/frames.hpp"
-#include "sched/picture.hpp"
+#include "sched/cluster_state.hpp"
 #include "sched/scaler.hpp"
 #include "store/client.hpp"
 
@@ -32,52 +33,10 @@
   cloud::Client& cloud;
 };
 
-/// How long an office is good for; all on the steady clock, judged at the moment of sending.
-class Office {
- public:
-  Office(const base::Settings& settings, std::uint64_t token, double confirmed_sent)
-      : settings_(settings), token_(token), confirmed_sent_(confirmed_sent) {}
-
-  static double lease_life(const base::Settings& settings) { return settings.lease_s / 5; }
-
-  std::uint64_t token() const { return token_; }
-  /// A renewal that was sent at this time has succeeded.
-  void confirm(double sent) { confirmed_sent_ = std::max(confirmed_sent_, sent); }
-  /// Every cancellation stored before this time has been taken in: it is when the exchange was sent
-  /// whose answer held all changes of jobs up to its revision. Office is not knowledge: after a
-  /// refusal or an outage a renewal may well come through before the news do.
-  void learn(double sent) {
-    known_sent_ = std::max(known_sent_, sent);
-    deaf_ = false;
-  }
-  /// An exchange for news was refused or not answered: until one succeeds nothing is started, since
-  /// others may be cancelling meanwhile.
-  void miss() { deaf_ = true; }
-  /// Nobody else can hold office now.
-  bool certain(double now) const { return now < confirmed_sent_ + certain_span(); }
-  /// Nothing that is started now was cancelled longer ago than this office is certain for.
-  bool may_start(double now) const { return !deaf_ && now < grounded() + certain_span(); }
-  /// Until then reports may be answered 200, by us or by a deputy in our stead.
-  double answer_until() const { return grounded() + base::answer_span(settings_); }
-  bool may_answer(double now) const { return now < answer_until(); }
-  double confirmed_sent() const { return confirmed_sent_; }
-
- private:
-  double certain_span() const { return lease_life(settings_) * (1 - 2 * base::kClockDrift); }
-  /// The later doubt of the two: who leads, and what was cancelled.
-  double grounded() const { return std::min(confirmed_sent_, known_sent_); }
-
-  const base::Settings& settings_;
-  std::uint64_t token_;
-  double confirmed_sent_;
-  double known_sent_ = -1e9;
-  bool deaf_ = false;
-};
-
 class Term {
  public:
-  /// `lost` is set when a higher token or a failed condition shows that the office is gone.
-  Term(Services services, Office& office, net::Signal& lost);
+  /// `lost` is set when a higher token or a failed condition shows that the leadership is gone.
+  Term(Services services, LeaderLease& lease, net::Signal& lost);
 
   /// Reads pools, machine types and live jobs; false when the state service did not let it.
   net::Task<bool> load();
@@ -94,8 +53,8 @@
   bool is_lost() const { return is_lost_; }
   void lose(const char* why);
   /// Nothing was heard of any worker for so long that this node may be cut off from them.
-  bool deaf() const;
-  sched::Picture& picture() { return picture_; }
+  bool hears_no_worker() const;
+  sched::ClusterState& cluster() { return cluster_; }
   /// How many rounds of decisions there have been.
   std::uint64_t rounds() const { return rounds_; }
 
@@ -106,9 +65,9 @@
   net::Task<void> follow_cloud();  // the machine list
   net::Task<void> follow_types();  // machine types and prices
   net::Task<void> scale();
-  net::Task<void> keep_house();  // leases, notices, cancellations, faulty machines
+  net::Task<void> supervise_machines();  // leases, notices, cancellations, faulty machines
   net::Task<void> delete_machines();
-  net::Task<void> make_known();  // our token, to workers that do not report here
+  net::Task<void> announce_token();  // our token, to workers that do not report here
   net::Task<void> call_worker(std::string machine);
 
   struct Batch;
@@ -116,7 +75,7 @@
   void add_to_batch(sched::Job& job, Batch& batch);
   void settle_written(Batch& batch, std::uint64_t revision);
   void settle_unwritten(const Batch& batch, const store::TxnResult& result);
-  net::Task<void> settle();  // records of which this picture may be wrong
+  net::Task<void> settle();  // records of which this cluster state may be wrong
   net::Task<void> settle_one(std::string id);
   net::Task<bool> reload(std::string id);
   net::Task<bool> read_parts(sched::Job& job, std::uint64_t revision, int parts);
@@ -132,17 +91,17 @@
   void grow(const sched::PoolId& pool, int machines);
   int shrink(const sched::PoolId& pool, int machines);
   net::Task<void> write_pool(std::string name);
-  void give_back(sched::Machine& machine, const char* why);
+  void retire_machine(sched::Machine& machine, const char* why);
   double cancel_due(const sched::Job& job) const;
-  void watch_machine(sched::Machine& machine,
+  void check_machine(sched::Machine& machine,
                      const std::map<std::string, sched::ZoneWorkers>& zones, double now);
   double now() const { return services_.reactor.now(); }
 
   Services services_;
-  Office& office_;
+  LeaderLease& leader_lease_;
   net::Signal& lost_;
   bool is_lost_ = false;
-  sched::Picture picture_;
+  sched::ClusterState cluster_;
   net::Signal work_;
   net::Signal unsettled_;
   net::Signal deletions_;
--- a/src/control/term_decide.cpp
+++ b/src/control/term_decide.cpp
@@ -40,17 +40,17 @@
     rest_until = now() + kRoundEvery;
     take_news();
     const bool overdue = now() - last_pass > services_.settings.report_s;
-    if (!picture_.types().empty() && (picture_.take_changed() || overdue)) {
+    if (!cluster_.types().empty() && (cluster_.take_changed() || overdue)) {
       last_pass = now();
-      auto result = sched::place_waiting(picture_, refused_until_, last_pass);
-      if (result.cut_short) picture_.mark_changed();
+      auto result = sched::place_waiting(cluster_, refused_until_, last_pass);
+      if (result.cut_short) cluster_.mark_changed();
       if (shortfall_.wanted.empty() && !result.shortfall.wanted.empty()) {
         const auto& [kind, count] = *result.shortfall.wanted.begin();
         spdlog::info("work finds no place: {} more {} wanted in {}{}", count, kind.type, kind.zone,
                      kind.spot ? ", spot" : "");
       }
-      // Guards reports, users and the renewal of office against a fleet so large, or a processor so
-      // slow, that passes would fill the time.
+      // Guards reports, users and the renewal of the leader lease against a fleet so large, or a
+      // processor so slow, that passes would fill the time.
       rest_until = std::max(rest_until, last_pass + kRestAfterPass * (now() - last_pass));
       if (!result.cut_short) shortfall_ = std::move(result.shortfall);
       if (result.placed > 0 || result.stopped > 0) {
@@ -127,7 +127,7 @@
   for (;;) {
     if (now() < write_after_) co_return;
     std::vector<Job*> dirty;
-    for (auto& [id, job] : picture_.jobs()) {
+    for (auto& [id, job] : cluster_.jobs()) {
       if (job.withdrawn() && job.live() == 0) job.dirty = true;
       if (!job.dirty || to_reload_.contains(id)) continue;
       if (job.dirty_since == 0) job.dirty_since = now();
@@ -150,7 +150,7 @@
     std::stable_sort(order.begin(), order.end(),
                      [](const auto& a, const auto& b) { return a.first < b.first; });
     Batch batch;
-    batch.conditions.push_back({kLeaderKey, office_.token()});
+    batch.conditions.push_back({kLeaderKey, leader_lease_.token()});
     for (const auto& [rank, job] : order) {
       if (!batch.full) add_to_batch(*job, batch);
     }
@@ -186,7 +186,7 @@
       to_reload_.insert(entry.id);
       continue;
     }
-    Job* job = picture_.job(entry.id);
+    Job* job = cluster_.job(entry.id);
     if (job == nullptr) continue;
     job->dirty = true;
     if (result.outcome != Outcome::unknown) continue;
@@ -201,12 +201,12 @@
 
 void Term::settle_written(Batch& batch, std::uint64_t revision) {
   for (auto& entry : batch.entries) {
-    Job* job = picture_.job(entry.id);
+    Job* job = cluster_.job(entry.id);
     if (job == nullptr) continue;
     if (entry.retire) {
       spdlog::info("job {} ended: {}", entry.id,
                    entry.ending == wire::JobState::done ? "done" : "cancelled");
-      picture_.drop_job(entry.id);
+      cluster_.drop_job(entry.id);
       continue;
     }
     job->revision = revision;
@@ -216,7 +216,7 @@
       if (p == nullptr) continue;
       p->durable = true;
       if (p->undecided && p->dropped) {  // since it was sent
-        picture_.settle_dropped(*job, *p, now());
+        cluster_.settle_dropped(*job, *p, now());
         job->dirty = true;
       }
       p->undecided = false;
@@ -224,18 +224,18 @@
     for (const auto& which : entry.dropped) {
       auto* p = job->find(which.first, which.second);
       if (p == nullptr) continue;
-      picture_.settle_dropped(*job, *p, now());
+      cluster_.settle_dropped(*job, *p, now());
       entry.ended.push_back(which);
     }
-    picture_.forget_ended(*job, entry.ended);
+    cluster_.forget_ended(*job, entry.ended);
   }
 }
 
 // ---- orders sent straight to workers ----
 
 namespace {
-/// What the office is good for. What a user has cancelled is stopped even when it is in doubt: no
-/// leader wants it to go on.
+/// What the leader lease is good for. What a user has cancelled is stopped even when it is in
+/// doubt: no leader wants it to go on.
 struct Allowed {
   bool start, stop;
 };
@@ -253,15 +253,15 @@
 void Term::push_orders() {
   const double at = now();
   if (is_lost_) return;
-  const Allowed allowed{office_.may_start(at), office_.certain(at)};
+  const Allowed allowed{leader_lease_.may_start(at), leader_lease_.valid(at)};
   std::set<std::string> machines;
-  for (const auto& [id, job] : picture_.jobs()) {
+  for (const auto& [id, job] : cluster_.jobs()) {
     for (const auto& p : job.places) {
       if (start_due(job, p, allowed) || stop_due(job, p, allowed)) machines.insert(p.machine);
     }
   }
   for (const auto& id : machines) {
-    const Machine* m = picture_.machine(id);
+    const Machine* m = cluster_.machine(id);
     if (m == nullptr || !m->reported || m->silent || m->removing || m->address.empty()) continue;
     // A worker not heard of lately would only leave starts in doubt.
     if (at - m->last_report > 2 * services_.settings.report_s) continue;
@@ -271,10 +271,10 @@
 }
 
 Task<void> Term::push_to(std::string id) {
-  Machine* m = picture_.machine(id);
+  Machine* m = cluster_.machine(id);
   std::vector<wire::Order> orders;
   const std::uint64_t session = m->session;
-  const Allowed allowed{office_.may_start(now()), office_.certain(now())};
+  const Allowed allowed{leader_lease_.may_start(now()), leader_lease_.valid(now())};
   for (const auto& held : m->tasks) {
     const Job& job = *held.job;
     sched::Place& p = held.place();
@@ -294,7 +294,7 @@
     co_return;
   }
   net::Request request{"POST", "/commands", "",
-                       wire::orders_command(office_.token(), session, orders), true};
+                       wire::orders_command(leader_lease_.token(), session, orders), true};
   auto calling =
       services_.transport.call(m->address, std::move(request), services_.settings.report_s);
   const auto reply = co_await calling;
@@ -305,12 +305,12 @@
   }
   const auto report = reply.answered() ? wire::parse_report(reply.response.body) : std::nullopt;
   if (reply.answered() && (!report || report->machine != id)) co_return;  // tells nothing
-  m = picture_.machine(id);
+  m = cluster_.machine(id);
   if (m == nullptr) co_return;
   for (const auto& order : orders) {
     if (order.verb != wire::Verb::start) continue;
     if (m->session == session) m->doubtful.erase({order.task, order.attempt});
-    Job* job = picture_.job(order.task.job);
+    Job* job = cluster_.job(order.task.job);
     auto* p = job != nullptr ? job->find(order.task.index, order.attempt) : nullptr;
     if (p == nullptr) continue;
     p->doubtful_session = 0;
@@ -320,17 +320,17 @@
     }
   }
   if (!report) co_return;
-  if (report->token > office_.token()) {
+  if (report->token > leader_lease_.token()) {
     lose("a worker has seen a higher token");
     co_return;
   }
-  picture_.apply_report(*report, false, now());
+  cluster_.apply_report(*report, false, now());
   work_.set();
 }
 
 // A worker that reports to a former leader, or to nobody, is told of our token straight away: from
 // then on it drops the former leader's answers, and its lease is ours to time.
-Task<void> Term::make_known() {
+Task<void> Term::announce_token() {
   const auto& s = services_.settings;
   for (;;) {
     Sleep pause(services_.reactor, s.report_s / 2);
@@ -339,8 +339,8 @@
     if (at - began_ < 1.5 * s.report_s) continue;  // most come by themselves
     std::vector<std::string> due;
     std::erase_if(called_,
-                  [&](const auto& call) { return picture_.machine(call.first) == nullptr; });
-    for (const auto& [id, m] : picture_.machines()) {
+                  [&](const auto& call) { return cluster_.machine(call.first) == nullptr; });
+    for (const auto& [id, m] : cluster_.machines()) {
       if (m.shown_token || m.removing || m.failed || m.address.empty() || !m.listed) continue;
       if (m.booting || at - m.last_report < 2 * s.report_s) continue;
       const auto last = called_.find(id);
@@ -358,23 +358,23 @@
 Task<void> Term::call_worker(std::string id) {
   std::uint64_t session = 1;
   for (int tries = 0; tries < 2; ++tries) {
-    const Machine* m = picture_.machine(id);
-    if (m == nullptr || !office_.certain(now())) break;
+    const Machine* m = cluster_.machine(id);
+    if (m == nullptr || !leader_lease_.valid(now())) break;
     if (m->session != 0) session = m->session;
     net::Request request{"POST", "/commands", "",
-                         wire::orders_command(office_.token(), session, {}), true};
+                         wire::orders_command(leader_lease_.token(), session, {}), true};
     auto calling =
         services_.transport.call(m->address, std::move(request), services_.settings.report_s);
     const auto reply = co_await calling;
     if (reply.status() != 200 && reply.status() != 409) break;
     const auto report = wire::parse_report(reply.response.body);
     if (!report || report->machine != id || deleted_.contains(id)) break;
-    if (report->token > office_.token()) {
+    if (report->token > leader_lease_.token()) {
       lose("a worker has seen a higher token");
       break;
     }
     last_heard_ = now();
-    picture_.apply_report(*report, false, now());
+    cluster_.apply_report(*report, false, now());
     work_.set();
     if (reply.status() == 200 || report->session == session) break;
     session = report->session;  // it was told under the wrong session: once more
--- a/src/control/term_machines.cpp
+++ b/src/control/term_machines.cpp
@@ -1,4 +1,4 @@
-// The leader's machines: what the cloud lists, what is given back, and the scaler's steps.
+// The leader's machines: what the cloud lists, what is returned, and the scaler's steps.
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
@@ -21,11 +21,11 @@
     auto asking = services_.cloud.types();
     auto types = co_await asking;
     if (types && !types->empty()) {
-      picture_.set_types(std::move(*types));
-      picture_.mark_changed();
+      cluster_.set_types(std::move(*types));
+      cluster_.mark_changed();
       work_.set();
     }
-    const bool known = !picture_.types().empty();
+    const bool known = !cluster_.types().empty();
     Sleep pause(services_.reactor, known ? 2 * services_.settings.list_lag_s : 1.0);
     co_await pause;
   }
@@ -40,7 +40,7 @@
     if (machines) {
       for (const auto& item : *machines) {
         if (deleted_.contains(item.id)) continue;
-        auto& m = picture_.put_machine(item.id, {item.type, item.zone, item.spot}, at);
+        auto& m = cluster_.put_machine(item.id, {item.type, item.zone, item.spot}, at);
         m.listed = true;
         m.last_listed = at;
         m.rented_at = std::min(m.rented_at, at - item.age_s);
@@ -70,12 +70,12 @@
   return std::max(due, heard);
 }
 
-void Term::give_back(Machine& m, const char* why) {
+void Term::retire_machine(Machine& m, const char* why) {
   if (m.removing) return;
   m.removing = true;
-  spdlog::info("machine {} ({} in {}{}) is given back: {}", m.id, m.kind.type, m.kind.zone,
+  spdlog::info("machine {} ({} in {}{}) is returned: {}", m.id, m.kind.type, m.kind.zone,
                m.kind.spot ? ", spot" : "", why);
-  picture_.mark_changed();
+  cluster_.mark_changed();
   deletions_.set();
 }
 
@@ -85,10 +85,10 @@
     net::Signal::Wait wait(deletions_, services_.settings.report_s);
     co_await wait;
     std::vector<std::string> names;
-    for (const auto& [id, m] : picture_.machines()) {
+    for (const auto& [id, m] : cluster_.machines()) {
       if (!m.removing || names.size() == kMost) continue;
       // What was cancelled must be gone in time, also in an outage: no leader wants it to go on.
-      if (office_.certain(now()) || holds_cancelled(m)) names.push_back(id);
+      if (leader_lease_.valid(now()) || holds_cancelled(m)) names.push_back(id);
     }
     if (names.empty()) continue;
     auto removing = services_.cloud.remove(names);
@@ -98,7 +98,7 @@
       continue;
     }
     note_deleted(names);
-    for (const auto& name : names) picture_.remove_machine(name, now());
+    for (const auto& name : names) cluster_.remove_machine(name, now());
     work_.set();
     if (names.size() == kMost) deletions_.set();  // there may be more
   }
@@ -111,64 +111,64 @@
   for (const auto& name : names) deleted_[name] = now();
 }
 
-void Term::watch_machine(Machine& m, const std::map<std::string, sched::ZoneWorkers>& zones,
+void Term::check_machine(Machine& m, const std::map<std::string, sched::ZoneWorkers>& zones,
                          double at) {
   const auto& s = services_.settings;
-  const auto* type = picture_.type(m.kind.type);
+  const auto* type = cluster_.type(m.kind.type);
   const double ready_s = type != nullptr ? type->ready_s : s.lease_s;
-  if (m.failed) return give_back(m, "it has stopped on its own");
+  if (m.failed) return retire_machine(m, "it has stopped on its own");
   if (!m.reported) {
     // A list alone proves nothing; a machine that has not reported for several boot times, to a
     // leader who has been there for long enough, does no work.
     const double patience = s.operators.boot_patience * ready_s;
     // Nor has one that its zone's cut keeps from reporting failed to come up.
     if (at - m.rented_at > patience && at - began_ > s.lease_s * 2 && at > m.excused_until) {
-      give_back(m, "it never came up");
+      retire_machine(m, "it never came up");
     }
     return;
   }
   if (m.silent && at - m.last_answered > 2 * s.lease_s && at > m.excused_until) {
-    return give_back(m, "it is silent");
+    return retire_machine(m, "it is silent");
   }
   // Its deletion proves what its lease would prove only later: its work starts elsewhere the
   // sooner.
-  if (sched::surely_taken(picture_, m, zones, at)) return give_back(m, "it is taken");
-  if (m.quarantined && m.idle()) return give_back(m, "it fails what it starts");
+  if (sched::surely_taken(cluster_, m, zones, at)) return retire_machine(m, "it is taken");
+  if (m.quarantined && m.idle()) return retire_machine(m, "it fails what it starts");
   if (!m.taken_at) return;
   // Its work moves while it still runs: what saves is told to save.
   for (const auto& held : m.tasks) {
     const auto& spec = held.job->spec;
     if (spec.checkpoint_s > 0 && *m.taken_at - at < 2 * spec.save_s + 3 * s.report_s) {
-      sched::Picture::request_stop(held.place(), spec.save_s, at);
+      sched::ClusterState::request_stop(held.place(), spec.save_s, at);
     }
   }
 }
 
-Task<void> Term::keep_house() {
+Task<void> Term::supervise_machines() {
   const auto& s = services_.settings;
   for (;;) {
     Sleep pause(services_.reactor, s.report_s / 3);
     co_await pause;
     const double at = now();
-    for (const auto& id : picture_.expire_leases(at)) {
+    for (const auto& id : cluster_.expire_leases(at)) {
       spdlog::info("machine {} is silent, its lease is over", id);
       work_.set();
     }
-    for (const auto& zone : picture_.watch_zones(at)) {
+    for (const auto& zone : cluster_.watch_zones(at)) {
       spdlog::info("zone {} is dark: none of its workers is heard", zone);
       work_.set();
     }
-    const auto zones = sched::count_workers(picture_, at);
-    for (auto& [id, m] : picture_.machines()) {
-      if (!m.removing) watch_machine(m, zones, at);
+    const auto zones = sched::count_workers(cluster_, at);
+    for (auto& [id, m] : cluster_.machines()) {
+      if (!m.removing) check_machine(m, zones, at);
     }
     // A machine that lost its list entry, is silent and holds nothing is forgotten.
     std::vector<std::string> gone;
     std::vector<std::pair<std::string, sched::MachineKind>> unknown;
-    for (auto& [id, job] : picture_.jobs()) {
+    for (auto& [id, job] : cluster_.jobs()) {
       for (const auto& p : job.places) {
         if (p.ended) continue;
-        Machine* m = picture_.machine(p.machine);
+        Machine* m = cluster_.machine(p.machine);
         const bool overdue = job.withdrawn() && at > cancel_due(job);
         if (m == nullptr) {
           if (overdue || at - began_ > 2 * s.list_lag_s + s.lease_s) {
@@ -176,14 +176,14 @@
           }
         } else if (overdue) {
           // The end of a cancelled task could not be confirmed in time.
-          give_back(*m, "a cancelled task may still be on it");
+          retire_machine(*m, "a cancelled task may still be on it");
         }
       }
     }
     // A record may name a machine that neither the list nor a report has shown: its deletion is
     // the only proof left.
     for (const auto& [name, kind] : unknown) {
-      give_back(picture_.put_machine(name, kind, at), "nothing is known of it");
+      retire_machine(cluster_.put_machine(name, kind, at), "nothing is known of it");
     }
     for (auto it = refused_until_.begin(); it != refused_until_.end();) {
       it = it->second < at ? refused_until_.erase(it) : std::next(it);
@@ -198,10 +198,10 @@
   for (;;) {
     Sleep pause(services_.reactor, figures.every_s);
     co_await pause;
-    if (picture_.types().empty() || is_lost_) continue;
+    if (cluster_.types().empty() || is_lost_) continue;
     const double at = now();
     const bool settled = first_ever_ || at - began_ >= figures.down_window_s;
-    const auto readings = sched::read_pools(picture_, shortfall_, figures.high);
+    const auto readings = sched::read_pools(cluster_, shortfall_, figures.high);
     std::vector<std::string> changed;
     for (const auto& [id, reading] : readings) {
       const std::string name = id.name();
@@ -211,13 +211,13 @@
       const int change = pool.decide(reading, settled, wall, at);
       spdlog::debug("pool {}: score {:.2f}, {} machines, {} wanted, change {}", name, reading.score,
                     reading.machines, reading.wanted, change);
-      if (change > 0 && office_.certain(at)) {
+      if (change > 0 && leader_lease_.valid(at)) {
         // Stamped now: a refused rental waits a cooldown like any other.
         pool.stamp(reading.machines + change, wall);
         spdlog::info("pool {} grows by {} from {}: score {:.2f}", name, change, reading.machines,
                      reading.score);
         grow(id, change);
-      } else if (change < 0 && office_.certain(at)) {
+      } else if (change < 0 && leader_lease_.valid(at)) {
         const int given = shrink(id, -change);
         if (given > 0) {
           pool.stamp(reading.machines - given, wall);
@@ -247,15 +247,15 @@
       any = true;
     }
   }
-  const auto* type = picture_.type(pool.type);
+  const auto* type = cluster_.type(pool.type);
   const auto weight = [&](const std::string& zone) {
     return pool.spot || services_.settings.has_node(zone) ? 1 : 2;
   };
   std::map<std::string, int> zones;
   for (const auto& zone : type->zones) {
-    if (!picture_.dark(zone)) zones[zone] = 0;
+    if (!cluster_.dark(zone)) zones[zone] = 0;
   }
-  for (const auto& [id, m] : picture_.machines()) {
+  for (const auto& [id, m] : cluster_.machines()) {
     if (sched::pool_of(m.kind) == pool && zones.contains(m.kind.zone)) {
       zones[m.kind.zone] += weight(m.kind.zone);
     }
@@ -282,16 +282,16 @@
 Task<void> Term::rent(sched::MachineKind kind, int count) {
   // The token makes the name unique among leaders, the sequence among our own.
   const std::string name =
-      "r-" + std::to_string(office_.token()) + "-" + std::to_string(++rental_sequence_);
+      "r-" + std::to_string(leader_lease_.token()) + "-" + std::to_string(++rental_sequence_);
   const auto& figures = services_.settings.operators.scaler;
   for (;;) {
-    if (!office_.certain(now())) co_return;
+    if (!leader_lease_.valid(now())) co_return;
     auto renting = services_.cloud.rent({name, kind.type, kind.zone, kind.spot, count});
     const auto result = co_await renting;
     using Kind = cloud::RentResult::Kind;
     if (result.kind == Kind::rented) {
       for (const auto& id : result.machines) {
-        if (!deleted_.contains(id)) picture_.put_machine(id, kind, now()).rented_here = true;
+        if (!deleted_.contains(id)) cluster_.put_machine(id, kind, now()).rented_here = true;
       }
       if (static_cast<int>(result.machines.size()) < count) {
         refused_until_[kind] = now() + figures.up_cooldown_s;
@@ -303,7 +303,7 @@
       spdlog::info("no {} machine to be had in {}{}", kind.type, kind.zone,
                    kind.spot ? " as spot" : "");
       refused_until_[kind] = now() + figures.up_cooldown_s;
-      picture_.mark_changed();
+      cluster_.mark_changed();
       co_return;
     }
     if (result.kind == Kind::refused) co_return;  // the next cooldown brings the next try
@@ -315,8 +315,8 @@
 
 int Term::shrink(const sched::PoolId& pool, int machines) {
   std::vector<Machine*> idle;
-  for (auto& [id, m] : picture_.machines()) {
-    if (sched::pool_of(m.kind) == pool && sched::usable(picture_, m) && m.idle() &&
+  for (auto& [id, m] : cluster_.machines()) {
+    if (sched::pool_of(m.kind) == pool && sched::usable(cluster_, m) && m.idle() &&
         now() - m.idle_since > services_.settings.report_s * 2) {
       idle.push_back(&m);
     }
@@ -326,7 +326,7 @@
   int given = 0;
   for (Machine* m : idle) {
     if (given == machines) break;
-    give_back(*m, "nothing needs it");
+    retire_machine(*m, "nothing needs it");
     ++given;
   }
   return given;
@@ -342,7 +342,7 @@
       .integer(pool.state.scaled_ms)
       .end();
   const std::string key = kPoolsPrefix + name;
-  std::vector<wire::Condition> conditions{{kLeaderKey, office_.token()},
+  std::vector<wire::Condition> conditions{{kLeaderKey, leader_lease_.token()},
                                           {key, pool_revisions_[name]}};
   std::vector<wire::Change> changes{{key, w.take(), 0}};
   auto writing = services_.store.transact(std::move(conditions), std::move(changes), kStoreTimeout);
--- a/src/sched/picture.cpp
+++ b/src/sched/cluster_state.cpp
@@ -1,4 +1,4 @@
-#include "sched/picture.hpp"
+#include "sched/cluster_state.hpp"
 
 #include <algorithm>
 
@@ -96,28 +96,28 @@
          std::find(spec.types.begin(), spec.types.end(), kind.type) != spec.types.end();
 }
 
-double Picture::lease_bound() const {
+double ClusterState::lease_bound() const {
   // Both clocks may be off, in opposite directions; a report interval covers the time between our
   // stamping an answer and its leaving.
   return settings_.lease_s * (1 + 4 * base::kClockDrift) + settings_.report_s / 4;
 }
 
-Job* Picture::job(const std::string& id) {
+Job* ClusterState::job(const std::string& id) {
   const auto it = jobs_.find(id);
   return it == jobs_.end() ? nullptr : &it->second;
 }
 
-Machine* Picture::machine(const std::string& id) {
+Machine* ClusterState::machine(const std::string& id) {
   const auto it = machines_.find(id);
   return it == machines_.end() ? nullptr : &it->second;
 }
 
-const wire::MachineType* Picture::type(const std::string& name) const {
+const wire::MachineType* ClusterState::type(const std::string& name) const {
   const auto it = types_.find(name);
   return it == types_.end() ? nullptr : &it->second;
 }
 
-void Picture::set_types(std::vector<wire::MachineType> types) {
+void ClusterState::set_types(std::vector<wire::MachineType> types) {
   types_.clear();
   for (auto& t : types) {
     auto name = t.name;
@@ -125,13 +125,13 @@
   }
 }
 
-const wire::Room& Picture::team_use(const std::string& team) const {
+const wire::Room& ClusterState::team_use(const std::string& team) const {
   static const wire::Room none;
   const auto it = team_use_.find(team);
   return it == team_use_.end() ? none : it->second;
 }
 
-void Picture::attach(Job& job, Place& place) {
+void ClusterState::attach(Job& job, Place& place) {
   if (place.ended) return;
   team_use_[job.spec.team] += job.spec.room;
   const Held held{&job, place.task, place.attempt};
@@ -145,7 +145,7 @@
   m->tasks.push_back(held);
 }
 
-void Picture::detach(Job& job, const Place& place, double now) {
+void ClusterState::detach(Job& job, const Place& place, double now) {
   team_use_[job.spec.team] -= job.spec.room;
   const Held held{&job, place.task, place.attempt};
   Machine* m = machine(place.machine);
@@ -166,7 +166,7 @@
   }
 }
 
-Job& Picture::put_job(Job job, double now) {
+Job& ClusterState::put_job(Job job, double now) {
   changed_ = true;
   const auto id = job.spec.id;
   if (Job* old = this->job(id)) {
@@ -214,14 +214,14 @@
   return put;
 }
 
-void Picture::withdraw(Job& job, std::int64_t at_ms, double since) {
+void ClusterState::withdraw(Job& job, std::int64_t at_ms, double since) {
   if (job.withdrawn()) return;
   job.withdrawn_ms = at_ms;
   job.withdrawn_since = since;
   changed_ = true;
 }
 
-void Picture::drop_job(const std::string& id) {
+void ClusterState::drop_job(const std::string& id) {
   Job* j = job(id);
   if (j == nullptr) return;
   for (const auto& p : j->places) {
@@ -231,8 +231,8 @@
   changed_ = true;
 }
 
-Place& Picture::add_place(Job& job, std::uint32_t task, std::uint64_t attempt,
-                          const std::string& machine_id, double now) {
+Place& ClusterState::add_place(Job& job, std::uint32_t task, std::uint64_t attempt,
+                               const std::string& machine_id, double now) {
   Place place;
   place.task = task;
   place.attempt = attempt;
@@ -245,7 +245,7 @@
   return job.places.back();
 }
 
-void Picture::end_place(Job& job, Place& place, double now) {
+void ClusterState::end_place(Job& job, Place& place, double now) {
   if (place.ended) return;
   job.dirty = true;
   changed_ = true;
@@ -257,29 +257,29 @@
   detach(job, place, now);
 }
 
-void Picture::settle_dropped(Job& job, Place& place, double now) {
+void ClusterState::settle_dropped(Job& job, Place& place, double now) {
   const bool dirty = job.dirty;
   place.undecided = place.dropped = false;
   end_place(job, place, now);
   job.dirty = dirty;
 }
 
-void Picture::request_stop(Place& place, double grace_s, double now) {
+void ClusterState::request_stop(Place& place, double grace_s, double now) {
   if (place.ended || place.stop) return;
   place.stop = true;
   place.grace_s = grace_s;
   place.stop_since = now;
 }
 
-void Picture::forget_ended(Job& job,
-                           const std::vector<std::pair<std::uint32_t, std::uint64_t>>& which) {
+void ClusterState::forget_ended(Job& job,
+                                const std::vector<std::pair<std::uint32_t, std::uint64_t>>& which) {
   std::erase_if(job.places, [&](const Place& p) {
     return p.ended &&
            std::find(which.begin(), which.end(), std::make_pair(p.task, p.attempt)) != which.end();
   });
 }
 
-Machine& Picture::put_machine(const std::string& id, const MachineKind& kind, double now) {
+Machine& ClusterState::put_machine(const std::string& id, const MachineKind& kind, double now) {
   if (Machine* known = machine(id)) return *known;
   Machine m;
   m.id = id;
@@ -295,7 +295,7 @@
   return put;
 }
 
-void Picture::end_all(Machine& m, double now) {
+void ClusterState::end_all(Machine& m, double now) {
   const auto tasks = m.tasks;  // ending a place changes the list
   for (const auto& held : tasks) {
     end_place(*held.job, held.place(), now);
@@ -303,7 +303,7 @@
   }
 }
 
-void Picture::remove_machine(const std::string& id, double now) {
+void ClusterState::remove_machine(const std::string& id, double now) {
   changed_ = true;
   Machine* m = machine(id);
   if (m == nullptr) return;
@@ -311,14 +311,14 @@
   machines_.erase(id);
 }
 
-void Picture::break_gang(Job& job, std::uint64_t attempt, double now) {
+void ClusterState::break_gang(Job& job, std::uint64_t attempt, double now) {
   if (job.spec.shape != wire::Shape::gang) return;
   for (auto& p : job.places) {
     if (p.attempt == attempt && !p.ended) request_stop(p, 0, now);
   }
 }
 
-void Picture::used_image(Machine& m, const wire::JobSpec& spec) {
+void ClusterState::used_image(Machine& m, const wire::JobSpec& spec) {
   std::erase_if(m.images, [&](const auto& held) { return held.first == spec.image; });
   m.images.emplace_back(spec.image, spec.image_gb);
   const auto* t = type(m.kind.type);
@@ -330,7 +330,7 @@
   }
 }
 
-void Picture::task_failed(Job& job, Machine& machine, double now) {
+void ClusterState::task_failed(Job& job, Machine& machine, double now) {
   machine.failed_jobs.insert(job.spec.id);
   job.failed_on.insert(machine.id);
   // Jobs of several users fail on one machine, or a job that works elsewhere: the machine is at
@@ -345,8 +345,8 @@
   }
 }
 
-void Picture::task_exited(Job& job, Place& place, const wire::TaskReport& t, Machine& m,
-                          double now) {
+void ClusterState::task_exited(Job& job, Place& place, const wire::TaskReport& t, Machine& m,
+                               double now) {
   place.seen = true;
   place.state = TaskState::exited;
   const auto attempt = place.attempt;
@@ -371,7 +371,8 @@
   if (t.cause != Cause::done) break_gang(job, attempt, now);
 }
 
-Picture::Freshness Picture::apply_report(const wire::Report& r, bool checkin, double now) {
+ClusterState::Freshness ClusterState::apply_report(const wire::Report& r, bool checkin,
+                                                   double now) {
   Machine& m = put_machine(r.machine, {r.type, r.zone, r.spot}, now);
   const std::pair when(r.session, r.tick);
   if (checkin) {
@@ -418,8 +419,8 @@
     }
     if (p->ended) continue;
     if (t.state == TaskState::exited) {
-      // Guards against a late copy, from before our office, of an end in an earlier session: the
-      // same attempt may have been started again since. Only that it is done stays true.
+      // Guards against a late copy, from before our leadership, of an end in an earlier session:
+      // the same attempt may have been started again since. Only that it is done stays true.
       if (r.token == token_) {
         task_exited(*j, *p, t, m, now);
       } else if (t.cause == Cause::done && !j->done.contains(p->task)) {
@@ -473,7 +474,7 @@
   return Freshness::fresh;
 }
 
-std::vector<wire::Order> Picture::orders(const wire::Report& r, bool may_start, double now) {
+std::vector<wire::Order> ClusterState::orders(const wire::Report& r, bool may_start, double now) {
   std::vector<wire::Order> out;
   Machine* m = machine(r.machine);
   if (m == nullptr) return out;
@@ -517,12 +518,12 @@
   return out;
 }
 
-void Picture::note_answered(const std::string& id, double now) {
+void ClusterState::note_answered(const std::string& id, double now) {
   if (Machine* m = machine(id)) m->last_answered = now;
 }
 
-void Picture::note_deputy(const std::string& name, std::uint64_t run, double quiet_until,
-                          double stood_in_at, double now) {
+void ClusterState::note_deputy(const std::string& name, std::uint64_t run, double quiet_until,
+                               double stood_in_at, double now) {
   const auto [it, first] = deputies_.try_emplace(name);
   Deputy& deputy = it->second;
   // What another run of it did until it ended, nobody remembers.
@@ -532,22 +533,22 @@
   deputy.stood_in_at = std::max(deputy.stood_in_at, stood_in_at);
 }
 
-bool Picture::deputy_heard(const std::string& name, double now) const {
+bool ClusterState::deputy_heard(const std::string& name, double now) const {
   const auto it = deputies_.find(name);
   return it != deputies_.end() && now < it->second.quiet_until;
 }
 
-bool Picture::stopping(const Machine& m) {
+bool ClusterState::stopping(const Machine& m) {
   return m.strangers > 0 || std::any_of(m.tasks.begin(), m.tasks.end(), [](const Held& held) {
            return held.job->withdrawn() || held.place().stop;
          });
 }
 
-double Picture::maybe_answered(const Machine& m, double now) const {
+double ClusterState::maybe_answered(const Machine& m, double now) const {
   double at = m.last_answered;
   // A worker that has not shown our token may still listen to a former leader. That one's last
-  // renewal came before our office, and it answers, or lets others answer, for no longer than this
-  // after it: what lets a successor promise cancellations.
+  // renewal came before our leadership, and it answers, or lets others answer, for no longer than
+  // this after it: what lets a successor promise cancellations.
   if (!m.shown_token) {
     at = std::max(at, began_ + base::answer_span(settings_) * (1 + 4 * base::kClockDrift));
   }
@@ -559,13 +560,13 @@
   return at;
 }
 
-void Picture::excuse(const std::string& zone, double until) {
+void ClusterState::excuse(const std::string& zone, double until) {
   for (auto& [id, m] : machines_) {
     if (m.kind.zone == zone) m.excused_until = until;
   }
 }
 
-std::vector<std::string> Picture::watch_zones(double now) {
+std::vector<std::string> ClusterState::watch_zones(double now) {
   constexpr int kFewest = 3;  // fewer may fail together by chance
   struct Zone {
     int workers = 0;
@@ -601,7 +602,7 @@
   return out;
 }
 
-std::vector<std::string> Picture::expire_leases(double now) {
+std::vector<std::string> ClusterState::expire_leases(double now) {
   std::vector<std::string> out;
   for (auto& [id, m] : machines_) {
     if (m.silent || (!m.reported && m.tasks.empty())) continue;
--- a/src/sched/picture.hpp
+++ b/src/sched/cluster_state.hpp
@@ -92,7 +92,8 @@
   std::uint32_t pending_count() const;
 };
 
-/// A live place as its machine knows it: an index over the jobs' places, kept by Picture alone.
+/// A live place as its machine knows it: an index over the jobs' places, kept by ClusterState
+/// alone.
 struct Held {
   Job* job;
   std::uint32_t task;
@@ -149,10 +150,10 @@
   bool idle() const { return tasks.empty() && strangers == 0; }
 };
 
-class Picture {
+class ClusterState {
  public:
-  /// `began` is when the office was known to be ours.
-  Picture(const base::Settings& settings, std::uint64_t token, double began)
+  /// `began` is when the leadership was known to be ours.
+  ClusterState(const base::Settings& settings, std::uint64_t token, double began)
       : settings_(settings), token_(token), began_(began) {}
 
   // Jobs.
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -39,30 +39,30 @@
   std::uint32_t total = 0;
 };
 
-// Guard against a pass that holds up reports, users and the renewal of office: a burst, or the loss
-// of many machines, is dealt with in several passes, the most entitled work first.
+// Guard against a pass that holds up reports, users and the renewal of the leader lease: a burst,
+// or the loss of many machines, is dealt with in several passes, the most entitled work first.
 constexpr double kExposed = 0.5;  ///< of a boot: what a replica's place in an exposed zone weighs
 constexpr int kMostPlaced = 400;  ///< tasks a pass
 constexpr std::size_t kMostRounds = 100;  ///< of all machines, to make room
 
 class Pass {
  public:
-  Pass(Picture& picture, const std::map<MachineKind, double>& refused_until, double now)
-      : picture_(picture), refused_until_(refused_until), now_(now) {
+  Pass(ClusterState& cluster, const std::map<MachineKind, double>& refused_until, double now)
+      : cluster_(cluster), refused_until_(refused_until), now_(now) {
     std::map<std::string, Room> leaving;  // by machine; few are being stopped
-    for (const auto& [id, job] : picture.jobs()) {
+    for (const auto& [id, job] : cluster.jobs()) {
       for (const auto& p : job.places) {
         if (!p.ended && (p.stop || job.withdrawn())) leaving[p.machine] += job.spec.room;
       }
     }
-    for (auto& [id, m] : picture.machines()) {
-      const auto* t = picture.type(m.kind.type);
+    for (auto& [id, m] : cluster.machines()) {
+      const auto* t = cluster.type(m.kind.type);
       if (t == nullptr) continue;
-      if (usable(picture, m)) {
+      if (usable(cluster, m)) {
         const auto stopped = leaving.find(id);
         slots_.push_back({m.kind, t->room - m.used, &m,
                           stopped == leaving.end() ? Room{} : stopped->second, nullptr, t});
-      } else if (coming(picture, m)) {
+      } else if (coming(cluster, m)) {
         booting_.push_back({m.kind, t->room - m.used, nullptr, {}, nullptr, t});
       }
     }
@@ -116,7 +116,7 @@
   bool may_preempt(const Job& for_job, const Job& victim) const;
   /// Replicas in a zone where no controller stands: nobody keeps them running through a cut.
   bool exposed(const Job& job, const std::string& zone) const {
-    return job.spec.shape == Shape::service && !picture_.settings().has_node(zone);
+    return job.spec.shape == Shape::service && !cluster_.settings().has_node(zone);
   }
   void reserve(const Job& job);
   static bool hopeless(const Job& job, const std::vector<const Job*>& failed);
@@ -124,7 +124,7 @@
   bool may_preempt_any(const Job& job) const;
   void reserve_gang(const Job& job);
 
-  Picture& picture_;
+  ClusterState& cluster_;
   const std::map<MachineKind, double>& refused_until_;
   double now_;
   std::vector<Slot> slots_, booting_;
@@ -142,7 +142,7 @@
 
 std::vector<Job*> Pass::waiting_jobs() {
   std::vector<Job*> by_age;
-  for (auto& [id, job] : picture_.jobs()) {
+  for (auto& [id, job] : cluster_.jobs()) {
     if (!job.withdrawn() && !job.complete()) by_age.push_back(&job);
   }
   std::sort(by_age.begin(), by_age.end(), [](const Job* a, const Job* b) {
@@ -153,7 +153,7 @@
   for (Job* job : by_age) {
     Room& sum = earlier[job->spec.team];
     sum += job->spec.room * job->spec.tasks;
-    const auto* team = picture_.settings().team(job->spec.team);
+    const auto* team = cluster_.settings().team(job->spec.team);
     job->guaranteed = team != nullptr && (team->gpus > 0 || team->cpus > 0) &&
                       (team->gpus <= 0 || sum.gpus <= team->gpus) &&
                       (team->cpus <= 0 || sum.cpus <= team->cpus);
@@ -172,7 +172,7 @@
   if (!job.spec.one_zone && !job.spec.spread) return out;
   for (const auto& p : job.places) {
     if (p.ended) continue;
-    const Machine* m = picture_.machine(p.machine);
+    const Machine* m = cluster_.machine(p.machine);
     // A machine that nothing has shown yet could be anywhere.
     ++out.count[m != nullptr ? m->kind.zone : std::string("?")];
     ++out.total;
@@ -245,7 +245,7 @@
 }
 
 void Pass::take(Job& job, std::uint32_t task, std::uint64_t attempt, Slot& slot) {
-  picture_.add_place(job, task, attempt, slot.machine->id, now_);
+  cluster_.add_place(job, task, attempt, slot.machine->id, now_);
   slot.free -= job.spec.room;
   ++result_.placed;
 }
@@ -293,7 +293,7 @@
   if (job.spec.shape == Shape::gang) {
     // The old attempt must be gone entirely before the next begins.
     if (live > 0 || tasks.size() != job.spec.tasks) return;
-    if (!within_limit(picture_, job.spec.team, job.spec.room * job.spec.tasks)) return;
+    if (!within_limit(cluster_, job.spec.team, job.spec.room * job.spec.tasks)) return;
     if (hopeless(job, no_room_for_) || !place_gang(job, tasks)) {
       unplaced_.push_back(&job);
       reserve_gang(job);
@@ -303,7 +303,7 @@
   auto zones = zones_of(job);
   Slot* slot = nullptr;
   for (const auto task : tasks) {
-    if (!within_limit(picture_, job.spec.team, job.spec.room)) return;
+    if (!within_limit(cluster_, job.spec.team, job.spec.room)) return;
     // Where one task fits best the next does too, as long as it fits: less is left over there.
     if (slot == nullptr || job.spec.spread || !job.spec.room.fits_in(slot->free)) {
       slot = hopeless(job, no_room_for_) ? nullptr : best_slot(job, zones, "");
@@ -387,7 +387,7 @@
   for (auto missing = job.pending_count(); missing > 0 && result_.looked_at < most_looks_;
        --missing) {
     planned += job.spec.room;
-    if (!within_limit(picture_, job.spec.team, planned)) return;
+    if (!within_limit(cluster_, job.spec.team, planned)) return;
     const auto choice = choose_room(job, zones, "", {});
     if (!choice) return note_hopeless(job, failed);
     ++zones.count[choice->slot->kind.zone];
@@ -454,7 +454,7 @@
       if (p.stop || !p.durable) continue;
       const double ran = p.running_since > 0 ? now_ - p.running_since : 0;
       // A replica's absence is noticed at once; other work loses what it did not save.
-      const double loss = victim->spec.shape == Shape::service ? picture_.settings().cancel_s
+      const double loss = victim->spec.shape == Shape::service ? cluster_.settings().cancel_s
                           : victim->spec.checkpoint_s > 0      ? std::min(ran, victim->spec.save_s)
                                                                : ran;
       candidates.push_back({loss, victim, &p});
@@ -478,7 +478,8 @@
 void Pass::stop_victims(const Job& job, const Choice& choice) {
   choice.slot->free -= job.spec.room;
   for (const auto& v : choice.victims) {
-    Picture::request_stop(*v.place, v.job->spec.checkpoint_s > 0 ? v.job->spec.save_s : 0, now_);
+    ClusterState::request_stop(*v.place, v.job->spec.checkpoint_s > 0 ? v.job->spec.save_s : 0,
+                               now_);
     choice.slot->leaving += v.job->spec.room;
     ++result_.stopped;
   }
@@ -487,15 +488,15 @@
 void Pass::foresee_losses() {
   // What runs in a zone that is cut off will need room elsewhere once it is known to be gone, and
   // machines take their time to boot.
-  if (!picture_.any_dark()) return;
-  for (auto& [id, job] : picture_.jobs()) {
+  if (!cluster_.any_dark()) return;
+  for (auto& [id, job] : cluster_.jobs()) {
     if (job.withdrawn()) continue;
     ZoneCount elsewhere;
     std::uint32_t doomed = 0;
     for (const auto& p : job.places) {
-      const Machine* m = p.ended ? nullptr : picture_.machine(p.machine);
+      const Machine* m = p.ended ? nullptr : cluster_.machine(p.machine);
       if (m == nullptr) continue;
-      if (picture_.dark(m->kind.zone)) {
+      if (cluster_.dark(m->kind.zone)) {
         ++doomed;
       } else {
         ++elsewhere.count[m->kind.zone];
@@ -523,7 +524,7 @@
   for (; missing > 0; --missing) {
     Room& planned = planned_[job.spec.team];
     if (!replaces) {  // what is to be replaced is counted already
-      if (!within_limit(picture_, job.spec.team, planned + job.spec.room)) return;
+      if (!within_limit(cluster_, job.spec.team, planned + job.spec.room)) return;
       planned += job.spec.room;
     }
     if (replaces || job.spec.shape == Shape::gang) {
@@ -550,10 +551,10 @@
     // The kind that costs least for the share of it that one task takes.
     MachineKind best;
     double best_price = std::numeric_limits<double>::infinity();
-    for (const auto& [name, type] : picture_.types()) {
+    for (const auto& [name, type] : cluster_.types()) {
       if (!job.spec.room.fits_in(type.room)) continue;
       for (const auto& zone : type.zones) {
-        if (picture_.dark(zone)) continue;
+        if (cluster_.dark(zone)) continue;
         for (const bool spot : {true, false}) {
           const MachineKind kind{name, zone, spot};
           if (!allows(job.spec, kind) || !zone_allows(job, zones, zone)) continue;
@@ -572,7 +573,7 @@
     if (!std::isfinite(best_price)) return;
     ++result_.shortfall.wanted[best];
     result_.shortfall.waiting[pool_of(best)] += job.spec.room;
-    const auto* type = picture_.type(best.type);
+    const auto* type = cluster_.type(best.type);
     virtual_.push_back({best, type->room, nullptr, {}, nullptr, type});
     use(virtual_.back());
   }
@@ -580,44 +581,44 @@
 
 }  // namespace
 
-bool within_limit(const Picture& picture, const std::string& team, const Room& more) {
-  const auto* t = picture.settings().team(team);
+bool within_limit(const ClusterState& cluster, const std::string& team, const Room& more) {
+  const auto* t = cluster.settings().team(team);
   if (t == nullptr) return false;
-  const Room sum = picture.team_use(team) + more;
+  const Room sum = cluster.team_use(team) + more;
   constexpr double kSlack = 1e-6;
   return (t->gpus_max <= 0 || sum.gpus <= t->gpus_max + kSlack) &&
          (t->cpus_max <= 0 || sum.cpus <= t->cpus_max + kSlack);
 }
 
 namespace {
-bool sound(const Picture& picture, const Machine& m) {
-  return !picture.dark(m.kind.zone) && !m.silent && !m.removing && !m.failed && !m.quarantined &&
+bool sound(const ClusterState& cluster, const Machine& m) {
+  return !cluster.dark(m.kind.zone) && !m.silent && !m.removing && !m.failed && !m.quarantined &&
          !m.taken_at;
 }
 }  // namespace
 
-bool usable(const Picture& picture, const Machine& m) {
-  return sound(picture, m) && m.reported && m.confirmed() && m.strangers == 0 && m.deaf_until == 0;
+bool usable(const ClusterState& cluster, const Machine& m) {
+  return sound(cluster, m) && m.reported && m.confirmed() && m.strangers == 0 && m.deaf_until == 0;
 }
 
-bool coming(const Picture& picture, const Machine& m) {
-  return sound(picture, m) && (!m.reported || (!m.confirmed() && m.deaf_until == 0));
+bool coming(const ClusterState& cluster, const Machine& m) {
+  return sound(cluster, m) && (!m.reported || (!m.confirmed() && m.deaf_until == 0));
 }
 
-std::map<std::string, ZoneWorkers> count_workers(Picture& picture, double now) {
+std::map<std::string, ZoneWorkers> count_workers(ClusterState& cluster, double now) {
   std::map<std::string, ZoneWorkers> out;
-  for (const auto& [id, m] : picture.machines()) {
+  for (const auto& [id, m] : cluster.machines()) {
     if (!m.reported || m.silent || m.removing || m.taken_at) continue;
     auto& zone = out[m.kind.zone];
     ++zone.workers;
-    if (now - m.last_report < 2 * picture.settings().report_s) ++zone.heard;
+    if (now - m.last_report < 2 * cluster.settings().report_s) ++zone.heard;
   }
   return out;
 }
 
-bool surely_taken(const Picture& picture, const Machine& m,
+bool surely_taken(const ClusterState& cluster, const Machine& m,
                   const std::map<std::string, ZoneWorkers>& zones, double now) {
-  const double every = picture.settings().report_s;
+  const double every = cluster.settings().report_s;
   if (!m.kind.spot || !m.reported || m.removing) return false;
   const double quiet = now - m.last_report;
   if (m.taken_at && now > *m.taken_at) return quiet > 1.5 * every;
@@ -627,9 +628,9 @@
   return others > 0 && zone->second.heard >= 0.9 * others;
 }
 
-PassResult place_waiting(Picture& picture, const std::map<MachineKind, double>& refused_until,
+PassResult place_waiting(ClusterState& cluster, const std::map<MachineKind, double>& refused_until,
                          double now) {
-  return Pass(picture, refused_until, now).run();
+  return Pass(cluster, refused_until, now).run();
 }
 
 }  // namespace cranklock::sched
--- a/src/sched/placement.hpp
+++ b/src/sched/placement.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "sched/picture.hpp"
+#include "sched/cluster_state.hpp"
 
 namespace cranklock::sched {
 
@@ -41,27 +41,27 @@
 /// Orders the waiting jobs by guarantee, rank and age and places what fits; then picks what to stop
 /// for work that is entitled to the room; then adds up what is missing. `refused` holds the kinds
 /// that the cloud lately had none of.
-PassResult place_waiting(Picture& picture, const std::map<MachineKind, double>& refused_until,
+PassResult place_waiting(ClusterState& cluster, const std::map<MachineKind, double>& refused_until,
                          double now);
 
 /// Whether the team may use this much more.
-bool within_limit(const Picture& picture, const std::string& team, const wire::Room& more);
+bool within_limit(const ClusterState& cluster, const std::string& team, const wire::Room& more);
 
 /// Whether new work may be put on this machine.
-bool usable(const Picture& picture, const Machine& machine);
+bool usable(const ClusterState& cluster, const Machine& machine);
 
 /// Whether it boots, or has only to show our token, to become usable.
-bool coming(const Picture& picture, const Machine& machine);
+bool coming(const ClusterState& cluster, const Machine& machine);
 
 struct ZoneWorkers {
   int workers = 0, heard = 0;  ///< heard: within two reports
 };
 /// The workers of each zone that should report.
-std::map<std::string, ZoneWorkers> count_workers(Picture& picture, double now);
+std::map<std::string, ZoneWorkers> count_workers(ClusterState& cluster, double now);
 
 /// A spot machine that has gone quiet after its notice, or for three reports while the other
 /// workers of its zone are heard. Those whose zone is quiet too may only be cut off.
-bool surely_taken(const Picture& picture, const Machine& machine,
+bool surely_taken(const ClusterState& cluster, const Machine& machine,
                   const std::map<std::string, ZoneWorkers>& zones, double now);
 
 }  // namespace cranklock::sched
--- a/src/sched/scaler.cpp
+++ b/src/sched/scaler.cpp
@@ -71,7 +71,7 @@
   state.scaled_ms = wall_ms;
 }
 
-std::map<PoolId, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall,
+std::map<PoolId, PoolReading> read_pools(ClusterState& cluster, const Shortfall& shortfall,
                                          double high) {
   struct Sum {
     double booked = 0;
@@ -79,15 +79,15 @@
     wire::Room asked;
   };
   std::map<PoolId, Sum> sums;
-  for (const auto& [name, type] : picture.types()) sums[{name, false}], sums[{name, true}];
-  for (const auto& [id, m] : picture.machines()) {
-    const auto* type = picture.type(m.kind.type);
+  for (const auto& [name, type] : cluster.types()) sums[{name, false}], sums[{name, true}];
+  for (const auto& [id, m] : cluster.machines()) {
+    const auto* type = cluster.type(m.kind.type);
     if (type == nullptr || m.failed || m.removing) continue;
     Sum& sum = sums[pool_of(m.kind)];
-    if (usable(picture, m)) {
+    if (usable(cluster, m)) {
       ++sum.ready;
       sum.booked += largest_share(m.used, type->room);
-    } else if (coming(picture, m)) {
+    } else if (coming(cluster, m)) {
       ++sum.booting;
     }
     // An ordinary machine that holds nothing but work for spot ones could be given back.
@@ -106,7 +106,7 @@
     for (const auto& [kind, n] : shortfall.wanted) {
       if (pool_of(kind) == pool) reading.wanted += n;
     }
-    const double asked = largest_share(sum.asked, picture.type(pool.type)->room);
+    const double asked = largest_share(sum.asked, cluster.type(pool.type)->room);
     if (sum.ready > 0) reading.score = sum.booked / sum.ready;
     if (reading.machines > 0) reading.score += asked / reading.machines;
     reading.missing =
--- a/src/sched/scaler.hpp
+++ b/src/sched/scaler.hpp
@@ -34,7 +34,7 @@
   PoolState state;
 
   /// Adds a reading; returns how many machines to add (above 0) or give back (below 0).
-  /// `settled` is false while a new leader still rebuilds its picture.
+  /// `settled` is false while a new leader still rebuilds its cluster state.
   int decide(const PoolReading& reading, bool settled, std::int64_t wall_ms, double now);
   /// Stamps the scale time, whether the cloud gave machines or refused.
   void stamp(int count, std::int64_t wall_ms);
@@ -49,6 +49,7 @@
 /// room over ready and booting room; a pool with nothing ready and work waiting is above High.
 /// What an ordinary machine holds that has no other work than such as spot machines may do is asked
 /// of the spot pool too.
-std::map<PoolId, PoolReading> read_pools(Picture& picture, const Shortfall& shortfall, double high);
+std::map<PoolId, PoolReading> read_pools(ClusterState& cluster, const Shortfall& shortfall,
+                                         double high);
 
 }  // namespace cranklock::sched
--- a/tests/picture_test.cpp
+++ b/tests/cluster_state_test.cpp
@@ -24,38 +24,38 @@
     written(job);
   }
   Place& place() { return job.places.at(0); }
-  Picture::Freshness checkin(wire::Report r, double now = 2) {
-    return picture.apply_report(r, true, now);
+  ClusterState::Freshness checkin(const wire::Report& r, double now = 2) {
+    return cluster.apply_report(r, true, now);
   }
 };
 
-TEST(Picture, NothingStartsBeforeItsPlaceIsDurable) {
+TEST(ClusterState, NothingStartsBeforeItsPlaceIsDurable) {
   Placed s;
   s.place().durable = false;
-  EXPECT_TRUE(s.picture.orders(report("n-1", 1, 2), true, 2).empty());
+  EXPECT_TRUE(s.cluster.orders(report("n-1", 1, 2), true, 2).empty());
   s.place().durable = true;
-  ASSERT_EQ(s.picture.orders(report("n-1", 1, 2), true, 2).size(), 1u);
+  ASSERT_EQ(s.cluster.orders(report("n-1", 1, 2), true, 2).size(), 1u);
 }
 
-TEST(Picture, NothingStartsWithoutACertainOffice) {
+TEST(ClusterState, NothingStartsWithoutACertainLeaderLease) {
   Placed s;
-  EXPECT_TRUE(s.picture.orders(report("n-1", 1, 2), false, 2).empty());
+  EXPECT_TRUE(s.cluster.orders(report("n-1", 1, 2), false, 2).empty());
 }
 
-TEST(Picture, AnAbsenceCountsOnlyInAReportNewerThanTheOneThatCarriedTheStart) {
+TEST(ClusterState, AnAbsenceCountsOnlyInAReportNewerThanTheOneThatCarriedTheStart) {
   Placed s;
   s.checkin(report("n-1", 1, 2));
-  s.picture.orders(report("n-1", 1, 2), true, 2);
-  Picture::request_stop(s.place(), 0, 2);
+  s.cluster.orders(report("n-1", 1, 2), true, 2);
+  ClusterState::request_stop(s.place(), 0, 2);
   // A copy of the same report proves nothing, nor does a direct answer that crossed the start.
-  EXPECT_EQ(s.checkin(report("n-1", 1, 2)), Picture::Freshness::late_copy);
-  s.picture.apply_report(report("n-1", 1, 3), false, 2);
+  EXPECT_EQ(s.checkin(report("n-1", 1, 2)), ClusterState::Freshness::late_copy);
+  s.cluster.apply_report(report("n-1", 1, 3), false, 2);
   EXPECT_FALSE(s.place().ended);
   s.checkin(report("n-1", 1, 4));
   EXPECT_TRUE(s.place().ended);
 }
 
-TEST(Picture, AReportThatDoesNotShowOurTokenProvesNothing) {
+TEST(ClusterState, AReportThatDoesNotShowOurTokenProvesNothing) {
   Placed s;
   s.place().seen = true;  // a former leader's command may still be under way
   s.checkin(report("n-1", 1, 2, {}, kToken - 1));
@@ -64,46 +64,46 @@
   EXPECT_TRUE(s.place().ended);
 }
 
-TEST(Picture, AStartInDoubtKeepsItsPlaceWhileTheSessionLasts) {
+TEST(ClusterState, AStartInDoubtKeepsItsPlaceWhileTheSessionLasts) {
   Placed s;
   s.place().doubtful_session = 1;
-  Picture::request_stop(s.place(), 0, 2);
+  ClusterState::request_stop(s.place(), 0, 2);
   s.checkin(report("n-1", 1, 5));
   EXPECT_FALSE(s.place().ended);
   s.checkin(report("n-1", 2, 6));
   EXPECT_TRUE(s.place().ended);
 }
 
-TEST(Picture, ATaskWhoseStartIsInDoubtIsNeverForgotten) {
+TEST(ClusterState, ATaskWhoseStartIsInDoubtIsNeverForgotten) {
   Placed s;
-  s.picture.machine("n-1")->doubtful.insert({{"j-000001", 0}, 1});
+  s.cluster.machine("n-1")->doubtful.insert({{"j-000001", 0}, 1});
   const auto exited = report("n-1", 1, 5, {task("j-000001", 0, 1, TaskState::exited, Cause::done)});
   s.checkin(exited);
   s.written(s.job);
-  EXPECT_TRUE(s.picture.orders(exited, true, 3).empty());
+  EXPECT_TRUE(s.cluster.orders(exited, true, 3).empty());
 }
 
-TEST(Picture, DoneIsDurableBeforeForget) {
+TEST(ClusterState, DoneIsDurableBeforeForget) {
   Placed s;
   const auto exited = report("n-1", 1, 5, {task("j-000001", 0, 1, TaskState::exited, Cause::done)});
   s.checkin(exited);
   EXPECT_TRUE(s.job.complete());
-  EXPECT_TRUE(s.picture.orders(exited, true, 3).empty());
+  EXPECT_TRUE(s.cluster.orders(exited, true, 3).empty());
   s.written(s.job);
-  const auto orders = s.picture.orders(exited, true, 3);
+  const auto orders = s.cluster.orders(exited, true, 3);
   ASSERT_EQ(orders.size(), 1u);
   EXPECT_EQ(orders[0].verb, Verb::forget);
 }
 
 // Guards against machines that report and hear nothing: idle for ever, they would swallow whatever
 // is put on them.
-TEST(Picture, AMachineThatHeedsNoAnswerHoldsNothingAndGetsNothing) {
+TEST(ClusterState, AMachineThatHeedsNoAnswerHoldsNothingAndGetsNothing) {
   Placed s;
   const auto says_nothing_of_it = [&](std::uint64_t tick) {
     const auto r = report("n-1", 1, tick);
     s.checkin(r, static_cast<double>(tick));
-    s.picture.orders(r, true, static_cast<double>(tick));
-    s.picture.note_answered("n-1", static_cast<double>(tick));
+    s.cluster.orders(r, true, static_cast<double>(tick));
+    s.cluster.note_answered("n-1", static_cast<double>(tick));
   };
   says_nothing_of_it(2);
   says_nothing_of_it(3);  // one answer may be lost
@@ -116,98 +116,98 @@
   EXPECT_EQ(s.pass(20).placed, 1);
 }
 
-TEST(Picture, AMachineThatNeverShowsOurTokenGetsNothingMore) {
+TEST(ClusterState, AMachineThatNeverShowsOurTokenGetsNothingMore) {
   Fleet s;
   s.add(make_job("j-000001", wire::Shape::service, 1, 4));
   for (std::uint64_t tick = 2; tick <= 4; ++tick) {
-    s.picture.apply_report(report("n-1", 1, tick, {}, kToken - 1), true, 2);
-    s.picture.note_answered("n-1", 2);
+    s.cluster.apply_report(report("n-1", 1, tick, {}, kToken - 1), true, 2);
+    s.cluster.note_answered("n-1", 2);
   }
   EXPECT_EQ(s.pass(3).placed, 0);
 }
 
 // A start sent straight to the worker and never answered may be carried out yet.
-TEST(Picture, WhatAMachineMayHaveBeenToldDirectlyIsNotGivenUp) {
+TEST(ClusterState, WhatAMachineMayHaveBeenToldDirectlyIsNotGivenUp) {
   Placed s;
   s.place().doubtful_session = 1;
   for (std::uint64_t tick = 2; tick < 9; ++tick) {
     const auto r = report("n-1", 1, tick);
     s.checkin(r, 2);
-    s.picture.orders(r, true, 2);
+    s.cluster.orders(r, true, 2);
   }
   EXPECT_FALSE(s.place().ended);
 }
 
 // A worker that has not shown our token may be kept by a former leader for as long as that one may
-// answer, which was settled before our office began; only then does its silence tell.
-TEST(Picture, ALeaseIsTimedFromOurTokenOrFromAFormerLeadersLastAnswer) {
+// answer, which was settled before our leadership began; only then does its silence tell.
+TEST(ClusterState, ALeaseIsTimedFromOurTokenOrFromAFormerLeadersLastAnswer) {
   Placed s;
-  s.picture.note_answered("n-1", 5);
-  EXPECT_TRUE(s.picture.expire_leases(15).empty());
+  s.cluster.note_answered("n-1", 5);
+  EXPECT_TRUE(s.cluster.expire_leases(15).empty());
   EXPECT_FALSE(s.place().ended);
-  EXPECT_EQ(s.picture.expire_leases(16).size(), 1u);
+  EXPECT_EQ(s.cluster.expire_leases(16).size(), 1u);
   EXPECT_TRUE(s.place().ended);
 
   Placed other;
-  other.picture.machine("n-1")->shown_token = false;
-  const double last = base::answer_span(other.settings);  // our office began at 0
-  EXPECT_TRUE(other.picture.expire_leases(last + other.settings.lease_s).empty());
+  other.cluster.machine("n-1")->shown_token = false;
+  const double last = base::answer_span(other.settings);  // our leadership began at 0
+  EXPECT_TRUE(other.cluster.expire_leases(last + other.settings.lease_s).empty());
   EXPECT_FALSE(other.place().ended);
-  EXPECT_EQ(other.picture.expire_leases(last + other.settings.lease_s + 1).size(), 1u);
+  EXPECT_EQ(other.cluster.expire_leases(last + other.settings.lease_s + 1).size(), 1u);
   EXPECT_TRUE(other.place().ended);
 }
 
 // Guards against the work of a zone that is cut off during a take-over waiting for its return.
-TEST(Picture, AMachineThatNeverReportedToUsIsGivenUpWithTheSameCare) {
+TEST(ClusterState, AMachineThatNeverReportedToUsIsGivenUpWithTheSameCare) {
   Fleet s({});
   auto job = make_job("j-000001", wire::Shape::service, 1, 1);
   Place p;
   p.attempt = 1, p.machine = "n-1", p.durable = true;
   job.places.push_back(p);
   Job& stored = s.add(job);
-  s.picture.put_machine("n-1", {"g8", "b", false}, 1);  // the list names it
+  s.cluster.put_machine("n-1", {"g8", "b", false}, 1);  // the list names it
   const double over = base::answer_span(s.settings) + s.settings.lease_s;
-  EXPECT_TRUE(s.picture.expire_leases(over).empty());
-  EXPECT_EQ(s.picture.expire_leases(over + 1).size(), 1u);
+  EXPECT_TRUE(s.cluster.expire_leases(over).empty());
+  EXPECT_EQ(s.cluster.expire_leases(over + 1).size(), 1u);
   EXPECT_TRUE(stored.places[0].ended);
   // Should it come back, whatever it holds is a stranger's.
-  s.picture.apply_report(report("n-1", 2, 1, {task("j-000001", 0, 1, wire::TaskState::running)}),
+  s.cluster.apply_report(report("n-1", 2, 1, {task("j-000001", 0, 1, wire::TaskState::running)}),
                          true, over + 2);
   EXPECT_TRUE(stored.places[0].ended);
 }
 
 // Guards against timing a lease from the start of the steady clock for a worker that showed our
 // token in the answer to a direct command and was never answered a report.
-TEST(Picture, ALeaseIsTimedFromTheTokensFirstShowing) {
+TEST(ClusterState, ALeaseIsTimedFromTheTokensFirstShowing) {
   Placed s;
-  Machine& m = *s.picture.machine("n-1");
+  Machine& m = *s.cluster.machine("n-1");
   m.shown_token = false;
   m.last_answered = 0;
-  s.picture.apply_report(report("n-1", 1, 9), false, 100);
-  EXPECT_TRUE(s.picture.expire_leases(105).empty());
-  EXPECT_EQ(s.picture.expire_leases(111).size(), 1u);
+  s.cluster.apply_report(report("n-1", 1, 9), false, 100);
+  EXPECT_TRUE(s.cluster.expire_leases(105).empty());
+  EXPECT_EQ(s.cluster.expire_leases(111).size(), 1u);
 }
 
-TEST(Picture, DeletionFreesWhatWasOnTheMachine) {
+TEST(ClusterState, DeletionFreesWhatWasOnTheMachine) {
   Placed s;
-  EXPECT_DOUBLE_EQ(s.picture.team_use("red").gpus, 4);
-  s.picture.remove_machine("n-1", 9);
+  EXPECT_DOUBLE_EQ(s.cluster.team_use("red").gpus, 4);
+  s.cluster.remove_machine("n-1", 9);
   EXPECT_TRUE(s.place().ended);
-  EXPECT_DOUBLE_EQ(s.picture.team_use("red").gpus, 0);
+  EXPECT_DOUBLE_EQ(s.cluster.team_use("red").gpus, 0);
 }
 
-TEST(Picture, ACancelledJobIsStoppedAndNeverStarted) {
+TEST(ClusterState, ACancelledJobIsStoppedAndNeverStarted) {
   Placed s;
   s.job.withdrawn_ms = 99;
-  EXPECT_TRUE(s.picture.orders(report("n-1", 1, 2), true, 2).empty());
+  EXPECT_TRUE(s.cluster.orders(report("n-1", 1, 2), true, 2).empty());
   const auto running = report("n-1", 1, 3, {task("j-000001", 0, 1, TaskState::running)});
   s.checkin(running);
-  const auto orders = s.picture.orders(running, true, 3);
+  const auto orders = s.cluster.orders(running, true, 3);
   ASSERT_EQ(orders.size(), 1u);
   EXPECT_EQ(orders[0].verb, Verb::stop);
 }
 
-TEST(Picture, AReloadedRecordDropsWhatWasNeverWrittenAndKeepsWhatWasLearnt) {
+TEST(ClusterState, AReloadedRecordDropsWhatWasNeverWrittenAndKeepsWhatWasLearnt) {
   Placed s;
   s.checkin(report("n-1", 1, 5, {task("j-000001", 0, 1, TaskState::exited, Cause::done)}));
   // The write of `done` got lost; the stored record still names the place.
@@ -217,14 +217,14 @@
   stored.places[0].attempt = 1;
   stored.places[0].machine = "n-1";
   stored.places[0].durable = true;
-  Job& again = s.picture.put_job(std::move(stored), 6);
+  Job& again = s.cluster.put_job(std::move(stored), 6);
   EXPECT_TRUE(again.complete());
   EXPECT_TRUE(again.places.at(0).ended);
   EXPECT_TRUE(again.dirty);
-  EXPECT_DOUBLE_EQ(s.picture.team_use("red").gpus, 0);
+  EXPECT_DOUBLE_EQ(s.cluster.team_use("red").gpus, 0);
 }
 
-TEST(Picture, AMachineThatFailsSeveralJobsIsAtFault) {
+TEST(ClusterState, AMachineThatFailsSeveralJobsIsAtFault) {
   Fleet s;
   for (const char* id : {"j-000001", "j-000002"}) {
     s.add(make_job(id, wire::Shape::array, 1, 1));
@@ -232,38 +232,38 @@
   s.pass();
   std::vector<wire::TaskReport> failed;
   for (const char* id : {"j-000001", "j-000002"}) {
-    s.written(*s.picture.job(id));
+    s.written(*s.cluster.job(id));
     failed.push_back(task(id, 0, 1, TaskState::exited, Cause::error));
   }
-  s.picture.apply_report(report("n-1", 1, 2, failed), true, 2);
-  EXPECT_TRUE(s.picture.machine("n-1")->quarantined);
-  EXPECT_EQ(s.picture.job("j-000001")->failures, 0);
+  s.cluster.apply_report(report("n-1", 1, 2, failed), true, 2);
+  EXPECT_TRUE(s.cluster.machine("n-1")->quarantined);
+  EXPECT_EQ(s.cluster.job("j-000001")->failures, 0);
 }
 
-TEST(Picture, AJobThatFailsOnSeveralMachinesIsAtFault) {
+TEST(ClusterState, AJobThatFailsOnSeveralMachinesIsAtFault) {
   Fleet s({{"n-1", "a"}, {"n-2", "a"}});
   Job& job = s.add(make_job("j-000001", wire::Shape::array, 2, 8));
   s.pass();
   s.written(job);
   for (auto& p : job.places) {
-    s.picture.apply_report(
+    s.cluster.apply_report(
         report(p.machine, 1, 2,
                {task("j-000001", p.task, p.attempt, TaskState::exited, Cause::error)}),
         true, 2);
   }
   EXPECT_GT(job.backoff_until, 2);
-  EXPECT_FALSE(s.picture.machine("n-1")->quarantined);
+  EXPECT_FALSE(s.cluster.machine("n-1")->quarantined);
   EXPECT_EQ(s.pass(2.1).placed, 0);
 }
 
-TEST(Picture, AGangThatLosesATaskIsStoppedWhole) {
+TEST(ClusterState, AGangThatLosesATaskIsStoppedWhole) {
   Fleet s({{"n-1", "a"}, {"n-2", "a"}});
   Job& job = s.add(make_job("j-000001", wire::Shape::gang, 2, 8));
   s.pass();
   s.written(job);
   ASSERT_EQ(job.places.size(), 2u);
   EXPECT_EQ(job.places[0].attempt, job.places[1].attempt);
-  s.picture.remove_machine("n-1", 3);
+  s.cluster.remove_machine("n-1", 3);
   for (const auto& p : job.places) EXPECT_TRUE(p.ended || p.stop);
   // The next attempt waits until all of the old one is gone.
   EXPECT_EQ(s.pass(4).placed, 0);
@@ -271,61 +271,61 @@
 
 // Guards against starting a task again while a deputy in a zone that is cut off may still prolong
 // its worker's lease.
-TEST(Picture, ALeaseIsNotOverWhileADeputyMayProlongIt) {
+TEST(ClusterState, ALeaseIsNotOverWhileADeputyMayProlongIt) {
   Fleet s;
   s.add(make_job("j-000001", wire::Shape::service, 1, 8));
   ASSERT_EQ(s.pass().placed, 1);
-  Machine& m = *s.picture.machine("n-1");
+  Machine& m = *s.cluster.machine("n-1");
   m.kept_until["n1"] = 25;
-  EXPECT_TRUE(s.picture.expire_leases(12).empty());  // last answered at 0, the lease is 10
-  EXPECT_TRUE(s.picture.expire_leases(35).empty());  // it may have answered until 25
-  EXPECT_EQ(s.picture.expire_leases(36).size(), 1u);
+  EXPECT_TRUE(s.cluster.expire_leases(12).empty());  // last answered at 0, the lease is 10
+  EXPECT_TRUE(s.cluster.expire_leases(35).empty());  // it may have answered until 25
+  EXPECT_EQ(s.cluster.expire_leases(36).size(), 1u);
 }
 
-TEST(Picture, ADeputyThatIsHeardProvesThatItAnsweredNobody) {
+TEST(ClusterState, ADeputyThatIsHeardProvesThatItAnsweredNobody) {
   Fleet s;
-  Machine& m = *s.picture.machine("n-1");
+  Machine& m = *s.cluster.machine("n-1");
   m.kept_until["n1"] = 25;
-  s.picture.note_deputy("n1", 1, 3, -1, 2);  // the first: what it did before is not known
-  s.picture.note_deputy("n1", 1, 13, -1, 12);
-  EXPECT_TRUE(s.picture.expire_leases(12.2).empty());  // perhaps answered at 2
-  EXPECT_TRUE(s.picture.expire_leases(13.5).empty());  // not heard any more
-  s.picture.note_deputy("n1", 1, 14, -1, 13);
-  EXPECT_EQ(s.picture.expire_leases(13.5).size(), 1u);
+  s.cluster.note_deputy("n1", 1, 3, -1, 2);  // the first: what it did before is not known
+  s.cluster.note_deputy("n1", 1, 13, -1, 12);
+  EXPECT_TRUE(s.cluster.expire_leases(12.2).empty());  // perhaps answered at 2
+  EXPECT_TRUE(s.cluster.expire_leases(13.5).empty());  // not heard any more
+  s.cluster.note_deputy("n1", 1, 14, -1, 13);
+  EXPECT_EQ(s.cluster.expire_leases(13.5).size(), 1u);
 }
 
-TEST(Picture, ADeputysOtherRunMayHaveAnsweredUntilItEnded) {
+TEST(ClusterState, ADeputysOtherRunMayHaveAnsweredUntilItEnded) {
   Fleet s;
-  Machine& m = *s.picture.machine("n-1");
+  Machine& m = *s.cluster.machine("n-1");
   m.kept_until["n1"] = 25;
-  s.picture.note_deputy("n1", 1, 3, -1, 2);
-  s.picture.note_deputy("n1", 2, 15, -1, 14);
-  EXPECT_TRUE(s.picture.expire_leases(14.5).empty());
-  s.picture.note_deputy("n1", 2, 26, -1, 25);
-  EXPECT_EQ(s.picture.expire_leases(25).size(), 1u);
+  s.cluster.note_deputy("n1", 1, 3, -1, 2);
+  s.cluster.note_deputy("n1", 2, 15, -1, 14);
+  EXPECT_TRUE(s.cluster.expire_leases(14.5).empty());
+  s.cluster.note_deputy("n1", 2, 26, -1, 25);
+  EXPECT_EQ(s.cluster.expire_leases(25).size(), 1u);
 }
 
-TEST(Picture, AZoneIsDarkWhenAllItsWorkersGoQuietAndOthersDoNot) {
+TEST(ClusterState, AZoneIsDarkWhenAllItsWorkersGoQuietAndOthersDoNot) {
   Fleet s({{"n-1", "a"}, {"n-2", "a"}, {"n-3", "a"}, {"n-4", "b"}});
-  EXPECT_TRUE(s.picture.watch_zones(5).empty());  // nobody is heard: it is us who are cut off
-  s.picture.apply_report(report("n-4", 1, 2, {}, kToken, "b"), true, 5);
-  EXPECT_EQ(s.picture.watch_zones(5), std::vector<std::string>{"a"});
-  EXPECT_FALSE(usable(s.picture, *s.picture.machine("n-1")));
-  EXPECT_TRUE(usable(s.picture, *s.picture.machine("n-4")));
-  s.picture.apply_report(report("n-2", 1, 2), true, 6);
-  EXPECT_TRUE(s.picture.watch_zones(6).empty());
-  EXPECT_TRUE(usable(s.picture, *s.picture.machine("n-1")));
+  EXPECT_TRUE(s.cluster.watch_zones(5).empty());  // nobody is heard: it is us who are cut off
+  s.cluster.apply_report(report("n-4", 1, 2, {}, kToken, "b"), true, 5);
+  EXPECT_EQ(s.cluster.watch_zones(5), std::vector<std::string>{"a"});
+  EXPECT_FALSE(usable(s.cluster, *s.cluster.machine("n-1")));
+  EXPECT_TRUE(usable(s.cluster, *s.cluster.machine("n-4")));
+  s.cluster.apply_report(report("n-2", 1, 2), true, 6);
+  EXPECT_TRUE(s.cluster.watch_zones(6).empty());
+  EXPECT_TRUE(usable(s.cluster, *s.cluster.machine("n-1")));
 }
 
 // Guards against beginning to boot only when the leases are over, and against renting what can't be
 // reached.
-TEST(Picture, RoomForWhatACutZoneMayLoseIsRentedElsewhere) {
+TEST(ClusterState, RoomForWhatACutZoneMayLoseIsRentedElsewhere) {
   Fleet s({{"n-1", "a"}, {"n-2", "a"}, {"n-3", "a"}, {"n-4", "b"}});
   s.add(make_job("j-000001", wire::Shape::service, 2, 8));
   ASSERT_EQ(s.pass().placed, 2);
   ASSERT_TRUE(s.pass().shortfall.wanted.empty());
-  s.picture.apply_report(report("n-4", 1, 2, {}, kToken, "b"), true, 5);
-  s.picture.watch_zones(5);
+  s.cluster.apply_report(report("n-4", 1, 2, {}, kToken, "b"), true, 5);
+  s.cluster.watch_zones(5);
   const auto wanted = s.pass(5).shortfall.wanted;  // one of the two finds room on n-4
   ASSERT_EQ(wanted.size(), 1u);
   EXPECT_EQ(wanted.begin()->first.zone, "b");
@@ -334,28 +334,28 @@
 
 // Guards against room that is free again while an unanswered write, which would take it, may yet be
 // carried out: on a machine that is gone, and on one whose job then finds its record changed.
-TEST(Picture, AnUndecidedPlaceKeepsItsRoomUntilAWriteWithoutItSucceeds) {
+TEST(ClusterState, AnUndecidedPlaceKeepsItsRoomUntilAWriteWithoutItSucceeds) {
   Fleet s;
   Job& job = s.add(make_job("j-000001", wire::Shape::array, 1, 4));
-  Place& place = s.picture.add_place(job, 0, 1, "n-1", 1);
+  Place& place = s.cluster.add_place(job, 0, 1, "n-1", 1);
   place.undecided = true;
-  s.picture.remove_machine("n-1", 2);
-  EXPECT_EQ(s.picture.team_use("red").gpus, 4);
+  s.cluster.remove_machine("n-1", 2);
+  EXPECT_EQ(s.cluster.team_use("red").gpus, 4);
   EXPECT_TRUE(job.pending(9).empty());
   EXPECT_TRUE(job.dirty);
   const auto text = control::write_record(job, 8192).front();
   EXPECT_EQ(text.find("n-1"), std::string::npos);
-  s.picture.settle_dropped(job, job.places.front(), 3);
-  EXPECT_EQ(s.picture.team_use("red").gpus, 0);
+  s.cluster.settle_dropped(job, job.places.front(), 3);
+  EXPECT_EQ(s.cluster.team_use("red").gpus, 0);
   EXPECT_EQ(job.pending(9).size(), 1U);
 }
 
-TEST(Picture, ADroppedPlaceThatWasStoredAfterAllIsNeverStarted) {
+TEST(ClusterState, ADroppedPlaceThatWasStoredAfterAllIsNeverStarted) {
   Fleet s;
   Job& job = s.add(make_job("j-000001", wire::Shape::array, 1, 4));
-  s.picture.add_place(job, 0, 1, "n-1", 1).undecided = true;
-  s.picture.end_place(job, job.places.front(), 2);
-  EXPECT_EQ(s.picture.team_use("red").gpus, 4);
+  s.cluster.add_place(job, 0, 1, "n-1", 1).undecided = true;
+  s.cluster.end_place(job, job.places.front(), 2);
+  EXPECT_EQ(s.cluster.team_use("red").gpus, 4);
   auto stored = make_job("j-000001", wire::Shape::array, 1, 4);
   stored.revision = 9;
   stored.last_attempt = 1;
@@ -364,16 +364,16 @@
   Job& put = s.add(std::move(stored));
   EXPECT_TRUE(put.places.front().ended);
   EXPECT_TRUE(put.dirty);  // and so is written without it
-  EXPECT_EQ(s.picture.team_use("red").gpus, 0);
-  EXPECT_TRUE(s.picture.orders(report("n-1", 1, 2), true, 3).empty());
+  EXPECT_EQ(s.cluster.team_use("red").gpus, 0);
+  EXPECT_TRUE(s.cluster.orders(report("n-1", 1, 2), true, 3).empty());
 }
 
 // Guards against a stored place being taken for a remembered one on another machine: the record
-// would name the one and the picture the other.
-TEST(Picture, APlaceIsTheSameOnlyOnTheSameMachineAndNumbersNeverGoBack) {
+// would name the one and the cluster state the other.
+TEST(ClusterState, APlaceIsTheSameOnlyOnTheSameMachineAndNumbersNeverGoBack) {
   Fleet s({{"n-1", "a"}, {"n-2", "a"}});
   Job& job = s.add(make_job("j-000001", wire::Shape::array, 1, 4));
-  Place& remembered = s.picture.add_place(job, 0, 5, "n-2", 1);
+  Place& remembered = s.cluster.add_place(job, 0, 5, "n-2", 1);
   remembered.seen = true;
   auto stored = make_job("j-000001", wire::Shape::array, 1, 4);
   stored.last_attempt = 4;
@@ -388,9 +388,9 @@
   EXPECT_EQ(put.last_attempt, 5U);
 }
 
-// Guards against a late copy, from before the office, that tells of an end in an earlier session:
-// the same attempt may have been started again since.
-TEST(Picture, AnEndIsBelievedOnlyOfWhoeverHasShownOurToken) {
+// Guards against a late copy, from before the leadership, that tells of an end in an earlier
+// session: the same attempt may have been started again since.
+TEST(ClusterState, AnEndIsBelievedOnlyOfWhoeverHasShownOurToken) {
   Fleet s;
   auto stored = make_job("j-000001", wire::Shape::array, 2, 4);
   for (std::uint32_t i = 0; i < 2; ++i) {
@@ -402,41 +402,41 @@
   }
   Job& job = s.add(std::move(stored));
   const auto exited = wire::TaskState::exited;
-  s.picture.apply_report(report("n-7", 1, 9,
+  s.cluster.apply_report(report("n-7", 1, 9,
                                 {task("j-000001", 0, 1, exited, wire::Cause::stopped),
                                  task("j-000001", 1, 2, exited, wire::Cause::done)},
                                 kToken - 1),
                          true, 1);
   EXPECT_EQ(job.live(), 2U);
   EXPECT_TRUE(job.done.contains(1));  // what is done stays done
-  EXPECT_FALSE(usable(s.picture, *s.picture.machine("n-7")));
-  EXPECT_TRUE(coming(s.picture, *s.picture.machine("n-7")));
-  s.picture.apply_report(report("n-7", 2, 1), true, 2);
-  EXPECT_TRUE(usable(s.picture, *s.picture.machine("n-7")));
+  EXPECT_FALSE(usable(s.cluster, *s.cluster.machine("n-7")));
+  EXPECT_TRUE(coming(s.cluster, *s.cluster.machine("n-7")));
+  s.cluster.apply_report(report("n-7", 2, 1), true, 2);
+  EXPECT_TRUE(usable(s.cluster, *s.cluster.machine("n-7")));
   EXPECT_EQ(job.live(), 2U);  // nothing was told to this session yet
 }
 
 // Found by the sweep: stopped to make room while its start was in doubt, a place stayed for ever.
-TEST(Picture, AStopMeetsAStartInDoubt) {
+TEST(ClusterState, AStopMeetsAStartInDoubt) {
   Placed s;
   s.checkin(report("n-1", 1, 2));
   s.place().doubtful_session = 1;
-  s.picture.machine("n-1")->doubtful.insert({{"j-000001", 0}, s.place().attempt});
-  Picture::request_stop(s.place(), 5, 3);
+  s.cluster.machine("n-1")->doubtful.insert({{"j-000001", 0}, s.place().attempt});
+  ClusterState::request_stop(s.place(), 5, 3);
   s.checkin(report("n-1", 1, 3), 3);
   EXPECT_FALSE(s.place().ended);  // it may still come
-  const auto orders = s.picture.orders(report("n-1", 1, 3), true, 3);
+  const auto orders = s.cluster.orders(report("n-1", 1, 3), true, 3);
   ASSERT_EQ(orders.size(), 2U);
   EXPECT_EQ(orders[0].verb, Verb::start);
   EXPECT_EQ(orders[1].verb, Verb::stop);
-  EXPECT_TRUE(s.picture.orders(report("n-1", 1, 3), false, 3).empty());
+  EXPECT_TRUE(s.cluster.orders(report("n-1", 1, 3), false, 3).empty());
   const auto attempt = s.place().attempt;
   const auto ended =
       report("n-1", 1, 4, {task("j-000001", 0, attempt, TaskState::exited, Cause::stopped)});
   s.checkin(ended, 4);
   EXPECT_EQ(s.job.live(), 0U);
   s.written(s.job);
-  EXPECT_TRUE(s.picture.orders(ended, true, 4).empty());  // nor is it forgotten in this session
+  EXPECT_TRUE(s.cluster.orders(ended, true, 4).empty());  // nor is it forgotten in this session
 }
 
 }  // namespace
--- a/tests/fixtures.hpp
+++ b/tests/fixtures.hpp
@@ -70,10 +70,10 @@
   return {{job, index}, attempt, state, cause, false};
 }
 
-/// A picture with types, and machines that have reported.
+/// A cluster state with types, and machines that have reported.
 struct Fleet {
   base::Settings settings = small_settings();
-  sched::Picture picture{settings, kToken, 0};
+  sched::ClusterState cluster{settings, kToken, 0};
   std::map<sched::MachineKind, double> refused;
 
   struct Where {
@@ -81,14 +81,14 @@
   };
   Fleet() : Fleet({{"n-1", "a"}}) {}
   explicit Fleet(std::initializer_list<Where> machines) {
-    picture.set_types({machine_type()});
+    cluster.set_types({machine_type()});
     for (const auto& [id, zone] : machines) {
-      picture.apply_report(report(id, 1, 1, {}, kToken, zone), true, 0);
-      picture.note_answered(id, 0);
+      cluster.apply_report(report(id, 1, 1, {}, kToken, zone), true, 0);
+      cluster.note_answered(id, 0);
     }
   }
-  sched::Job& add(sched::Job job) { return picture.put_job(std::move(job), 0); }
-  sched::PassResult pass(double now = 1) { return sched::place_waiting(picture, refused, now); }
+  sched::Job& add(sched::Job job) { return cluster.put_job(std::move(job), 0); }
+  sched::PassResult pass(double now = 1) { return sched::place_waiting(cluster, refused, now); }
   /// What a successful write would do.
   void written(sched::Job& job) {
     std::vector<std::pair<std::uint32_t, std::uint64_t>> ended;
@@ -96,7 +96,7 @@
       if (p.ended) ended.emplace_back(p.task, p.attempt);
       p.durable = true;
     }
-    picture.forget_ended(job, ended);
+    cluster.forget_ended(job, ended);
     job.dirty = false;
   }
 };
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -99,7 +99,7 @@
   if (refusal == Refusal::with_a_moment_of_service) {
     // Renewals come through before the news do.
     w.state_down = false;
-    w.run(0.6 * control::Office::lease_life(settings));
+    w.run(0.6 * control::LeaderLease::lease_life(settings));
     w.state_down = true;
   }
   w.run(settings.cancel_s);
@@ -115,7 +115,7 @@
   EXPECT_EQ(w.state_of(1, "j-000001"), "withdrawn");
 }
 
-// Guards against a leader whose office is confirmed before its news are: it would keep alive,
+// Guards against a leader whose leader lease is confirmed before its news are: it would keep alive,
 // through an outage longer than cancel_s, what was cancelled while it alone was refused.
 TEST(Meeting, TheGapWhoseRefusalEndsInsideTheOutage) {
   play_gap(long_reports(), Refusal::ends_inside);
@@ -133,23 +133,23 @@
 // The bound itself, on the figures of both deployments and with every clock as far off as may be.
 TEST(Meeting, NoLeaseThatMayStillBeProlongedOutlastsACancellation) {
   for (const auto& s : {long_reports(), long_cancels(), figures(5, 29, 49), figures(4, 22, 52)}) {
-    control::Office office(s, 7, 100);
-    EXPECT_FALSE(office.may_answer(101));  // office alone is not knowledge
-    office.learn(90);
+    control::LeaderLease lease(s, 7, 100);
+    EXPECT_FALSE(lease.may_answer(101));  // leading alone is not knowledge
+    lease.caught_up(90);
     // A cancellation may have been confirmed from 90 on. A report that is answered at the last
     // moment was sent no later, and its lease is counted from there.
-    const double last_answer = office.answer_until() * (1 + 2 * base::kClockDrift);
+    const double last_answer = lease.answer_until() * (1 + 2 * base::kClockDrift);
     EXPECT_LT(last_answer + s.lease_s * (1 + 2 * base::kClockDrift), 90 + s.cancel_s);
-    EXPECT_FALSE(office.may_answer(office.answer_until()));
-    EXPECT_FALSE(office.may_start(90 + control::Office::lease_life(s)));
-    EXPECT_TRUE(office.certain(101));
-    office.learn(100.5);
-    EXPECT_TRUE(office.may_start(101));
-    office.miss();
-    EXPECT_FALSE(office.may_start(101));  // others may be cancelling
-    EXPECT_TRUE(office.may_answer(101));
-    office.learn(95);  // an answer that comes after a later one proves no less
-    EXPECT_TRUE(office.may_start(101));
+    EXPECT_FALSE(lease.may_answer(lease.answer_until()));
+    EXPECT_FALSE(lease.may_start(90 + control::LeaderLease::lease_life(s)));
+    EXPECT_TRUE(lease.valid(101));
+    lease.caught_up(100.5);
+    EXPECT_TRUE(lease.may_start(101));
+    lease.fell_behind();
+    EXPECT_FALSE(lease.may_start(101));  // others may be cancelling
+    EXPECT_TRUE(lease.may_answer(101));
+    lease.caught_up(95);  // an answer that comes after a later one proves no less
+    EXPECT_TRUE(lease.may_start(101));
   }
 }
 
@@ -221,7 +221,7 @@
   EXPECT_TRUE(w.workers.at(w.on)->gone);
 }
 
-// Guards against a deletion that waits for an office in an outage of the state service.
+// Guards against a deletion that waits for a leader in an outage of the state service.
 TEST(Meeting, AHungMachineWithACancelledTaskIsDeletedInAStateOutageToo) {
   HungWithCancelled w;
   w.run(1);
@@ -279,8 +279,8 @@
 
 // ---- writes without answers ----
 
-// Guards against an attempt number that is given to two machines: the record names one, the picture
-// the other, and the task runs on both.
+// Guards against an attempt number that is given to two machines: the record names one, the cluster
+// state the other, and the task runs on both.
 TEST(Meeting, APlacementIsCarriedOutLateAfterANewerOne) {
   for (unsigned seed = 1; seed <= 20; ++seed) {
     World w;
@@ -520,8 +520,8 @@
 
 // ---- reports ----
 
-// Guards against what a report from before the office would say of machines that are gone, or of an
-// earlier session or attempt.
+// Guards against what a report from before the leadership would say of machines that are gone, or
+// of an earlier session or attempt.
 TEST(Meeting, OldReportsReachEveryControllerJustAsANewLeaderBegins) {
   for (const double kept_s : {0.0, 3.0}) {
     World w(3, {"a", "a", "a"});
@@ -530,7 +530,7 @@
     w.kept_s = kept_s;
     w.run(1);
     w.submit(0, spec("j-000001"));
-    w.add_worker("a");  // there is room that is not needed, and is given back
+    w.add_worker("a");  // there is room that is not needed, and is returned
     w.add_worker("b");
     w.run(8);
     for (int round = 0; round < 3; ++round) {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -17,7 +17,7 @@
   Job& job = s.add(make_job("j-000001", Shape::array, 24, 1));
   EXPECT_EQ(s.pass().placed, 16);
   // What is not proven free still counts.
-  Picture::request_stop(job.places[0], 0, 1);
+  ClusterState::request_stop(job.places[0], 0, 1);
   EXPECT_EQ(s.pass().placed, 0);
   // Nor is room beyond the limit asked of the cloud.
   EXPECT_TRUE(s.pass().shortfall.wanted.empty());
@@ -76,9 +76,10 @@
   }
   s.add(stored);
   const auto recount = [&] {
-    for (auto& [id, m] : s.picture.machines()) {
+    for (const auto& [id, machine] : s.cluster.machines()) {
+      const Machine& m = machine;  // a lambda can't capture a structured binding by all compilers
       std::size_t held = 0;
-      for (auto& [name, job] : s.picture.jobs()) {
+      for (auto& [name, job] : s.cluster.jobs()) {
         held += static_cast<std::size_t>(
             std::count_if(job.places.begin(), job.places.end(),
                           [&](const Place& p) { return !p.ended && p.machine == m.id; }));
@@ -89,16 +90,16 @@
   };
   s.pass();
   recount();
-  s.picture.put_machine("n-9", {"g8", "a", false}, 1);  // a record named it before
+  s.cluster.put_machine("n-9", {"g8", "a", false}, 1);  // a record named it before
   recount();
-  EXPECT_EQ(s.picture.machine("n-9")->tasks.size(), 2u);
+  EXPECT_EQ(s.cluster.machine("n-9")->tasks.size(), 2u);
   stored.places.pop_back();
-  s.picture.put_job(stored, 2);
+  s.cluster.put_job(stored, 2);
   recount();
-  s.picture.remove_machine("n-1", 3);
+  s.cluster.remove_machine("n-1", 3);
   s.pass(4);
   recount();
-  s.picture.drop_job("j-000001");
+  s.cluster.drop_job("j-000001");
   recount();
 }
 
@@ -109,7 +110,7 @@
   s.settings.teams = {{"red", 0, 0, 100'000, 100'000}, {"blue", 0, 0, 0, 100'000}};
   constexpr std::size_t kMachines = 1300;
   for (std::size_t i = 0; i < kMachines; ++i) {
-    s.picture.apply_report(report("n-" + std::to_string(i + 10), 1, 1), true, 0);
+    s.cluster.apply_report(report("n-" + std::to_string(i + 10), 1, 1), true, 0);
   }
   const auto add = [&](int from, int jobs, std::uint32_t tasks, wire::Rank rank, const char* team) {
     for (int i = 0; i < jobs; ++i) {
@@ -127,7 +128,7 @@
   }
   EXPECT_GT(passes, 10);  // 10,400 tasks find a place
   EXPECT_LT(looked, 3000 * kMachines);
-  for (auto& [id, job] : s.picture.jobs()) s.written(job);
+  for (auto& [id, job] : s.cluster.jobs()) s.written(job);
   add(2000, 400, 18, wire::Rank::best_effort, "blue");
   EXPECT_LT(s.pass().looked_at, 10 * kMachines);
   add(3000, 100, 8, wire::Rank::production, "red");
@@ -147,7 +148,7 @@
 
 TEST(Placement, TheMachineThatHoldsTheImageIsPreferred) {
   Fleet s({{"n-1", "a"}, {"n-2", "a"}});
-  s.picture.machine("n-2")->images.emplace_back("img", 10);
+  s.cluster.machine("n-2")->images.emplace_back("img", 10);
   Job& job = s.add(make_job("j-000001", Shape::service, 1, 1));
   s.pass();
   EXPECT_EQ(job.places.at(0).machine, "n-2");
@@ -163,7 +164,7 @@
   s.add(std::move(big));
   s.add(std::move(within));
   s.pass();
-  EXPECT_EQ(s.picture.job("j-000002")->places.size(), 1u);
+  EXPECT_EQ(s.cluster.job("j-000002")->places.size(), 1u);
 }
 
 TEST(Placement, LowerRankMakesRoomAndEqualRankDoesNot) {
@@ -211,9 +212,9 @@
 
 TEST(Placement, MachinesUnderNoticeOrFaultyTakeNothingNew) {
   Fleet s({{"n-1", "a"}, {"n-2", "a"}, {"n-3", "a"}});
-  s.picture.machine("n-1")->taken_at = 30;
-  s.picture.machine("n-2")->quarantined = true;
-  s.picture.machine("n-3")->strangers = 1;
+  s.cluster.machine("n-1")->taken_at = 30;
+  s.cluster.machine("n-2")->quarantined = true;
+  s.cluster.machine("n-3")->strangers = 1;
   s.add(make_job("j-000001", Shape::service, 1, 1));
   EXPECT_EQ(s.pass().placed, 0);
 }
@@ -225,20 +226,20 @@
   for (const char* id : {"n-1", "n-2", "n-3"}) {
     auto r = report(id, 1, 1);
     r.spot = true;
-    s.picture.apply_report(r, true, 0);
+    s.cluster.apply_report(r, true, 0);
   }
   const auto taken = [&](double now) {
-    return surely_taken(s.picture, *s.picture.machine("n-1"), count_workers(s.picture, now), now);
+    return surely_taken(s.cluster, *s.cluster.machine("n-1"), count_workers(s.cluster, now), now);
   };
   EXPECT_FALSE(taken(5));  // the others are quiet too
   for (const char* id : {"n-2", "n-3"}) {
     auto r = report(id, 1, 2);
     r.spot = true;
-    s.picture.apply_report(r, true, 4);
+    s.cluster.apply_report(r, true, 4);
   }
   EXPECT_TRUE(taken(5));
   EXPECT_FALSE(taken(2.9));  // a report or two may be lost
-  s.picture.machine("n-1")->kind.spot = false;
+  s.cluster.machine("n-1")->kind.spot = false;
   EXPECT_FALSE(taken(5));  // an ordinary one may only hang
 }
 
@@ -247,12 +248,12 @@
   auto r = report("n-1", 1, 1);
   r.spot = true;
   r.notice_s = 10;
-  s.picture.apply_report(r, true, 0);
+  s.cluster.apply_report(r, true, 0);
   r.tick = 2;
   r.notice_s = 1;
-  s.picture.apply_report(r, true, 9);
+  s.cluster.apply_report(r, true, 9);
   const auto taken = [&](double now) {
-    return surely_taken(s.picture, *s.picture.machine("n-1"), count_workers(s.picture, now), now);
+    return surely_taken(s.cluster, *s.cluster.machine("n-1"), count_workers(s.cluster, now), now);
   };
   EXPECT_FALSE(taken(10.1));
   EXPECT_TRUE(taken(10.6));
@@ -277,11 +278,11 @@
   EXPECT_EQ(s.pass().stopped, 0);  // what leaves will do
   // The first machine is free: what waits behind the gang does not get it.
   for (auto& p : batch.places) {
-    if (p.machine == "n-2") s.picture.end_place(batch, p, 2);
+    if (p.machine == "n-2") s.cluster.end_place(batch, p, 2);
   }
   EXPECT_EQ(s.pass(2).placed, 0);
   for (auto& p : batch.places) {
-    if (p.machine == "n-3") s.picture.end_place(batch, p, 3);
+    if (p.machine == "n-3") s.cluster.end_place(batch, p, 3);
   }
   EXPECT_EQ(s.pass(3).placed, 2);
   EXPECT_EQ(gang.live(), 2u);
--- a/tests/referee.hpp
+++ b/tests/referee.hpp
@@ -8,7 +8,7 @@
 #include <vector>
 
 #include "base/settings.hpp"
-#include "sched/picture.hpp"
+#include "sched/cluster_state.hpp"
 #include "wire/messages.hpp"
 
 namespace cranklock::testing {
--- a/tests/scaler_test.cpp
+++ b/tests/scaler_test.cpp
@@ -99,10 +99,10 @@
   testing::Fleet fleet;
   fleet.add(testing::make_job("j-000001", wire::Shape::service, 1, 8));
   auto result = fleet.pass();
-  EXPECT_EQ(read_pools(fleet.picture, result.shortfall, 0.9).at({"g8", false}).missing, 1);
-  fleet.picture.put_machine("n-2", {"g8", "a", false}, 1);
+  EXPECT_EQ(read_pools(fleet.cluster, result.shortfall, 0.9).at({"g8", false}).missing, 1);
+  fleet.cluster.put_machine("n-2", {"g8", "a", false}, 1);
   result = fleet.pass();
-  EXPECT_EQ(read_pools(fleet.picture, result.shortfall, 0.9).at({"g8", false}).missing, 0);
+  EXPECT_EQ(read_pools(fleet.cluster, result.shortfall, 0.9).at({"g8", false}).missing, 0);
 }
 
 TEST(Scaler, ANewLeaderRebuildsItsPictureFirst) {
@@ -115,7 +115,7 @@
   testing::Fleet fleet({});
   fleet.add(testing::make_job("j-000001", wire::Shape::service, 1, 8));
   const auto result = fleet.pass();
-  const auto readings = read_pools(fleet.picture, result.shortfall, 0.9);
+  const auto readings = read_pools(fleet.cluster, result.shortfall, 0.9);
   EXPECT_GT(readings.at({"g8", false}).score, 0.9);
   EXPECT_EQ(readings.at({"g8", false}).wanted, 1);
 }
@@ -124,11 +124,11 @@
   testing::Fleet fleet({{"n-1", "a"}, {"n-2", "a"}});
   fleet.add(testing::make_job("j-000001", wire::Shape::service, 1, 8));
   auto result = fleet.pass();
-  EXPECT_DOUBLE_EQ(read_pools(fleet.picture, result.shortfall, 0.9).at({"g8", false}).score, 0.5);
+  EXPECT_DOUBLE_EQ(read_pools(fleet.cluster, result.shortfall, 0.9).at({"g8", false}).score, 0.5);
   fleet.add(testing::make_job("j-000002", wire::Shape::service, 2, 8, "blue"));
   result = fleet.pass();
   // Both machines full and a third one's worth waiting on two.
-  EXPECT_DOUBLE_EQ(read_pools(fleet.picture, result.shortfall, 0.9).at({"g8", false}).score, 1.5);
+  EXPECT_DOUBLE_EQ(read_pools(fleet.cluster, result.shortfall, 0.9).at({"g8", false}).score, 1.5);
 }
 
 // Guards against batch work living on ordinary machines for as long as the day has any: rented once
@@ -139,16 +139,16 @@
   batch.spec.spot = true;
   fleet.add(std::move(batch));
   EXPECT_EQ(fleet.pass().placed, 2);  // both on one machine
-  auto readings = read_pools(fleet.picture, {}, 0.9);
+  auto readings = read_pools(fleet.cluster, {}, 0.9);
   EXPECT_EQ(readings.at({"g8", true}).missing, 2);  // a machine and its headroom
   EXPECT_GT(readings.at({"g8", true}).score, 0.9);
   // With a replica beside it the ordinary machine stays anyway, and its leftover room is free.
   auto replica = testing::make_job("j-000002", wire::Shape::service, 1, 4, "blue");
   Job& job = fleet.add(std::move(replica));
-  Job& first = *fleet.picture.job("j-000001");
-  fleet.picture.end_place(first, first.places[0], 1);
-  fleet.picture.add_place(job, 0, 1, first.places[1].machine, 1);
-  readings = read_pools(fleet.picture, {}, 0.9);
+  Job& first = *fleet.cluster.job("j-000001");
+  fleet.cluster.end_place(first, first.places[0], 1);
+  fleet.cluster.add_place(job, 0, 1, first.places[1].machine, 1);
+  readings = read_pools(fleet.cluster, {}, 0.9);
   EXPECT_EQ(readings.at({"g8", true}).missing, 0);
 }
 
--- a/tests/stories_test.cpp
+++ b/tests/stories_test.cpp
@@ -43,7 +43,7 @@
   bool some = false;
   for (int i = 0; i < 120 && w.state_of(0, "j-000001") != "done"; ++i) {
     w.run(0.5);
-    some = some || (w.starts.size() > 0 && w.starts.size() < 6);
+    some = some || (!w.starts.empty() && w.starts.size() < 6);
   }
   EXPECT_TRUE(some);
   EXPECT_EQ(w.starts.size(), 6u);
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -28,7 +28,7 @@
 };
 
 Response answer(int status, std::string body = "{}") {
-  return control::plain_answer(status, body);
+  return control::plain_answer(status, std::move(body));
 }
 
 }  // namespace
@@ -48,7 +48,7 @@
         cloud(w.reactor, transport, settings),
         node({w.reactor, transport, settings, store, cloud}) {
     scope.spawn(node.learn_types());
-    scope.spawn(node.feel_state());
+    scope.spawn(node.probe_state_service());
     scope.spawn(node.run());
   }
 };
