--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -72,6 +72,8 @@
 
   struct Batch;
   net::Task<void> write_jobs();
+  std::vector<sched::Job*> jobs_to_write();
+  Batch next_batch();
   void add_to_batch(sched::Job& job, Batch& batch);
   void settle_written(Batch& batch, std::uint64_t revision);
   void settle_unwritten(const Batch& batch, const store::TxnResult& result);
@@ -92,6 +94,8 @@
   int shrink(const sched::PoolId& pool, int machines);
   net::Task<void> write_pool(std::string name);
   void retire_machine(sched::Machine& machine, const char* why);
+  void note_silence(double at);
+  void check_placements(double at);
   double cancel_due(const sched::Job& job) const;
   void check_machine(sched::Machine& machine,
                      const std::map<std::string, sched::ZoneWorkers>& zones, double now);
--- a/src/control/term_decide.cpp
+++ b/src/control/term_decide.cpp
@@ -123,37 +123,52 @@
   job.dirty_since = 0;
 }
 
+// The records to write, most urgent first. Starts wait for their write, so jobs with new places go
+// before others. Guards against ends that wait behind starts for ever: a job may be called done
+// late, but not by more than kDoneLag.
+std::vector<Job*> Term::jobs_to_write() {
+  struct Candidate {
+    int rank;      ///< 0: waited too long, 1: starts something, 2: the rest
+    double since;  ///< orders those of rank 0
+    Job* job;
+  };
+  std::vector<Candidate> candidates;
+  const double at = now();
+  for (auto& [id, job] : cluster_.jobs()) {
+    if (job.withdrawn() && job.live() == 0) job.dirty = true;
+    if (!job.dirty || to_reload_.contains(id)) continue;
+    if (job.dirty_since == 0) job.dirty_since = at;
+    if (at - job.dirty_since > kDoneLag / 3) {
+      candidates.push_back({0, job.dirty_since, &job});
+      continue;
+    }
+    const bool starts = std::any_of(job.places.begin(), job.places.end(),
+                                    [](const sched::Place& p) { return !p.durable && !p.ended; });
+    candidates.push_back({starts ? 1 : 2, 0, &job});
+  }
+  std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
+    return std::pair(a.rank, a.since) < std::pair(b.rank, b.since);
+  });
+  std::vector<Job*> out;
+  out.reserve(candidates.size());
+  for (const auto& candidate : candidates) out.push_back(candidate.job);
+  return out;
+}
+
+Term::Batch Term::next_batch() {
+  Batch batch;
+  batch.conditions.push_back({kLeaderKey, leader_lease_.token()});
+  for (Job* job : jobs_to_write()) {
+    if (batch.full) break;
+    add_to_batch(*job, batch);
+  }
+  return batch;
+}
+
 Task<void> Term::write_jobs() {
   for (;;) {
-    if (now() < write_after_) co_return;
-    std::vector<Job*> dirty;
-    for (auto& [id, job] : cluster_.jobs()) {
-      if (job.withdrawn() && job.live() == 0) job.dirty = true;
-      if (!job.dirty || to_reload_.contains(id)) continue;
-      if (job.dirty_since == 0) job.dirty_since = now();
-      dirty.push_back(&job);
-    }
-    if (dirty.empty() || is_lost_) co_return;
-    // Starts wait for their write, so jobs with new places go first. Guards against ends that wait
-    // behind starts for ever: a job may be called done late, but not by more than kDoneLag.
-    const auto urgency = [&](const Job* job) {
-      if (now() - job->dirty_since > kDoneLag / 3) return 0;
-      const bool starts = std::any_of(job->places.begin(), job->places.end(),
-                                      [](const sched::Place& p) { return !p.durable && !p.ended; });
-      return starts ? 1 : 2;
-    };
-    std::vector<std::pair<std::pair<int, double>, Job*>> order;
-    for (Job* job : dirty) {
-      const int rank = urgency(job);
-      order.push_back({{rank, rank == 0 ? job->dirty_since : 0.0}, job});
-    }
-    std::stable_sort(order.begin(), order.end(),
-                     [](const auto& a, const auto& b) { return a.first < b.first; });
-    Batch batch;
-    batch.conditions.push_back({kLeaderKey, leader_lease_.token()});
-    for (const auto& [rank, job] : order) {
-      if (!batch.full) add_to_batch(*job, batch);
-    }
+    if (is_lost_ || now() < write_after_) co_return;
+    Batch batch = next_batch();
     if (batch.entries.empty()) co_return;
     auto writing = services_.store.transact(batch.conditions, batch.changes, kStoreTimeout);
     const auto result = co_await writing;
@@ -162,8 +177,9 @@
       push_orders();
       continue;
     }
+    const auto& failed = result.failed;
     if (result.outcome == Outcome::failed &&
-        std::find(result.failed.begin(), result.failed.end(), kLeaderKey) != result.failed.end()) {
+        std::find(failed.begin(), failed.end(), kLeaderKey) != failed.end()) {
       lose("the leader's key has changed");
       co_return;
     }
--- a/src/control/term_machines.cpp
+++ b/src/control/term_machines.cpp
@@ -145,50 +145,50 @@
 }
 
 Task<void> Term::supervise_machines() {
-  const auto& s = services_.settings;
   for (;;) {
-    Sleep pause(services_.reactor, s.report_s / 3);
+    Sleep pause(services_.reactor, services_.settings.report_s / 3);
     co_await pause;
     const double at = now();
-    for (const auto& id : cluster_.expire_leases(at)) {
-      spdlog::info("machine {} is silent, its lease is over", id);
-      work_.set();
-    }
-    for (const auto& zone : cluster_.watch_zones(at)) {
-      spdlog::info("zone {} is dark: none of its workers is heard", zone);
-      work_.set();
-    }
+    note_silence(at);
     const auto zones = sched::count_workers(cluster_, at);
     for (auto& [id, m] : cluster_.machines()) {
       if (!m.removing) check_machine(m, zones, at);
     }
-    // A machine that lost its list entry, is silent and holds nothing is forgotten.
-    std::vector<std::string> gone;
-    std::vector<std::pair<std::string, sched::MachineKind>> unknown;
-    for (auto& [id, job] : cluster_.jobs()) {
-      for (const auto& p : job.places) {
-        if (p.ended) continue;
-        Machine* m = cluster_.machine(p.machine);
-        const bool overdue = job.withdrawn() && at > cancel_due(job);
-        if (m == nullptr) {
-          if (overdue || at - began_ > 2 * s.list_lag_s + s.lease_s) {
-            unknown.push_back({p.machine, {}});
-          }
-        } else if (overdue) {
-          // The end of a cancelled task could not be confirmed in time.
-          retire_machine(*m, "a cancelled task may still be on it");
-        }
-      }
-    }
-    // A record may name a machine that neither the list nor a report has shown: its deletion is
-    // the only proof left.
-    for (const auto& [name, kind] : unknown) {
-      retire_machine(cluster_.put_machine(name, kind, at), "nothing is known of it");
-    }
-    for (auto it = refused_until_.begin(); it != refused_until_.end();) {
-      it = it->second < at ? refused_until_.erase(it) : std::next(it);
+    check_placements(at);
+    std::erase_if(refused_until_, [&](const auto& refusal) { return refusal.second < at; });
+  }
+}
+
+void Term::note_silence(double at) {
+  for (const auto& id : cluster_.expire_leases(at)) {
+    spdlog::info("machine {} is silent, its lease is over", id);
+    work_.set();
+  }
+  for (const auto& zone : cluster_.watch_zones(at)) {
+    spdlog::info("zone {} is dark: none of its workers is heard", zone);
+    work_.set();
+  }
+}
+
+// Deletes machines whose cancelled tasks could not be confirmed as ended in time, and machines that
+// a record names though neither the list nor a report has shown them: for both, the deletion is the
+// only proof left.
+void Term::check_placements(double at) {
+  const auto& s = services_.settings;
+  const bool all_known = at - began_ > 2 * s.list_lag_s + s.lease_s;
+  std::vector<std::string> unknown;
+  for (const auto& [id, job] : cluster_.jobs()) {
+    const bool overdue = job.withdrawn() && at > cancel_due(job);
+    for (const auto& p : job.places) {
+      if (p.ended) continue;
+      Machine* m = cluster_.machine(p.machine);
+      if (m != nullptr && overdue) retire_machine(*m, "a cancelled task may still be on it");
+      if (m == nullptr && (overdue || all_known)) unknown.push_back(p.machine);
     }
   }
+  for (const auto& name : unknown) {
+    retire_machine(cluster_.put_machine(name, {}, at), "nothing is known of it");
+  }
 }
 
 // ---- the scaler ----
