--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -55,8 +55,6 @@
   /// Nothing was heard of any worker for so long that this node may be cut off from them.
   bool hears_no_worker() const;
   sched::ClusterState& cluster() { return cluster_; }
-  /// How many rounds of decisions there have been.
-  std::uint64_t rounds() const { return rounds_; }
 
  private:
   // Duties, each a routine.
@@ -136,7 +134,6 @@
   std::map<std::string, double> deleted_;
   void note_deleted(const std::vector<std::string>& names);
   std::uint64_t rental_sequence_ = 0;
-  std::uint64_t rounds_ = 0;
   net::Scope scope_;  ///< last, so that its routines end before what they use
 };
 
--- a/src/control/term_decide.cpp
+++ b/src/control/term_decide.cpp
@@ -16,7 +16,7 @@
 using store::Outcome;
 
 namespace {
-constexpr double kRoundEvery = 0.05;  ///< rounds of decisions come no closer than this
+constexpr double kPassEvery = 0.05;   ///< placement passes come no closer than this
 constexpr double kRestAfterPass = 5;  ///< nor than so many times what the last one took
 constexpr double kDoneLag = 3;        ///< PROTOCOL: users expect `done` so soon after the last task
 constexpr std::size_t kTxnBytes = std::size_t{60} * 1024;
@@ -34,10 +34,6 @@
       co_await pause;
     }
     if (is_lost_) co_return;
-    ++rounds_;
-    // Guards against a look at every job and place for each single report: a round serves all that
-    // has come since the last one.
-    rest_until = now() + kRoundEvery;
     take_news();
     const bool overdue = now() - last_pass > services_.settings.report_s;
     if (!cluster_.types().empty() && (cluster_.take_changed() || overdue)) {
@@ -51,7 +47,7 @@
       }
       // Guards reports, users and the renewal of the leader lease against a fleet so large, or a
       // processor so slow, that passes would fill the time.
-      rest_until = std::max(rest_until, last_pass + kRestAfterPass * (now() - last_pass));
+      rest_until = last_pass + std::max(kPassEvery, kRestAfterPass * (now() - last_pass));
       if (!result.cut_short) shortfall_ = std::move(result.shortfall);
       if (result.placed > 0 || result.stopped > 0) {
         spdlog::debug("placed {} tasks, stopping {}", result.placed, result.stopped);
