--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -73,6 +73,16 @@
   std::string file_, prefix_;
 };
 
+/// Limits that the state service will have one day. Those that stay as they are may be left out.
+void read_coming_limits(const TomlReader& next, Settings& s) {
+  if (next.has("rps")) s.state_rps = std::min(s.state_rps, next.number("rps", 0, true));
+  if (next.has("write_rps")) {
+    s.state_write_rps = std::min(s.state_write_rps, next.number("write_rps", 0, true));
+  }
+  if (next.has("value_kb")) s.value_kb = std::min(s.value_kb, next.number("value_kb", 1));
+  if (next.has("txn_ops")) s.txn_ops = std::min(s.txn_ops, next.count("txn_ops", 2));
+}
+
 void read_toml(const std::string& path, Settings& s) {
   toml::table root;
   try {
@@ -117,6 +127,7 @@
   s.state_write_rps = state.number("write_rps", 0, true);
   s.value_kb = state.number("value_kb", 1);
   s.txn_ops = state.count("txn_ops", 2);
+  if (state.has("next")) read_coming_limits(state.table("next"), s);
   const auto cloud = facts.table("cloud");
   s.cloud_rps = cloud.number("rps", 0, true);
   s.list_lag_s = cloud.number("list_lag_s", 0);
--- /dev/null
+++ b/src/control/job_lookup.hpp
@@ -0,0 +1,58 @@
+// What is stored of a job, for the users' interface of any node.
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+#include "control/record.hpp"
+#include "net/task.hpp"
+#include "store/client.hpp"
+
+namespace cranklock::control {
+
+/// Seconds that a request of a user may wait for the state service; users wait 2 s for a status.
+inline constexpr double kUserTimeout = 1.5;
+
+/// A job wherever it stands.
+struct StoredJob {
+  enum class Kind { live, ended, absent, unclear };
+  Kind kind = Kind::unclear;  ///< unclear: the state service did not say
+  sched::Job job;             ///< of a live one, without what stands in parts of its record
+  std::string text;           ///< the live record as stored
+  Ending ending;
+
+  /// A task of it was placed. It can't have been before all jobs that it needs were done.
+  bool started() const {
+    return !job.places.empty() || job.done.size() > 0 || job.stored_parts > 0;
+  }
+  bool cancelled() const {
+    return kind == Kind::live ? job.withdrawn()
+                              : kind == Kind::ended && ending.state == wire::JobState::withdrawn;
+  }
+};
+
+/// Reads jobs from the state service and remembers endings, which never change.
+class JobLookup {
+ public:
+  /// `state_reached` says whether the state service has answered this node lately.
+  JobLookup(store::Client& store, std::function<bool()> state_reached)
+      : store_(store), state_reached_(std::move(state_reached)) {}
+
+  net::Task<StoredJob> find(std::string id);
+  /// Null when it is not remembered.
+  const Ending* known_ending(const std::string& id) const;
+  bool state_reached() const { return state_reached_(); }
+
+ private:
+  void remember(const std::string& id, const Ending& ending);
+
+  store::Client& store_;
+  std::function<bool()> state_reached_;
+  std::map<std::string, Ending> endings_;  ///< bounded
+  std::deque<std::string> order_;          ///< of endings_, oldest first
+};
+
+}  // namespace cranklock::control
--- /dev/null
+++ b/src/control/needs_check.cpp
@@ -0,0 +1,76 @@
+#include "control/needs_check.hpp"
+
+#include <set>
+
+namespace cranklock::control {
+
+using net::Task;
+
+namespace {
+/// Jobs read for one request. What was read is trusted for a while, so a user who asks again gets
+/// further.
+constexpr int kMostReads = 32;
+constexpr std::size_t kMostTrusted = 2000;
+}  // namespace
+
+void NeedsCheck::trust(const std::string& id, Live live) {
+  if (live_.size() >= kMostTrusted) {
+    std::erase_if(
+        live_, [&](const auto& entry) { return entry.second.as_of + trusted_s_ < reactor_.now(); });
+    if (live_.size() >= kMostTrusted) live_.clear();
+  }
+  live_[id] = std::move(live);
+}
+
+Task<NeedsCheck::Verdict> NeedsCheck::look_at(std::string id, Progress& progress,
+                                              std::vector<std::string>& needs) {
+  if (const Ending* ending = lookup_.known_ending(id)) {
+    co_return ending->state == wire::JobState::done ? Verdict::clear : Verdict::cancelled;
+  }
+  const double sent = reactor_.now();
+  if (const auto it = live_.find(id); it != live_.end() && sent < it->second.as_of + trusted_s_) {
+    needs = it->second.needs;
+    co_return Verdict::clear;
+  }
+  if (++progress.reads > kMostReads || sent >= progress.until) co_return Verdict::unclear;
+  auto finding = lookup_.find(id);
+  const auto found = co_await finding;
+  switch (found.kind) {
+    case StoredJob::Kind::unclear:
+      co_return Verdict::unclear;
+    case StoredJob::Kind::absent:
+      co_return Verdict::never_accepted;
+    case StoredJob::Kind::ended:
+      co_return found.cancelled() ? Verdict::cancelled : Verdict::clear;
+    case StoredJob::Kind::live:
+      break;
+  }
+  if (found.cancelled()) co_return Verdict::cancelled;
+  if (!found.started()) needs = found.job.spec.needs;
+  trust(id, {sent, needs});
+  co_return Verdict::clear;
+}
+
+Task<NeedsCheck::Verdict> NeedsCheck::check(std::vector<std::string> needs) {
+  Progress progress{0, reactor_.now() + kUserTimeout};
+  bool cancelled = false;
+  std::set<std::string> seen(needs.begin(), needs.end());
+  // First the needs themselves, all of them: one that was never accepted outweighs a cancelled one.
+  const std::size_t direct = needs.size();
+  for (std::size_t next = 0; next < needs.size(); ++next) {
+    if (next == direct && cancelled) break;
+    std::vector<std::string> further;
+    auto looking = look_at(needs[next], progress, further);
+    const Verdict verdict = co_await looking;
+    if (verdict == Verdict::unclear) co_return verdict;
+    if (verdict == Verdict::never_accepted && next < direct) co_return verdict;
+    if (verdict == Verdict::cancelled) cancelled = true;
+    if (cancelled && next >= direct) break;
+    for (auto& id : further) {
+      if (seen.insert(id).second) needs.push_back(std::move(id));
+    }
+  }
+  co_return cancelled ? Verdict::cancelled : Verdict::clear;
+}
+
+}  // namespace cranklock::control
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -127,6 +127,16 @@
          (!roster_.any_heard(now) && !term_->cluster().machines().empty());
 }
 
+// For nodes that start while the cloud is down. True when there is nothing more to do.
+Task<bool> Node::store_types(std::string text) {
+  if (text.size() > services_.store.value_bytes()) co_return true;  // done without
+  std::vector<wire::Condition> conditions{{kTypesKey, 0}};
+  std::vector<wire::Change> changes{{kTypesKey, std::move(text), 0}};
+  auto writing = services_.store.transact(std::move(conditions), std::move(changes), kStoreTimeout);
+  const auto written = co_await writing;
+  co_return written.outcome == Outcome::ok || written.outcome == Outcome::failed;
+}
+
 Task<void> Node::learn_types() {
   bool stored = false;
   for (;;) {
@@ -140,12 +150,8 @@
     } else if (!stored) {
       wire::JsonWriter w;
       wire::write_machine_types(w, *types);
-      std::vector<wire::Condition> conditions{{kTypesKey, 0}};
-      std::vector<wire::Change> changes{{kTypesKey, w.take(), 0}};
-      auto writing =
-          services_.store.transact(std::move(conditions), std::move(changes), kStoreTimeout);
-      const auto written = co_await writing;
-      stored = written.outcome == Outcome::ok || written.outcome == Outcome::failed;
+      auto storing = store_types(w.take());
+      stored = co_await storing;
     }
     if (types && !types->empty()) users_.set_types(std::move(*types));
     Sleep pause(services_.reactor,
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -46,6 +46,7 @@
   net::Task<Taken> acquire_leadership();
   net::Task<void> serve_term(Taken taken);
   net::Task<net::Response> checkin(net::Request request);
+  net::Task<bool> store_types(std::string text);
   void heard_hello(const peer::Hello& hello);
   void heard_carried(const std::string& from, const peer::Carried& carried);
   /// The node that is to carry this worker's reports from now on, or none.
--- a/src/control/record.cpp
+++ b/src/control/record.cpp
@@ -20,6 +20,9 @@
 
 namespace {
 
+constexpr const char* kJobName = "job";                 ///< of what was submitted, in a record
+constexpr const char* kDependentJobName = "dependent";  ///< the same for a job that needs others
+
 bool read_lists(const Json& o, sched::Job& job) {
   const Json* done = wire::find(o, "d");
   const Json* places = wire::find(o, "p");
@@ -59,7 +62,7 @@
                      p.machine + "\"]");
   }
   JsonWriter head;
-  head.begin().key("job");
+  head.begin().key(job.spec.needs.empty() ? kJobName : kDependentJobName);
   wire::write_job(head, job.spec);
   head.key("at").integer(job.created_ms).key("w").integer(job.withdrawn_ms);
   // A write succeeds once for each revision that it is conditional on.
@@ -100,7 +103,8 @@
   const JsonDocument document(text);
   if (!document.is_object()) return std::nullopt;
   const Json& o = document.root();
-  const Json* spec = wire::find(o, "job");
+  const Json* spec = wire::find(o, kJobName);
+  if (spec == nullptr) spec = wire::find(o, kDependentJobName);
   const auto at = wire::read_amount(o, "at"), withdrawn = wire::read_amount(o, "w");
   const auto attempt = wire::read_count(o, "n"), count = wire::read_count(o, "parts");
   if (spec == nullptr || !at || !withdrawn || !attempt || !count || *count > 64) {
@@ -139,7 +143,9 @@
 std::string write_ending(const Ending& ending) {
   JsonWriter w;
   w.begin().key("s").text(ending.state == wire::JobState::done ? "done" : "withdrawn");
-  w.key("n").count(ending.tasks).end();
+  w.key("n").count(ending.tasks);
+  if (ending.ended_ms != 0) w.key("t").integer(ending.ended_ms);
+  w.end();
   return w.take();
 }
 
@@ -150,7 +156,8 @@
   const auto tasks = wire::read_count(document.root(), "n");
   if (!state || !tasks || (*state != "done" && *state != "withdrawn")) return std::nullopt;
   return Ending{*state == "done" ? wire::JobState::done : wire::JobState::withdrawn,
-                static_cast<std::uint32_t>(*tasks)};
+                static_cast<std::uint32_t>(*tasks),
+                static_cast<std::int64_t>(wire::read_amount(document.root(), "t").value_or(0))};
 }
 
 std::string write_leader(const LeaderRecord& leader) {
--- a/src/control/record.hpp
+++ b/src/control/record.hpp
@@ -24,6 +24,10 @@
 std::string part_key(const std::string& id, int part);
 
 /// The texts of the main value and of its parts, none longer than `most_bytes`.
+///
+/// A job that needs others stands under another name in its record. A controller of a version from
+/// before such jobs takes the record for malformed and leaves it alone, where it would otherwise
+/// start the job's tasks too early and write the record again without what it needs (invariant 15).
 std::vector<std::string> write_record(const sched::Job& job, std::size_t most_bytes);
 /// Reads the main value; `parts` says how many more there are.
 std::optional<sched::Job> read_record(const std::string& text, int& parts);
@@ -36,6 +40,9 @@
 struct Ending {
   wire::JobState state = wire::JobState::done;
   std::uint32_t tasks = 0;  ///< that were done
+  /// Time of day of the write, where jobs waited for this one; 0: not kept. Their own times count
+  /// from there. Readers of versions from before it ignore it.
+  std::int64_t ended_ms = 0;
 };
 std::string write_ending(const Ending& ending);
 std::optional<Ending> read_ending(const std::string& text);
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -25,7 +25,8 @@
       unsettled_(services.reactor),
       deletions_(services.reactor),
       began_(services.reactor.now()),
-      last_heard_(began_) {}
+      last_heard_(began_),
+      endings_(services.reactor, services.store, cluster_, work_) {}
 
 void Term::lose(const char* why) {
   if (is_lost_) return;
@@ -308,6 +309,7 @@
     }
     job->revision = item.revision;
     if (known == nullptr) {
+      pass_awaited_ = true;
       spdlog::info("job {} accepted: {} of team {}, {} tasks", id, job->spec.job_class,
                    job->spec.team, job->spec.tasks);
     } else if (job->withdrawn()) {
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -11,7 +11,9 @@
 
 #include "base/settings.hpp"
 #include "cloud/client.hpp"
+#include "control/ending_reader.hpp"
 #include "control/leader_lease.hpp"
+#include "control/record.hpp"
 #include "net/client.hpp"
 #include "net/reactor.hpp"
 #include "net/task.hpp"
@@ -73,6 +75,10 @@
   std::vector<sched::Job*> jobs_to_write();
   Batch next_batch();
   void add_to_batch(sched::Job& job, Batch& batch);
+  void add_stale_parts(Batch& batch);
+  std::vector<wire::Change> retiring_changes(const sched::Job& job, const Ending& ending,
+                                             std::vector<std::string>& left_parts) const;
+  void note_retired(const std::string& id, const Ending& ending);
   void settle_written(Batch& batch, std::uint64_t revision);
   void settle_unwritten(const Batch& batch, const store::TxnResult& result);
   net::Task<void> settle();  // records of which this cluster state may be wrong
@@ -134,6 +140,12 @@
   std::map<std::string, double> deleted_;
   void note_deleted(const std::vector<std::string>& names);
   std::uint64_t rental_sequence_ = 0;
+  EndingReader endings_;
+  /// Parts of records of jobs that are over: never read again, removed when a transaction has room.
+  std::deque<std::string> stale_parts_;
+  double next_pass_at_ = 0;  ///< no placement pass before
+  /// Since the last pass a job has come, or one that others need has ended.
+  bool pass_awaited_ = false;
   net::Scope scope_;  ///< last, so that its routines end before what they use
 };
 
--- a/src/control/term_decide.cpp
+++ b/src/control/term_decide.cpp
@@ -25,19 +25,21 @@
 // ---- decisions ----
 
 Task<void> Term::decide() {
-  double last_pass = 0, rest_until = 0;
+  double last_pass = 0;
   for (;;) {
     net::Signal::Wait wait(work_, services_.settings.report_s / 2);
     co_await wait;
-    if (now() < rest_until) {
-      Sleep pause(services_.reactor, rest_until - now());
+    if (now() < next_pass_at_) {
+      Sleep pause(services_.reactor, next_pass_at_ - now());
       co_await pause;
     }
     if (is_lost_) co_return;
     take_news();
+    endings_.read_unknown();
     const bool overdue = now() - last_pass > services_.settings.report_s;
     if (!cluster_.types().empty() && (cluster_.take_changed() || overdue)) {
       last_pass = now();
+      pass_awaited_ = false;
       auto result = sched::place_waiting(cluster_, refused_until_, last_pass);
       if (result.cut_short) cluster_.mark_changed();
       if (shortfall_.wanted.empty() && !result.shortfall.wanted.empty()) {
@@ -47,7 +49,7 @@
       }
       // Guards reports, users and the renewal of the leader lease against a fleet so large, or a
       // processor so slow, that passes would fill the time.
-      rest_until = last_pass + std::max(kPassEvery, kRestAfterPass * (now() - last_pass));
+      next_pass_at_ = last_pass + std::max(kPassEvery, kRestAfterPass * (now() - last_pass));
       if (!result.cut_short) shortfall_ = std::move(result.shortfall);
       if (result.placed > 0 || result.stopped > 0) {
         spdlog::debug("placed {} tasks, stopping {}", result.placed, result.stopped);
@@ -65,27 +67,55 @@
     std::uint64_t revision;
     bool retire;
     int parts;
-    wire::JobState ending;
+    Ending ending;                        ///< of one that is retired
+    std::vector<std::string> left_parts;  ///< of one that is retired, for which there was no room
     std::vector<std::pair<std::uint32_t, std::uint64_t>> live, ended, dropped;
   };
   std::vector<wire::Condition> conditions;
   std::vector<wire::Change> changes;
   std::vector<Entry> entries;
+  std::vector<std::string> stale_parts;  ///< of jobs that are over, removed by the way
   std::size_t bytes = 0;
   bool full = false;
 };
 
+// Moves a job to its ending. Guards against a record of more parts than a transaction removes, as
+// one stored before the limits fell: what is left is never read again and goes by and by.
+std::vector<wire::Change> Term::retiring_changes(const Job& job, const Ending& ending,
+                                                 std::vector<std::string>& left_parts) const {
+  const auto& id = job.spec.id;
+  std::vector<wire::Change> changes{{job_key(id), "", 0}, {ended_key(id), write_ending(ending), 0}};
+  for (int i = 0; i < job.stored_parts; ++i) {
+    if (changes.size() < services_.store.txn_changes()) {
+      changes.push_back({part_key(id, i), "", 0});
+    } else {
+      left_parts.push_back(part_key(id, i));
+    }
+  }
+  return changes;
+}
+
+void Term::add_stale_parts(Batch& batch) {
+  while (!stale_parts_.empty() && batch.changes.size() < services_.store.txn_changes()) {
+    batch.changes.push_back({stale_parts_.front(), "", 0});
+    batch.stale_parts.push_back(std::move(stale_parts_.front()));
+    stale_parts_.pop_front();
+  }
+}
+
 void Term::add_to_batch(Job& job, Batch& batch) {
   const auto& id = job.spec.id;
-  Batch::Entry entry{id, job.revision, false, 0, wire::JobState::done, {}, {}, {}};
+  Batch::Entry entry{id, job.revision, false, 0, {}, {}, {}, {}, {}};
   std::vector<wire::Change> changes;
   const bool over = job.withdrawn() ? job.live() == 0 : job.complete();
   if (over) {
     entry.retire = true;
-    entry.ending = job.withdrawn() ? wire::JobState::withdrawn : wire::JobState::done;
-    changes.push_back({job_key(id), "", 0});
-    changes.push_back({ended_key(id), write_ending({entry.ending, job.done.size()}), 0});
-    for (int i = 0; i < job.stored_parts; ++i) changes.push_back({part_key(id, i), "", 0});
+    entry.ending.state = job.withdrawn() ? wire::JobState::withdrawn : wire::JobState::done;
+    entry.ending.tasks = job.done.size();
+    // Kept only for those that wait for it, whose own times count from here.
+    const bool needed = cluster_.dependencies().is_needed(id);
+    if (needed) entry.ending.ended_ms = services_.reactor.wall_ms();
+    changes = retiring_changes(job, entry.ending, entry.left_parts);
   } else {
     auto texts = write_record(job, services_.store.value_bytes());
     entry.parts = static_cast<int>(texts.size()) - 1;
@@ -96,12 +126,16 @@
                          0});
     }
   }
-  std::size_t bytes = 100;
-  for (const auto& c : changes) bytes += c.data.size() + c.key.size() + 40;
-  if (batch.changes.size() + changes.size() > services_.store.txn_changes() ||
+  std::size_t bytes = 100, longest = 0;
+  for (const auto& c : changes) {
+    bytes += c.data.size() + c.key.size() + 40;
+    longest = std::max(longest, c.data.size());
+  }
+  const bool too_long = longest > services_.store.value_bytes();  // a description as it was stored
+  if (too_long || batch.changes.size() + changes.size() > services_.store.txn_changes() ||
       batch.bytes + bytes > kTxnBytes) {
     // Guards against one record that fits no transaction, which must not hold up all others.
-    batch.full = !batch.entries.empty();
+    batch.full = !too_long && !batch.entries.empty();
     if (!batch.full && !std::exchange(job.too_long, true)) {
       spdlog::error("the record of job {} fits no transaction: {} bytes", id, bytes);
     }
@@ -119,36 +153,60 @@
   job.dirty_since = 0;
 }
 
-// The records to write, most urgent first. Starts wait for their write, so jobs with new places go
-// before others. Guards against ends that wait behind starts for ever: a job may be called done
-// late, but not by more than kDoneLag.
-std::vector<Job*> Term::jobs_to_write() {
-  struct Candidate {
-    int rank;      ///< 0: waited too long, 1: starts something, 2: the rest
-    double since;  ///< orders those of rank 0
-    Job* job;
+namespace {
+/// How soon a record should be written.
+enum class WriteClass {
+  overdue,  ///< has waited for as long as it may
+  starts,   ///< tasks of it, or of jobs that need it, can start only afterwards
+  rest,
+};
+
+bool has_unwritten_starts(const Job& job) {
+  return std::any_of(job.places.begin(), job.places.end(),
+                     [](const sched::Place& p) { return !p.durable && !p.ended; });
+}
+
+/// Overdue records and starts in turn, so that neither waits for all of the other, then the rest.
+std::vector<Job*> in_turn(const std::map<WriteClass, std::vector<Job*>>& classes) {
+  const auto of = [&](WriteClass write_class) {
+    const auto it = classes.find(write_class);
+    return it == classes.end() ? std::vector<Job*>() : it->second;
   };
-  std::vector<Candidate> candidates;
+  const auto overdue = of(WriteClass::overdue), starts = of(WriteClass::starts);
+  std::vector<Job*> out;
+  for (std::size_t i = 0; i < std::max(overdue.size(), starts.size()); ++i) {
+    if (i < overdue.size()) out.push_back(overdue[i]);
+    if (i < starts.size()) out.push_back(starts[i]);
+  }
+  const auto rest = of(WriteClass::rest);
+  out.insert(out.end(), rest.begin(), rest.end());
+  return out;
+}
+}  // namespace
+
+// The records to write, most urgent first. Guards against ends that wait behind starts for ever: a
+// job may be called done late, but not by more than kDoneLag. Users are told of a cancellation as
+// soon as it is confirmed, or found in a job that this one needs; the record of a cancelled job
+// without tasks has more time, so that hundreds cancelled at once hold up nothing else.
+std::vector<Job*> Term::jobs_to_write() {
   const double at = now();
+  std::map<WriteClass, std::vector<Job*>> classes;
   for (auto& [id, job] : cluster_.jobs()) {
-    if (job.withdrawn() && job.live() == 0) job.dirty = true;
+    const bool gone = job.withdrawn() && job.live() == 0;
+    if (gone) job.dirty = true;
     if (!job.dirty || to_reload_.contains(id)) continue;
     if (job.dirty_since == 0) job.dirty_since = at;
-    if (at - job.dirty_since > kDoneLag / 3) {
-      candidates.push_back({0, job.dirty_since, &job});
-      continue;
-    }
-    const bool starts = std::any_of(job.places.begin(), job.places.end(),
-                                    [](const sched::Place& p) { return !p.durable && !p.ended; });
-    candidates.push_back({starts ? 1 : 2, 0, &job});
+    const double patience = gone ? services_.settings.cancel_s / 4 : kDoneLag / 3;
+    const bool awaited = !gone && job.complete() && cluster_.dependencies().is_needed(id);
+    WriteClass write_class = WriteClass::rest;
+    if (has_unwritten_starts(job) || awaited) write_class = WriteClass::starts;
+    if (at - job.dirty_since > patience) write_class = WriteClass::overdue;
+    classes[write_class].push_back(&job);
   }
-  std::stable_sort(candidates.begin(), candidates.end(), [](const auto& a, const auto& b) {
-    return std::pair(a.rank, a.since) < std::pair(b.rank, b.since);
-  });
-  std::vector<Job*> out;
-  out.reserve(candidates.size());
-  for (const auto& candidate : candidates) out.push_back(candidate.job);
-  return out;
+  auto& overdue = classes[WriteClass::overdue];
+  std::stable_sort(overdue.begin(), overdue.end(),
+                   [](const Job* a, const Job* b) { return a->dirty_since < b->dirty_since; });
+  return in_turn(classes);
 }
 
 Term::Batch Term::next_batch() {
@@ -158,6 +216,7 @@
     if (batch.full) break;
     add_to_batch(*job, batch);
   }
+  add_stale_parts(batch);
   return batch;
 }
 
@@ -165,12 +224,19 @@
   for (;;) {
     if (is_lost_ || now() < write_after_) co_return;
     Batch batch = next_batch();
-    if (batch.entries.empty()) co_return;
+    if (batch.changes.empty()) co_return;
     auto writing = services_.store.transact(batch.conditions, batch.changes, kStoreTimeout);
     const auto result = co_await writing;
     if (result.outcome == Outcome::ok) {
       settle_written(batch, result.revision);
       push_orders();
+      take_news();
+      if (pass_awaited_ && now() >= next_pass_at_) {
+        // Guards against new jobs, and next stages of pipelines, that wait for hundreds of other
+        // records to be written.
+        work_.set();
+        co_return;
+      }
       continue;
     }
     const auto& failed = result.failed;
@@ -189,6 +255,7 @@
 // through. Guards against room that is given to others meanwhile: were what is stored now taken for
 // the last word, a team would be beyond its limit when the late write makes its places good.
 void Term::settle_unwritten(const Batch& batch, const store::TxnResult& result) {
+  stale_parts_.insert(stale_parts_.end(), batch.stale_parts.begin(), batch.stale_parts.end());
   for (const auto& entry : batch.entries) {
     const auto& failed = result.failed;
     const bool changed = result.outcome == Outcome::failed &&
@@ -216,9 +283,8 @@
     Job* job = cluster_.job(entry.id);
     if (job == nullptr) continue;
     if (entry.retire) {
-      spdlog::info("job {} ended: {}", entry.id,
-                   entry.ending == wire::JobState::done ? "done" : "cancelled");
-      cluster_.drop_job(entry.id);
+      stale_parts_.insert(stale_parts_.end(), entry.left_parts.begin(), entry.left_parts.end());
+      note_retired(entry.id, entry.ending);
       continue;
     }
     job->revision = revision;
@@ -243,6 +309,25 @@
   }
 }
 
+// The write was answered: it is the ending's proof for the jobs that need this one.
+void Term::note_retired(const std::string& id, const Ending& ending) {
+  const Job& job = *cluster_.job(id);
+  const bool done = ending.state == wire::JobState::done;
+  spdlog::info("job {} ended: {}", id, done ? "done" : "cancelled");
+  sched::Dependencies::Ending known;
+  if (done) {
+    known.outcome = sched::Dependencies::Outcome::done;
+    known.at_ms = ending.ended_ms;
+    pass_awaited_ = pass_awaited_ || cluster_.dependencies().is_needed(id);
+  } else {
+    known.outcome = sched::Dependencies::Outcome::cancelled;
+    known.at_ms = job.withdrawn_ms;
+    known.since = job.withdrawn_since;
+  }
+  cluster_.drop_job(id);
+  cluster_.note_ending(id, known);
+}
+
 // ---- orders sent straight to workers ----
 
 namespace {
@@ -253,8 +338,8 @@
 };
 
 bool start_due(const Job& job, const sched::Place& p, Allowed allowed) {
-  return allowed.start && !job.withdrawn() && p.durable && !p.ended && !p.stop && !p.seen &&
-         p.carried_session == 0 && p.doubtful_session == 0;
+  return allowed.start && !job.withdrawn() && job.needs_met && p.durable && !p.ended && !p.stop &&
+         !p.seen && p.carried_session == 0 && p.doubtful_session == 0;
 }
 
 bool stop_due(const Job& job, const sched::Place& p, Allowed allowed) {
--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -14,9 +14,8 @@
 using wire::JobState;
 
 namespace {
-constexpr double kUserTimeout = 1.5;  // users wait 2 s for a status
-constexpr std::size_t kEndedKept = 4000;
 constexpr double kSlowAnswer = 0.1;
+constexpr const char* kNoStateService = "the state service does not answer";
 
 JobState state_of(const sched::Job& job) {
   if (job.withdrawn()) return JobState::withdrawn;
@@ -39,7 +38,8 @@
 
 Users::Users(Services services, std::function<bool()> state_reached)
     : services_(services),
-      state_reached_(std::move(state_reached)),
+      lookup_(services.store, std::move(state_reached)),
+      needs_check_(services.reactor, services.settings.cancel_s, lookup_),
       limiter_(4, services.settings.fd_limit / 8.0, kSlowAnswer) {}
 
 Task<Response> Users::handle(Request request) {
@@ -88,53 +88,10 @@
   co_return response;
 }
 
-void Users::remember(const std::string& id, const Ending& ending) {
-  if (!ended_.emplace(id, ending).second) return;
-  ended_order_.push_back(id);
-  if (ended_order_.size() > kEndedKept) {
-    ended_.erase(ended_order_.front());
-    ended_order_.pop_front();
-  }
-}
-
-Task<Users::Found> Users::look_up(std::string id) {
-  Found found;
-  if (const auto it = ended_.find(id); it != ended_.end()) {
-    found.kind = Found::Kind::ended;
-    found.ending = it->second;
-    co_return found;
-  }
-  // Guards against users who wait for a state service that does not answer this node: they are told
-  // at once, and find another node the sooner.
-  if (!state_reached_()) co_return found;
-  // First the live record, then the ended one: a job moves from the first to the second at once and
-  // never back, so missing both, in this order, means that it was in neither when asked.
-  auto reading = services_.store.read(job_key(id), kUserTimeout);
-  auto live = co_await reading;
-  if (live.outcome == Outcome::ok) {
-    int parts = 0;
-    auto job = read_record(live.value.data, parts);
-    if (!job) co_return found;
-    found.kind = Found::Kind::live;
-    found.job = std::move(*job);
-    found.job.revision = live.value.revision;
-    found.text = std::move(live.value.data);
-    co_return found;
-  }
-  if (live.outcome != Outcome::failed) co_return found;
-  auto reading_ended = services_.store.read(ended_key(id), kUserTimeout);
-  const auto ended = co_await reading_ended;
-  if (ended.outcome == Outcome::failed) found.kind = Found::Kind::absent;
-  if (ended.outcome != Outcome::ok) co_return found;
-  const auto ending = read_ending(ended.value.data);
-  if (!ending) co_return found;
-  found.kind = Found::Kind::ended;
-  found.ending = *ending;
-  remember(id, *ending);
-  co_return found;
-}
-
 std::string Users::impossible(const wire::JobSpec& spec) const {
+  if (std::find(spec.needs.begin(), spec.needs.end(), spec.id) != spec.needs.end()) {
+    return "needs itself";
+  }
   const auto* team = services_.settings.team(spec.team);
   if (team == nullptr) return "unknown team";
   const bool fits = std::any_of(types_.begin(), types_.end(), [&](const wire::MachineType& t) {
@@ -176,6 +133,34 @@
 }
 }  // namespace
 
+Task<std::optional<JobState>> Users::state_to_tell(StoredJob found) {
+  constexpr int kTries = 2;  // the record may change meanwhile
+  for (int tries = 0; tries < kTries; ++tries) {
+    if (found.kind == StoredJob::Kind::ended) co_return found.ending.state;
+    if (found.kind != StoredJob::Kind::live) co_return std::nullopt;
+    const std::string id = found.job.spec.id;
+    const bool waits = !found.job.spec.needs.empty() && !found.started() && !found.cancelled();
+    if (!waits) co_return state_of(found.job);
+    auto checking = needs_check_.check(found.job.spec.needs);
+    const auto verdict = co_await checking;
+    if (verdict == NeedsCheck::Verdict::unclear) co_return std::nullopt;
+    if (verdict != NeedsCheck::Verdict::cancelled) co_return JobState::queued;
+    auto writing = write_cancellation(id, found);
+    const auto written = co_await writing;
+    if (written == Outcome::ok) co_return JobState::withdrawn;
+    auto looking = lookup_.find(id);
+    found = co_await looking;
+  }
+  co_return std::nullopt;
+}
+
+Task<Response> Users::known_job(std::string id, StoredJob found) {
+  auto telling = state_to_tell(std::move(found));
+  const auto state = co_await telling;
+  if (!state) co_return come_back(kNoStateService);
+  co_return plain_answer(200, wire::job_answer(id, *state));
+}
+
 Task<Response> Users::submit(std::string body) {
   auto submission = parse_submission(body);
   body = std::string();  // its memory too
@@ -184,106 +169,127 @@
   auto& parsed = submission.spec;
   const auto& id = submission.id;
   if (!id) co_return plain_answer(400, wire::error_answer(std::get<std::string>(parsed)));
-  const auto known = [&](const Found& found) {
-    const auto state = found.kind == Found::Kind::ended ? found.ending.state : state_of(found.job);
-    return plain_answer(200, wire::job_answer(*id, state));
-  };
   const bool malformed = std::holds_alternative<std::string>(parsed);
   // As they are known now: they may be learnt while what is stored is looked up, and a refusal that
   // rests on nothing would be final.
   const bool types_known = !types_.empty();
-  const std::string reason =
-      malformed || !types_known ? "" : impossible(std::get<wire::JobSpec>(parsed));
+  std::string reason = malformed || !types_known ? "" : impossible(std::get<wire::JobSpec>(parsed));
+  auto needs = NeedsCheck::Verdict::clear;
+  if (!malformed && types_known && reason.empty()) {
+    auto checking = needs_check_.check(std::get<wire::JobSpec>(parsed).needs);
+    needs = co_await checking;
+    if (needs == NeedsCheck::Verdict::unclear) co_return come_back(kNoStateService);
+    if (needs == NeedsCheck::Verdict::never_accepted) reason = "needs a job that nobody accepted";
+  }
   if (malformed || !reason.empty() || !types_known) {
     // A repeat of an accepted job is answered with its state, whatever it says now.
-    auto looking = look_up(*id);
-    const auto found = co_await looking;
-    if (found.kind == Found::Kind::unclear)
-      co_return come_back("the state service does not answer");
-    if (found.kind != Found::Kind::absent) co_return known(found);
+    auto looking = lookup_.find(*id);
+    auto found = co_await looking;
+    if (found.kind == StoredJob::Kind::unclear) co_return come_back(kNoStateService);
+    if (found.kind != StoredJob::Kind::absent) {
+      auto answering = known_job(*id, std::move(found));
+      auto response = co_await answering;
+      co_return response;
+    }
     if (malformed) co_return plain_answer(400, wire::error_answer(std::get<std::string>(parsed)));
     if (!types_known) co_return come_back("the machine types are not known yet");
     co_return plain_answer(422, wire::error_answer(reason));
   }
-  if (const auto it = ended_.find(*id); it != ended_.end()) {
-    co_return plain_answer(200, wire::job_answer(*id, it->second.state));
+  if (const Ending* ending = lookup_.known_ending(*id)) {
+    co_return plain_answer(200, wire::job_answer(*id, ending->state));
   }
-  if (!state_reached_()) co_return come_back("the state service does not answer");
+  if (!lookup_.state_reached()) co_return come_back(kNoStateService);
+  auto accepting =
+      accept(std::move(std::get<wire::JobSpec>(parsed)), needs == NeedsCheck::Verdict::cancelled);
+  auto response = co_await accepting;
+  co_return response;
+}
+
+Task<Response> Users::accept(wire::JobSpec spec, bool cancelled) {
+  const std::string id = spec.id;
   sched::Job job;
-  job.spec = std::move(std::get<wire::JobSpec>(parsed));
+  job.spec = std::move(spec);
   job.created_ms = services_.reactor.wall_ms();
+  if (cancelled) job.withdrawn_ms = job.created_ms;
   const auto texts = write_record(job, services_.store.value_bytes());
   if (texts[0].size() > services_.store.value_bytes()) {
     co_return plain_answer(400, wire::error_answer("the description is too long"));
   }
-  std::vector<wire::Condition> conditions{{job_key(*id), 0}, {ended_key(*id), 0}};
-  std::vector<wire::Change> changes{{job_key(*id), texts[0], 0}};
+  std::vector<wire::Condition> conditions{{job_key(id), 0}, {ended_key(id), 0}};
+  std::vector<wire::Change> changes{{job_key(id), texts[0], 0}};
   auto creating = services_.store.transact(std::move(conditions), std::move(changes), kUserTimeout);
   const auto created = co_await creating;
   if (created.outcome == Outcome::ok) {
-    co_return plain_answer(201, wire::job_answer(*id, JobState::queued));
+    const auto state = cancelled ? JobState::withdrawn : JobState::queued;
+    co_return plain_answer(201, wire::job_answer(id, state));
   }
   if (created.outcome == Outcome::refused)
     co_return come_back("the state service is not available");
   // Known already, or unanswered: what is stored tells.
-  auto looking = look_up(*id);
-  const auto found = co_await looking;
-  if (found.kind == Found::Kind::live || found.kind == Found::Kind::ended) co_return known(found);
-  co_return come_back("the state service does not answer");
+  auto looking = lookup_.find(id);
+  auto found = co_await looking;
+  if (found.kind != StoredJob::Kind::live && found.kind != StoredJob::Kind::ended) {
+    co_return come_back(kNoStateService);
+  }
+  auto answering = known_job(id, std::move(found));
+  auto response = co_await answering;
+  co_return response;
 }
 
 Task<Response> Users::status(std::string id) {
   const auto no_such = [] { return plain_answer(404, wire::error_answer("no such job")); };
   if (!wire::valid_job_id(id)) co_return no_such();
-  auto looking = look_up(id);
-  const auto found = co_await looking;
-  switch (found.kind) {
-    case Found::Kind::live:
-      co_return plain_answer(200, wire::job_status(id, state_of(found.job), found.job.done.size(),
-                                                   found.job.places.size()));
-    case Found::Kind::ended:
-      co_return plain_answer(200, wire::job_status(id, found.ending.state, found.ending.tasks, 0));
-    case Found::Kind::absent:
-      co_return no_such();
-    default:
-      co_return come_back("the state service does not answer");
-  }
+  auto looking = lookup_.find(id);
+  auto found = co_await looking;
+  if (found.kind == StoredJob::Kind::absent) co_return no_such();
+  const bool ended = found.kind == StoredJob::Kind::ended;
+  const std::uint64_t done = ended ? found.ending.tasks : found.job.done.size();
+  const std::uint64_t running = ended ? 0 : found.job.places.size();
+  auto telling = state_to_tell(std::move(found));
+  const auto state = co_await telling;
+  if (!state) co_return come_back(kNoStateService);
+  co_return plain_answer(200, wire::job_status(id, *state, done, running));
+}
+
+Task<Outcome> Users::write_cancellation(std::string id, const StoredJob& found) {
+  // Only the mark is set, so that the parts of a long record stay as they are.
+  const std::string mark = "\"w\":0";
+  const auto at = found.text.rfind(mark);
+  if (at == std::string::npos) co_return Outcome::refused;
+  std::string text = found.text;
+  text.replace(at, mark.size(), "\"w\":" + std::to_string(services_.reactor.wall_ms()));
+  std::vector<wire::Condition> conditions{{job_key(id), found.job.revision}};
+  std::vector<wire::Change> changes{{job_key(id), std::move(text), 0}};
+  auto writing = services_.store.transact(std::move(conditions), std::move(changes), kUserTimeout);
+  const auto written = co_await writing;
+  co_return written.outcome;
 }
 
 Task<Response> Users::withdraw(std::string id) {
   if (!wire::valid_job_id(id)) co_return plain_answer(404, wire::error_answer("no such job"));
   const double until = services_.reactor.now() + 2 * kUserTimeout;
   while (services_.reactor.now() < until) {
-    auto looking = look_up(id);
-    auto found = co_await looking;
-    if (found.kind == Found::Kind::unclear) break;
-    if (found.kind == Found::Kind::absent) {
+    auto looking = lookup_.find(id);
+    const auto found = co_await looking;
+    if (found.kind == StoredJob::Kind::unclear) break;
+    if (found.kind == StoredJob::Kind::absent) {
       co_return plain_answer(404, wire::error_answer("no such job"));
     }
-    if (found.kind == Found::Kind::ended) {
+    if (found.kind == StoredJob::Kind::ended) {
       co_return plain_answer(200, wire::job_answer(id, found.ending.state));
     }
     if (found.job.withdrawn()) {
       co_return plain_answer(200, wire::job_answer(id, JobState::withdrawn));
     }
-    // Only the mark is set, so that the parts of a long record stay as they are.
-    const std::string mark = "\"w\":0";
-    const auto at = found.text.rfind(mark);
-    if (at == std::string::npos) break;
-    std::string text = found.text;
-    text.replace(at, mark.size(), "\"w\":" + std::to_string(services_.reactor.wall_ms()));
-    std::vector<wire::Condition> conditions{{job_key(id), found.job.revision}};
-    std::vector<wire::Change> changes{{job_key(id), std::move(text), 0}};
-    auto writing =
-        services_.store.transact(std::move(conditions), std::move(changes), kUserTimeout);
+    auto writing = write_cancellation(id, found);
     const auto written = co_await writing;
-    if (written.outcome == Outcome::ok) {
+    if (written == Outcome::ok) {
       co_return plain_answer(200, wire::job_answer(id, JobState::withdrawn));
     }
-    if (written.outcome == Outcome::refused) break;
+    if (written == Outcome::refused) break;
     // The record changed meanwhile, or no answer came: look again.
   }
-  co_return come_back("the state service does not answer");
+  co_return come_back(kNoStateService);
 }
 
 }  // namespace cranklock::control
--- a/src/control/users.hpp
+++ b/src/control/users.hpp
@@ -2,12 +2,13 @@
 // state service, or from what can't change any more.
 #pragma once
 
-#include <deque>
 #include <functional>
-#include <map>
+#include <optional>
 #include <string>
+#include <vector>
 
-#include "control/record.hpp"
+#include "control/job_lookup.hpp"
+#include "control/needs_check.hpp"
 #include "control/term.hpp"
 #include "net/limiter.hpp"
 
@@ -30,25 +31,23 @@
   net::Task<net::Response> status(std::string id);
   net::Task<net::Response> withdraw(std::string id);
 
-  /// What is stored of a job, wherever it stands.
-  struct Found {
-    enum class Kind { live, ended, absent, unclear };
-    Kind kind = Kind::unclear;
-    sched::Job job;
-    std::string text;  ///< the live record as stored
-    Ending ending;
-  };
-  net::Task<Found> look_up(std::string id);
-  void remember(const std::string& id, const Ending& ending);
+  /// The job's state as a user may be told it, or nothing if that can't be told now. A job that is
+  /// cancelled with one that it needs is marked so in its record first.
+  net::Task<std::optional<wire::JobState>> state_to_tell(StoredJob found);
+  /// The answer to a submission of a job that is known already.
+  net::Task<net::Response> known_job(std::string id, StoredJob found);
+  /// Creates the record. `cancelled`: together with a job that it needs.
+  net::Task<net::Response> accept(wire::JobSpec spec, bool cancelled);
+  /// Marks a live record as cancelled, and changes nothing else in it.
+  net::Task<store::Outcome> write_cancellation(std::string id, const StoredJob& found);
   /// Why the job can never run; empty if it may.
   std::string impossible(const wire::JobSpec& spec) const;
 
   Services services_;
-  std::function<bool()> state_reached_;
+  JobLookup lookup_;
+  NeedsCheck needs_check_;
   net::Limiter limiter_;
   std::vector<wire::MachineType> types_;
-  std::map<std::string, Ending> ended_;  ///< bounded; endings never change
-  std::deque<std::string> ended_order_;
 };
 
 net::Response plain_answer(int status, std::string body);
--- a/src/sched/cluster_state.cpp
+++ b/src/sched/cluster_state.cpp
@@ -211,14 +211,70 @@
     if (p.decided_at == 0) p.decided_at = now;  // by a former leader, who knows when
     attach(put, p);
   }
+  dependencies_.add(id, put.spec.needs);
+  update_needs(put);
+  if (put.withdrawn()) withdraw_dependents(put);
   return put;
 }
 
+// What is known of the jobs that it needs, applied to it.
+void ClusterState::update_needs(Job& job) {
+  const auto& id = job.spec.id;
+  job.needs_met = dependencies_.met(id);
+  job.ready_ms = std::max(job.created_ms, dependencies_.met_ms(id));
+  if (job.withdrawn()) return;
+  if (const auto cancellation = dependencies_.cancellation(id)) {
+    withdraw(job, cancellation->at_ms, cancellation->since);
+    return;
+  }
+  // Guards against a job that arrives when one that it needs is cancelled and not yet over.
+  for (const auto& needed : dependencies_.needs(id)) {
+    const Job* live = this->job(needed);
+    if (live == nullptr || !live->withdrawn()) continue;
+    return withdraw(job, live->withdrawn_ms, live->withdrawn_since);
+  }
+}
+
+// None of them has a task, as they were never allowed to start: only their records have to follow.
+// Goes from one to the next without recursion, since chains may be long.
+void ClusterState::withdraw_dependents(const Job& cancelled) {
+  std::vector<const Job*> next{&cancelled};
+  while (!next.empty()) {
+    const Job* needed = next.back();
+    next.pop_back();
+    for (const auto& id : dependencies_.dependents(needed->spec.id)) {
+      Job* dependent = job(id);
+      if (dependent == nullptr || dependent->withdrawn()) continue;
+      dependent->withdrawn_ms = needed->withdrawn_ms;
+      dependent->withdrawn_since = needed->withdrawn_since;
+      changed_ = true;
+      next.push_back(dependent);
+    }
+  }
+}
+
+void ClusterState::note_ending(const std::string& id, const Dependencies::Ending& ending) {
+  if (!dependencies_.is_needed(id)) return;
+  dependencies_.note_ending(id, ending);
+  changed_ = true;
+  const auto dependents = dependencies_.dependents(id);  // a copy: what follows may change it
+  for (const auto& dependent : dependents) {
+    if (Job* live = job(dependent)) update_needs(*live);
+  }
+}
+
+std::vector<std::string> ClusterState::unknown_endings() const {
+  auto unknown = dependencies_.unknown();
+  std::erase_if(unknown, [this](const std::string& id) { return jobs_.contains(id); });
+  return unknown;
+}
+
 void ClusterState::withdraw(Job& job, std::int64_t at_ms, double since) {
   if (job.withdrawn()) return;
   job.withdrawn_ms = at_ms;
   job.withdrawn_since = since;
   changed_ = true;
+  withdraw_dependents(job);
 }
 
 void ClusterState::drop_job(const std::string& id) {
@@ -227,6 +283,7 @@
   for (const auto& p : j->places) {
     if (!p.ended) detach(*j, p, j->known_since);
   }
+  dependencies_.remove(id);
   jobs_.erase(id);
   changed_ = true;
 }
@@ -521,7 +578,7 @@
   for (const auto& held : m->tasks) {
     const Job& j = *held.job;
     Place& p = held.place();
-    if (j.withdrawn() || !p.durable) continue;
+    if (j.withdrawn() || !p.durable || !j.needs_met) continue;
     // Guards against a place that is stopped while its start is in doubt: nobody would ever see it
     // end. Told here of both, the worker knows the attempt, and the start in doubt has no effect
     // any more.
--- a/src/sched/cluster_state.hpp
+++ b/src/sched/cluster_state.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "base/settings.hpp"
+#include "sched/dependencies.hpp"
 #include "wire/messages.hpp"
 
 namespace cranklock::sched {
@@ -59,6 +60,16 @@
   std::uint64_t doubtful_session = 0;
 };
 
+inline constexpr std::int64_t kNoDeadline = INT64_MAX;
+
+/// How urgent a job is, by itself and by the jobs that need it, as of the last placement pass.
+struct Urgency {
+  wire::Rank rank = wire::Rank::standard;  ///< the highest of all
+  /// Time of day by which it has to start, so that each of them meets its deadline if all take as
+  /// long as their owners estimate.
+  std::int64_t start_by_ms = kNoDeadline;
+};
+
 struct Job {
   wire::JobSpec spec;
   std::int64_t created_ms = 0;
@@ -82,6 +93,13 @@
   bool succeeded = false;           ///< a task of it ran or completed somewhere
   double withdrawn_since = 0;
   bool guaranteed = false;  ///< as of the last placement pass
+  /// All jobs that it needs are known to have been done; until then none of its tasks is placed or
+  /// started (invariant 14). Kept by ClusterState.
+  bool needs_met = true;
+  /// Time of day from which its waiting counts: its submission, or the end of the last job that it
+  /// needs if that came later.
+  std::int64_t ready_ms = 0;
+  Urgency urgency;
 
   bool withdrawn() const { return withdrawn_ms != 0; }
   bool complete() const { return done.size() == spec.tasks; }
@@ -160,8 +178,16 @@
   /// Puts in place what is stored. What was learnt of the job and its places is kept.
   Job& put_job(Job job, double now);
   void drop_job(const std::string& id);
-  /// Its user has cancelled it, at `since` or later; the stored record may come after this.
+  /// Its user has cancelled it, at `since` or later; the stored record may come after this. All
+  /// jobs that need it, directly or through others, are cancelled with it.
   void withdraw(Job& job, std::int64_t at_ms, double since);
+  /// The ending of a job that others may need is known to be stored: they may start, or are
+  /// cancelled.
+  void note_ending(const std::string& id, const Dependencies::Ending& ending);
+  const Dependencies& dependencies() const { return dependencies_; }
+  /// Jobs that live ones need, which are not live themselves and whose ending is not known: it has
+  /// to be read.
+  std::vector<std::string> unknown_endings() const;
   Job* job(const std::string& id);
   std::map<std::string, Job>& jobs() { return jobs_; }
 
@@ -241,6 +267,8 @@
   void excuse(const std::string& zone, double until);
   void break_gang(Job& job, std::uint64_t attempt, double now);
   void used_image(Machine& machine, const wire::JobSpec& spec);
+  void update_needs(Job& job);
+  void withdraw_dependents(const Job& cancelled);
   void attach(Job& job, Place& place);
   void detach(Job& job, const Place& place, double now);
 
@@ -248,6 +276,7 @@
   std::uint64_t token_;
   double began_;
   std::map<std::string, Job> jobs_;
+  Dependencies dependencies_;
   std::map<std::string, Machine> machines_;
   /// Places on machines that neither list nor report has shown yet, by machine.
   std::map<std::string, std::vector<Held>> unseen_;
--- /dev/null
+++ b/src/sched/dependencies.hpp
@@ -0,0 +1,62 @@
+// Which live jobs need which others, and how those ended. Pure: no I/O, time passed in.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace cranklock::sched {
+
+/// The needs of live jobs and the endings that are known of what they need.
+///
+/// It enforces invariant 14: a job's needs are met only when `done` is known to be stored for each
+/// of them, from this leader's own answered write or from a read of the stored ending. An ending
+/// never changes, so what is noted once stays. Only what a live job needs is kept, which bounds the
+/// memory; the graph may hold any cycle, as nothing here follows it by recursion.
+class Dependencies {
+ public:
+  enum class Outcome { unknown, done, cancelled };
+  struct Ending {
+    Outcome outcome = Outcome::unknown;
+    /// Time of day at which it ended, or was cancelled; 0: not known.
+    std::int64_t at_ms = 0;
+    double since = 0;  ///< the same on the steady clock, at the earliest, of a cancellation
+  };
+
+  /// A live job and the jobs it needs, which stay the same for as long as it lives. May be
+  /// repeated.
+  void add(const std::string& job, const std::vector<std::string>& needs);
+  /// The job is not live any more. What is known of its own ending is kept for those that need it.
+  void remove(const std::string& job);
+
+  /// The ending of a job is known to be stored. Of no effect when no live job needs it.
+  void note_ending(const std::string& needed, const Ending& ending);
+
+  bool empty() const { return needs_.empty(); }
+  bool is_needed(const std::string& job) const { return needed_.contains(job); }
+  /// Every job that it needs is known to have ended with `done`.
+  bool met(const std::string& job) const;
+  /// The ending of a job that it needs and that was cancelled, if any is known.
+  std::optional<Ending> cancellation(const std::string& job) const;
+  /// When the last of the jobs that it needs ended, as far as that is known; 0 otherwise.
+  std::int64_t met_ms(const std::string& job) const;
+  /// The live jobs that need this one, directly.
+  const std::set<std::string>& dependents(const std::string& job) const;
+  /// The jobs that a live job needs, directly; empty for any other.
+  const std::vector<std::string>& needs(const std::string& job) const;
+  /// Needed jobs whose ending is not known.
+  std::vector<std::string> unknown() const;
+
+ private:
+  struct Needed {
+    std::set<std::string> dependents;
+    Ending ending;
+  };
+  std::map<std::string, std::vector<std::string>> needs_;  ///< by live job, where it has any
+  std::map<std::string, Needed> needed_;
+};
+
+}  // namespace cranklock::sched
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -8,6 +8,8 @@
 #include <set>
 #include <tuple>
 
+#include "sched/inheritance.hpp"
+
 namespace cranklock::sched {
 namespace {
 
@@ -147,12 +149,14 @@
 };
 
 std::vector<Job*> Pass::waiting_jobs() {
+  inherit_urgency(cluster_);
   std::vector<Job*> by_age;
   for (auto& [id, job] : cluster_.jobs()) {
-    if (!job.withdrawn() && !job.complete()) by_age.push_back(&job);
+    // A job that waits for others holds no part of its team's guarantee.
+    if (!job.withdrawn() && !job.complete() && job.needs_met) by_age.push_back(&job);
   }
   std::sort(by_age.begin(), by_age.end(), [](const Job* a, const Job* b) {
-    return std::pair(a->created_ms, a->spec.id) < std::pair(b->created_ms, b->spec.id);
+    return std::pair(a->ready_ms, a->spec.id) < std::pair(b->ready_ms, b->spec.id);
   });
   std::map<std::string, Room> earlier;
   std::vector<Job*> waiting;
@@ -163,12 +167,17 @@
     job->guaranteed = team != nullptr && (team->gpus > 0 || team->cpus > 0) &&
                       (team->gpus <= 0 || sum.gpus <= team->gpus) &&
                       (team->cpus <= 0 || sum.cpus <= team->cpus);
-    if (job->live() > 0) running_[job->spec.rank][job->guaranteed ? 1 : 0] = true;
+    if (job->live() > 0) running_[job->urgency.rank][job->guaranteed ? 1 : 0] = true;
     if (job->backoff_until > now_ || job->pending_count() == 0) continue;
     waiting.push_back(job);
   }
   std::stable_sort(waiting.begin(), waiting.end(), [](const Job* a, const Job* b) {
-    return std::pair(!a->guaranteed, a->spec.rank) < std::pair(!b->guaranteed, b->spec.rank);
+    // What is late already by its deadline goes before the rest, the latest first.
+    const auto when = [](const Job* job) {
+      return std::min(job->ready_ms, job->urgency.start_by_ms);
+    };
+    return std::tuple(!a->guaranteed, a->urgency.rank, when(a)) <
+           std::tuple(!b->guaranteed, b->urgency.rank, when(b));
   });
   return waiting;
 }
@@ -290,10 +299,10 @@
 }
 
 void Pass::place(Job& job) {
-  // More than this many live places would not fit the job's record; the rest waits its turn.
-  constexpr std::size_t kMostLive = 1000;
+  // More live tasks would not fit the job's record; the rest waits its turn.
+  const auto most = most_live_tasks(cluster_.settings());
   const auto live = job.live();
-  const auto room_left = live < kMostLive ? kMostLive - live : 0;
+  const auto room_left = live < most ? most - live : 0;
   const auto tasks = job.pending(room_left);
   if (tasks.empty()) return;
   if (job.spec.shape == Shape::gang) {
@@ -379,7 +388,7 @@
 }
 
 bool Pass::may_preempt(const Job& for_job, const Job& victim) const {
-  if (for_job.spec.rank < victim.spec.rank) return !victim.guaranteed || for_job.guaranteed;
+  if (for_job.urgency.rank < victim.urgency.rank) return !victim.guaranteed || for_job.guaranteed;
   // Work that another team runs beyond its guarantee, so that a team gets its own.
   return for_job.guaranteed && !victim.guaranteed && for_job.spec.team != victim.spec.team;
 }
@@ -388,7 +397,7 @@
   if (job.spec.shape == Shape::gang) return make_room_for_gang(job);
   auto zones = zones_of(job);
   Room planned;
-  auto& failed = no_victims_for_[{job.spec.team, job.spec.rank, job.guaranteed}];
+  auto& failed = no_victims_for_[{job.spec.team, job.urgency.rank, job.guaranteed}];
   if (hopeless(job, failed)) return;
   for (auto missing = job.pending_count(); missing > 0 && result_.looked_at < most_looks_;
        --missing) {
@@ -433,8 +442,8 @@
 bool Pass::may_preempt_any(const Job& job) const {
   return std::any_of(running_.begin(), running_.end(), [&](const auto& entry) {
     const auto& [rank, guaranteed] = entry;
-    return (guaranteed[0] && (job.guaranteed || job.spec.rank < rank)) ||
-           (guaranteed[1] && job.guaranteed && job.spec.rank < rank);
+    return (guaranteed[0] && (job.guaranteed || job.urgency.rank < rank)) ||
+           (guaranteed[1] && job.guaranteed && job.urgency.rank < rank);
   });
 }
 
@@ -450,7 +459,7 @@
     victims.push_back({loss_of(*victim, p), victim, &p});
   }
   std::sort(victims.begin(), victims.end(), [](const Victim& a, const Victim& b) {
-    return std::pair(b.job->spec.rank, a.loss) < std::pair(a.job->spec.rank, b.loss);
+    return std::pair(b.job->urgency.rank, a.loss) < std::pair(a.job->urgency.rank, b.loss);
   });
   return victims;
 }
@@ -611,6 +620,17 @@
 
 }  // namespace
 
+std::size_t most_live_tasks(const base::Settings& settings) {
+  constexpr std::size_t kMost = 1000;
+  constexpr double kTaskBytes = 44;   // its number, attempt and machine, and a range of done tasks
+  constexpr double kValueBytes = 80;  // what stands around the lists, and does not fill up, in each
+  constexpr double kTxnBytes = 60.0 * 1024;
+  const double value = settings.value_kb * 1024 - kValueBytes;
+  // The description takes up to a value's worth.
+  const double room = std::min(value * (settings.txn_ops - 1), kTxnBytes - value);
+  return std::clamp<std::size_t>(static_cast<std::size_t>(room / kTaskBytes), 1, kMost);
+}
+
 bool within_limit(const ClusterState& cluster, const std::string& team, const Room& more) {
   const auto* t = cluster.settings().team(team);
   if (t == nullptr) return false;
--- a/src/sched/placement.hpp
+++ b/src/sched/placement.hpp
@@ -44,6 +44,10 @@
 PassResult place_waiting(ClusterState& cluster, const std::map<MachineKind, double>& refused_until,
                          double now);
 
+/// Tasks of one job that may be on machines at a time: its record is written whole in one
+/// transaction, so the limits of the state service bound it.
+std::size_t most_live_tasks(const base::Settings& settings);
+
 /// Whether the team may use this much more.
 bool within_limit(const ClusterState& cluster, const std::string& team, const wire::Room& more);
 
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -24,12 +24,19 @@
   level_ -= amount;
 }
 
+void Budget::empty() {
+  fill();
+  level_ = std::min(level_, 0.0);
+}
+
 Client::Client(net::Reactor& reactor, net::Transport& transport, const base::Settings& settings)
     : reactor_(reactor),
       transport_(transport),
       settings_(settings),
       requests_(reactor, settings.state_rps),
-      writes_(reactor, settings.state_write_rps) {
+      writes_(reactor, settings.state_write_rps),
+      value_bytes_(static_cast<std::size_t>(settings.value_kb * 1024)),
+      txn_changes_(static_cast<std::size_t>(settings.txn_ops)) {
   set_leading(false);
 }
 
@@ -62,9 +69,22 @@
   }
   auto calling = transport_.call(settings_.state, std::move(request), until - reactor_.now());
   auto reply = co_await calling;
+  if (reply.status() == 429) {
+    // Guards against a limit that is lower than this node knows being met again and again.
+    requests_.empty();
+    if (writes > 0) writes_.empty();
+  }
   co_return reply;
 }
 
+// Guards against a write that is too large for limits that fell without notice: repeated as it is,
+// it would be refused for ever.
+void Client::lower_limits() {
+  constexpr std::size_t kLeastBytes = 1024, kLeastChanges = 2;
+  value_bytes_ = std::max(value_bytes_ / 2, kLeastBytes);
+  txn_changes_ = std::max(txn_changes_ / 2, kLeastChanges);
+}
+
 namespace {
 /// For answers that carry no result of their own.
 Outcome outcome_of(const net::Reply& reply) {
@@ -94,6 +114,10 @@
   const auto reply = co_await sending;
   TxnResult result;
   result.outcome = outcome_of(reply);
+  const bool leased = std::any_of(changes.begin(), changes.end(),
+                                  [](const wire::Change& change) { return change.lease != 0; });
+  // With a lease it may as well be the lease that has ended.
+  if (reply.status() == 400 && !leased) lower_limits();
   if (result.outcome == Outcome::ok || result.outcome == Outcome::failed) {
     const auto answer = wire::parse_txn_answer(reply.response.body);
     if (!answer) {
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -21,6 +21,8 @@
   double take(double amount);
   /// Takes without asking; what is overdrawn delays the others.
   void force(double amount);
+  /// The service refused for its rate: what this bucket held is not there.
+  void empty();
 
  private:
   void fill();
@@ -71,8 +73,10 @@
   net::Task<Outcome> renew_lease(std::uint64_t lease, double timeout_s);
   net::Task<void> drop_lease(std::uint64_t lease, double timeout_s);
 
-  std::size_t value_bytes() const { return static_cast<std::size_t>(settings_.value_kb * 1024); }
-  std::size_t txn_changes() const { return static_cast<std::size_t>(settings_.txn_ops); }
+  /// Limits of a value and of a transaction: those of the settings, or less once the service has
+  /// refused a transaction as malformed.
+  std::size_t value_bytes() const { return value_bytes_; }
+  std::size_t txn_changes() const { return txn_changes_; }
 
  private:
   net::Task<net::Reply> send(net::Request request, double timeout_s, double writes, bool urgent);
@@ -80,7 +84,10 @@
   net::Reactor& reactor_;
   net::Transport& transport_;
   const base::Settings& settings_;
+  void lower_limits();
+
   Budget requests_, writes_;
+  std::size_t value_bytes_, txn_changes_;
 };
 
 }  // namespace cranklock::store
--- a/src/wire/messages.cpp
+++ b/src/wire/messages.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <set>
 
 namespace cranklock::wire {
 namespace {
@@ -69,6 +70,16 @@
   return out;
 }
 
+/// The texts in their order, each where it first stands.
+std::vector<std::string> without_repeats(const std::vector<std::string>& texts) {
+  std::set<std::string_view> seen;
+  std::vector<std::string> out;
+  for (const auto& text : texts) {
+    if (seen.insert(text).second) out.push_back(text);
+  }
+  return out;
+}
+
 /// Parses a body that is an object, and hands it on.
 template <typename F>
 auto with_object(std::string_view body, F&& use) -> decltype(use(std::declval<const Json&>())) {
@@ -150,6 +161,13 @@
     if (!due || *due < 0) return "DueS: expected a number of at least 0";
     job.due_s = *due;
   }
+  if (find(o, "WaitsOn") != nullptr) {
+    const auto needs = read_texts(o, "WaitsOn");
+    const bool valid = needs && needs->size() <= kMostNeeds &&
+                       std::all_of(needs->begin(), needs->end(), valid_job_id);
+    if (!valid) return "WaitsOn: expected a list of at most 256 job ids";
+    job.needs = without_repeats(*needs);
+  }
   return job;
 }
 
@@ -169,6 +187,11 @@
   w.key("ExpectS").amount(job.estimate_s).key("NotchS").amount(job.checkpoint_s);
   w.key("StowS").amount(job.save_s);
   if (job.due_s) w.key("DueS").amount(*job.due_s);
+  if (!job.needs.empty()) {
+    w.key("WaitsOn").list();
+    for (const auto& id : job.needs) w.text(id);
+    w.list_end();
+  }
   w.end();
 }
 
--- /dev/null
+++ b/tests/dependencies_test.cpp
@@ -0,0 +1,168 @@
+#include "sched/dependencies.hpp"
+
+#include <gtest/gtest.h>
+
+#include "fixtures.hpp"
+
+namespace cranklock::sched {
+namespace {
+
+using testing::Fleet;
+using testing::make_job;
+using wire::Rank;
+using wire::Shape;
+
+Job dependent(const std::string& id, std::vector<std::string> needs, double gpus = 1) {
+  Job job = make_job(id, Shape::array, 1, gpus);
+  job.spec.needs = std::move(needs);
+  return job;
+}
+
+Dependencies::Ending done_at(std::int64_t at_ms) {
+  return {Dependencies::Outcome::done, at_ms, 0};
+}
+
+Dependencies::Ending cancelled_at(std::int64_t at_ms) {
+  return {Dependencies::Outcome::cancelled, at_ms, 5};
+}
+
+TEST(Dependencies, AJobStartsOnlyWhenAllThatItNeedsIsKnownToBeDone) {
+  Fleet s;
+  s.add(dependent("j-000003", {"j-000001", "j-000002"}));
+  EXPECT_EQ(s.cluster.unknown_endings(), (std::vector<std::string>{"j-000001", "j-000002"}));
+  EXPECT_EQ(s.pass().placed, 0);
+  s.cluster.note_ending("j-000001", done_at(2000));
+  EXPECT_EQ(s.pass().placed, 0);
+  s.cluster.note_ending("j-000002", done_at(3000));
+  EXPECT_TRUE(s.cluster.unknown_endings().empty());
+  EXPECT_EQ(s.pass().placed, 1);
+  EXPECT_EQ(s.cluster.job("j-000003")->ready_ms, 3000);
+}
+
+// A job that is complete in memory may still be cancelled by a write that comes first.
+TEST(Dependencies, ACompleteJobWhoseEndingIsNotStoredLetsNothingStart) {
+  Fleet s;
+  Job& first = s.add(make_job("j-000001", Shape::array, 1, 1));
+  s.add(dependent("j-000002", {"j-000001"}));
+  first.done.add(0);
+  EXPECT_EQ(s.pass().placed, 0);
+  s.cluster.drop_job("j-000001");
+  EXPECT_EQ(s.pass().placed, 0);
+  EXPECT_EQ(s.cluster.unknown_endings(), std::vector<std::string>{"j-000001"});
+}
+
+TEST(Dependencies, WhatIsKnownOutlivesAReloadOfTheRecord) {
+  Fleet s;
+  s.add(dependent("j-000002", {"j-000001"}));
+  s.cluster.note_ending("j-000001", done_at(0));
+  s.add(dependent("j-000002", {"j-000001"}));
+  EXPECT_TRUE(s.cluster.job("j-000002")->needs_met);
+  // Nothing is kept for a job that is not live any more.
+  s.cluster.drop_job("j-000002");
+  EXPECT_TRUE(s.cluster.dependencies().empty());
+  s.add(dependent("j-000003", {"j-000001"}));
+  EXPECT_FALSE(s.cluster.job("j-000003")->needs_met);
+}
+
+TEST(Dependencies, AnEndingIsTakenOnce) {
+  Fleet s;
+  s.add(dependent("j-000002", {"j-000001"}));
+  s.cluster.note_ending("j-000001", done_at(0));
+  s.cluster.note_ending("j-000001", cancelled_at(100));
+  EXPECT_FALSE(s.cluster.job("j-000002")->withdrawn());
+}
+
+TEST(Dependencies, ACancellationReachesAllThatNeedIt) {
+  Fleet s;
+  Job& first = s.add(make_job("j-000001", Shape::array, 1, 1));
+  s.add(dependent("j-000002", {"j-000001"}));
+  s.add(dependent("j-000003", {"j-000002", "j-000009"}));
+  s.add(dependent("j-000004", {"j-000009"}));
+  s.cluster.withdraw(first, 777, 7);
+  EXPECT_EQ(s.cluster.job("j-000003")->withdrawn_ms, 777);
+  EXPECT_FALSE(s.cluster.job("j-000004")->withdrawn());
+  // Generations that come later.
+  s.add(dependent("j-000005", {"j-000003"}));
+  EXPECT_EQ(s.cluster.job("j-000005")->withdrawn_ms, 777);
+  // And by an ending that is read.
+  s.cluster.note_ending("j-000009", cancelled_at(888));
+  EXPECT_EQ(s.cluster.job("j-000004")->withdrawn_ms, 888);
+  s.add(dependent("j-000006", {"j-000009"}));
+  EXPECT_TRUE(s.cluster.job("j-000006")->withdrawn());
+}
+
+// A recursion would end the process of a small node; so would a stored cycle.
+TEST(Dependencies, LongChainsAndCyclesAreSurvived) {
+  Fleet s;
+  constexpr int kLength = 20'000;
+  const auto id = [](int i) { return "j-" + std::to_string(100'000 + i); };
+  for (int i = 0; i < kLength; ++i) {
+    s.add(i == 0 ? make_job(id(0), Shape::array, 1, 1) : dependent(id(i), {id(i - 1)}));
+  }
+  s.add(dependent("j-1", {"j-2"}));
+  s.add(dependent("j-2", {"j-1"}));
+  EXPECT_EQ(s.pass().placed, 1);
+  s.cluster.withdraw(*s.cluster.job(id(0)), 5, 5);
+  EXPECT_TRUE(s.cluster.job(id(kLength - 1))->withdrawn());
+  s.cluster.withdraw(*s.cluster.job("j-1"), 5, 5);
+  EXPECT_TRUE(s.cluster.job("j-2")->withdrawn());
+  EXPECT_EQ(s.pass(2).placed, 0);
+}
+
+TEST(Dependencies, AWaitingJobIsNeitherInLimitsNorInLoadNorAReasonToPreempt) {
+  Fleet s;
+  s.settings.teams = {{"red", 0, 0, 8, 16}, {"blue", 0, 0, 8, 16}};
+  Job& runs = s.add(make_job("j-000001", Shape::service, 8, 1, "blue"));
+  EXPECT_EQ(s.pass().placed, 8);
+  s.written(runs);
+  Job waits = make_job("j-000002", Shape::service, 8, 1);
+  waits.spec.rank = Rank::production;
+  waits.spec.needs = {"j-000009"};
+  s.add(std::move(waits));
+  const auto result = s.pass(2);
+  EXPECT_EQ(result.stopped, 0);
+  EXPECT_TRUE(result.shortfall.waiting.empty());
+  // It takes all of the guarantee, were it counted: this one would have none.
+  Job& later = s.add(make_job("j-000003", Shape::service, 1, 1));
+  s.pass(3);
+  EXPECT_TRUE(later.guaranteed);
+}
+
+TEST(Dependencies, AJobHasTheHighestRankOfAllThatNeedIt) {
+  Fleet s;
+  auto first = make_job("j-000001", Shape::array, 1, 8);
+  first.spec.rank = Rank::best_effort;
+  first.created_ms = 2000;
+  s.add(std::move(first));
+  auto other = make_job("j-000005", Shape::array, 1, 8, "blue");
+  other.spec.rank = Rank::standard;
+  s.add(std::move(other));
+  auto middle = dependent("j-000002", {"j-000001"});
+  middle.spec.rank = Rank::best_effort;
+  s.add(std::move(middle));
+  auto last = dependent("j-000003", {"j-000002"});
+  last.spec.rank = Rank::high;
+  s.add(std::move(last));
+  EXPECT_EQ(s.pass().placed, 1);  // there is room for one
+  EXPECT_EQ(s.cluster.job("j-000001")->places.size(), 1U);
+}
+
+TEST(Dependencies, UrgencyIsTheLastDeadlineLessWhatTheStagesTake) {
+  Fleet s;
+  auto first = make_job("j-000001", Shape::array, 1, 1);
+  first.spec.estimate_s = 10;
+  s.add(std::move(first));
+  auto middle = dependent("j-000002", {"j-000001"});
+  middle.spec.estimate_s = 20;
+  s.add(std::move(middle));
+  auto last = dependent("j-000003", {"j-000002"});
+  last.spec.estimate_s = 5;
+  last.spec.due_s = 60;
+  s.add(std::move(last));
+  s.pass();
+  EXPECT_EQ(s.cluster.job("j-000003")->urgency.start_by_ms, 1000 + 55'000);
+  EXPECT_EQ(s.cluster.job("j-000001")->urgency.start_by_ms, 1000 + 25'000);
+}
+
+}  // namespace
+}  // namespace cranklock::sched
--- /dev/null
+++ b/tests/pipelines_test.cpp
@@ -0,0 +1,403 @@
+// Pipelines of dependent jobs in whole clusters. The referee of each watches all rules, `too_early`
+// and `orphaned` among them; what a scenario asserts itself is that its trouble came about and that
+// work is served afterwards.
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "world.hpp"
+
+namespace cranklock::testing {
+namespace {
+
+using wire::Shape;
+
+std::string name(int i) {
+  return "j-" + std::to_string(100'000 + i);
+}
+
+wire::JobSpec stage(int i, const std::vector<int>& needs = {}, std::uint32_t tasks = 1) {
+  auto spec = make_job(name(i), Shape::array, tasks, 1).spec;
+  for (const int needed : needs) spec.needs.push_back(name(needed));
+  return spec;
+}
+
+std::string text(const wire::JobSpec& spec) {
+  wire::JsonWriter w;
+  wire::write_job(w, spec);
+  return w.take();
+}
+
+/// Runs until it holds; false when that takes too long.
+template <typename Holds>
+bool wait_for(World& w, double most_s, Holds holds) {
+  for (double t = 0; t < most_s && !holds(); t += 0.25) w.run(0.25);
+  return holds();
+}
+
+bool ended(const World& w, int i) {
+  return w.store.contains("ended/" + name(i));
+}
+
+bool all_nodes_say(World& w, int i, const std::string& state) {
+  for (int node = 0; node < w.nodes(); ++node) {
+    if (w.is_up(node) && w.state_of(node, name(i)) != state) return false;
+  }
+  return true;
+}
+
+int other_than(const World& w, int node) {
+  return (node + 1) % w.nodes();
+}
+
+/// A diamond: 0 first, 1 and 2 need it, 3 needs both.
+void submit_diamond(World& w) {
+  w.submit(0, stage(0));
+  w.submit(1, stage(1, {0}));
+  w.submit(2, stage(2, {0}, 3));
+  w.submit(0, stage(3, {1, 2}));
+}
+
+TEST(Pipeline, StagesRunInOrderOneRightAfterTheOther) {
+  World w;
+  w.run(1);
+  w.add_worker();
+  w.run(3);
+  submit_diamond(w);
+  EXPECT_EQ(w.state_of(1, name(3)), "queued");
+  ASSERT_TRUE(wait_for(w, 30, [&] { return ended(w, 0); }));
+  // The start goes out in the round that follows the answered write of the ending.
+  ASSERT_TRUE(wait_for(w, 1.5, [&] { return w.running(name(1)) == 1; }));
+  ASSERT_TRUE(wait_for(w, 30, [&] { return ended(w, 3); }));
+  EXPECT_TRUE(all_nodes_say(w, 3, "done"));
+  EXPECT_EQ(w.starts[name(3) + "/0"], 1);
+}
+
+TEST(Pipeline, SubmissionsAreCheckedByAnyNode) {
+  World w;
+  w.run(1);
+  w.submit(0, stage(0));
+  EXPECT_EQ(w.ask(1, "POST", "/v1/jobs", text(stage(1, {1}))).status, 422);
+  EXPECT_EQ(w.ask(1, "POST", "/v1/jobs", text(stage(1, {0, 7}))).status, 422);
+  auto odd = text(stage(1, {0}));
+  odd.replace(odd.find("[\"" + name(0)), 2, "[7,\"");
+  EXPECT_EQ(w.ask(1, "POST", "/v1/jobs", odd).status, 400);
+  EXPECT_EQ(w.state_of(1, name(1)), "404");
+  w.submit(2, stage(1, {0}));
+  EXPECT_EQ(w.ask(1, "POST", "/v1/jobs", text(stage(1, {0}))).status, 200);
+  // Accepted is accepted, whatever a repeat says.
+  EXPECT_EQ(w.ask(1, "POST", "/v1/jobs", text(stage(1, {7}))).status, 200);
+  ASSERT_TRUE(wait_for(w, 60, [&] { return ended(w, 1); }));
+  // What is over may be named, and moves between two keys without being missed.
+  w.submit(1, stage(2, {0, 1}));
+  ASSERT_TRUE(wait_for(w, 60, [&] { return ended(w, 2); }));
+}
+
+TEST(Pipeline, WithoutTheStateServiceASubmissionIsNotRefusedForGood) {
+  World w;
+  w.run(1);
+  w.submit(0, stage(0));
+  w.state_down = true;
+  const auto response = w.ask(1, "POST", "/v1/jobs", text(stage(1, {0})));
+  EXPECT_EQ(response.status, 503);
+  EXPECT_GT(response.retry_after_s, 0);
+  w.state_down = false;
+}
+
+TEST(Pipeline, ACancellationReachesAllStagesAndThoseSubmittedLater) {
+  World w;
+  w.run_s = 1000;
+  w.run(1);
+  submit_diamond(w);
+  w.run(5);
+  w.cancel(1, name(0));
+  ASSERT_EQ(w.ask(2, "POST", "/v1/jobs", text(stage(4, {3}))).status, 201);
+  w.run(2);
+  for (int i = 1; i <= 4; ++i) EXPECT_TRUE(all_nodes_say(w, i, "withdrawn")) << i;
+  EXPECT_TRUE(wait_for(w, 20, [&] { return ended(w, 4); }));
+  ASSERT_EQ(w.ask(2, "POST", "/v1/jobs", text(stage(5, {4}))).status, 201);
+  EXPECT_TRUE(all_nodes_say(w, 5, "withdrawn"));
+}
+
+TEST(Pipeline, ACancellationThatIsAnsweredWithDoneTakesNothingAlong) {
+  World w;
+  w.run(1);
+  submit_diamond(w);
+  ASSERT_TRUE(wait_for(w, 60, [&] { return ended(w, 0); }));
+  const auto answer = w.ask(1, "POST", "/v1/jobs/" + name(0) + "/withdraw");
+  EXPECT_NE(answer.body.find("done"), std::string::npos);
+  ASSERT_TRUE(wait_for(w, 60, [&] { return ended(w, 3); }));
+  EXPECT_TRUE(all_nodes_say(w, 3, "done"));
+}
+
+// No leader has followed yet, and the question comes first: the answer is found in what the job
+// needs, and is stored before it is told, so that no node says less afterwards.
+TEST(Pipeline, AfterAnOutageNoNodeCallsAnOrphanQueued) {
+  World w;
+  w.run_s = 1000;
+  w.run(1);
+  submit_diamond(w);
+  ASSERT_TRUE(all_nodes_say(w, 3, "queued"));
+  w.cancel(1, name(0));
+  w.state_down = true;
+  for (int node = 0; node < w.nodes(); ++node) w.crash_node(node);
+  w.run(w.base_settings.cancel_s + 5);
+  w.state_down = false;
+  w.start_node(1);
+  w.run(0.2);
+  // Nobody leads before the former leader's lease has ended.
+  ASSERT_TRUE(wait_for(w, 2, [&] { return w.state_of(1, name(3)) != "503"; }));
+  ASSERT_EQ(w.leader(), -1);
+  EXPECT_EQ(w.state_of(1, name(3)), "withdrawn");
+  w.start_node(2);
+  ASSERT_TRUE(wait_for(w, 2, [&] { return w.state_of(2, name(3)) != "503"; }));
+  EXPECT_EQ(w.state_of(2, name(3)), "withdrawn");
+  w.start_node(0);
+  EXPECT_TRUE(wait_for(w, 40, [&] { return ended(w, 1) && ended(w, 2) && ended(w, 3); }));
+}
+
+// A leader that the state service alone refuses knows nothing of the cancellation.
+TEST(Pipeline, ANeededJobIsCancelledElsewhereWhileTheLeaderIsRefused) {
+  World w;
+  w.run_s = 6;
+  w.run(1);
+  submit_diamond(w);
+  ASSERT_TRUE(wait_for(w, 40, [&] { return w.running(name(0)) == 1; }));
+  const int old = w.leader();
+  w.refused_by_state = {old};
+  w.mute_watches = {old};
+  w.run(0.2);
+  w.cancel(other_than(w, old), name(0));
+  w.run(w.base_settings.cancel_s + 1);
+  EXPECT_EQ(w.state_of(other_than(w, old), name(3)), "withdrawn");
+  w.refused_by_state.clear();
+  w.mute_watches.clear();
+  w.run(5);
+  EXPECT_TRUE(all_nodes_say(w, 3, "withdrawn"));
+  EXPECT_EQ(w.starts[name(1) + "/0"], 0);
+}
+
+TEST(Pipeline, ANewLeaderReadsTheEndingsThatItHasNotSeen) {
+  World w;
+  w.run(1);
+  w.add_worker();
+  w.run(3);
+  w.run_s_of[name(2) + "/0"] = 40;
+  submit_diamond(w);
+  ASSERT_TRUE(wait_for(w, 60, [&] { return ended(w, 1); }));
+  ASSERT_FALSE(ended(w, 2));
+  const int old = w.leader();
+  w.crash_node(old);
+  ASSERT_TRUE(wait_for(w, 60, [&] { return w.leader() >= 0; }));
+  ASSERT_TRUE(wait_for(w, 90, [&] { return ended(w, 3); }));
+  w.start_node(old);
+  w.run(2);
+  EXPECT_TRUE(all_nodes_say(w, 3, "done"));
+}
+
+// The ending may be stored though nobody said so, or not stored though it was sent.
+TEST(Pipeline, AnEndingWhoseWriteIsNotAnsweredLetsNothingStartBeforeItIsResolved) {
+  for (const bool late : {false, true}) {
+    World w;
+    w.run(1);
+    w.add_worker();
+    w.run(3);
+    submit_diamond(w);
+    ASSERT_TRUE(wait_for(w, 30, [&] { return w.running(name(0)) == 1; }));
+    if (late) {
+      w.late_txns = 1;
+    } else {
+      w.lost_txns = 1;
+    }
+    w.run(6);
+    EXPECT_EQ(w.starts[name(1) + "/0"], 0);
+    w.late_txns = w.lost_txns = 0;
+    ASSERT_TRUE(wait_for(w, 60, [&] { return ended(w, 3); })) << late;
+    EXPECT_TRUE(all_nodes_say(w, 3, "done"));
+  }
+}
+
+TEST(Pipeline, AnOutageBetweenAnEndingAndTheNextStart) {
+  World w;
+  w.run(1);
+  w.add_worker();
+  w.run(3);
+  submit_diamond(w);
+  for (int i = 0; i < 3000 && !ended(w, 0); ++i) w.run(0.01);
+  ASSERT_TRUE(ended(w, 0));
+  w.state_down = true;
+  w.run(w.base_settings.cancel_s * 1.2);
+  w.state_down = false;
+  ASSERT_TRUE(wait_for(w, 60, [&] { return ended(w, 3); }));
+}
+
+// Hundreds at once: every node has to say so in time, and other work must go on meanwhile.
+TEST(Pipeline, AWideFanIsCancelledWithinLimitsAndHoldsUpNothing) {
+  auto settings = small_settings();
+  settings.state_write_rps = 21;
+  settings.state_rps = 250;
+  settings.txn_ops = 4;
+  settings.value_kb = 2;
+  constexpr int kFan = 250;
+  World w(3, {}, settings);
+  w.limits_writes = true;
+  w.limits = {2048, 4, 0};
+  w.run_s = 1000;
+  w.run(1);
+  w.add_worker();
+  w.run(3);
+  w.submit(0, stage(0));
+  for (int i = 1; i <= kFan; ++i) {
+    ASSERT_TRUE(wait_for(w, 20, [&] {
+      const auto status = w.ask(i % 3, "POST", "/v1/jobs", text(stage(i, {0}))).status;
+      return status == 201 || status == 200;
+    }));
+  }
+  w.run(5);
+  const double cancelled = w.reactor.now();
+  w.cancel(1, name(0));
+  w.run(3);
+  w.submit(2, stage(1000));
+  EXPECT_TRUE(wait_for(w, 10, [&] { return w.running(name(1000)) == 1; }));
+  const auto all_ended = [&] {
+    for (int i = 1; i <= kFan; ++i) {
+      if (!ended(w, i)) return false;
+    }
+    return true;
+  };
+  EXPECT_TRUE(wait_for(w, 120, all_ended));
+  EXPECT_GT(w.reactor.now() - cancelled, 5);  // it took its time, as it must
+  EXPECT_EQ(w.refused_as_too_large, 0);
+  EXPECT_LT(w.refused_writes, 3);
+  for (int i = 1; i <= kFan; i += 50) EXPECT_TRUE(all_nodes_say(w, i, "withdrawn"));
+}
+
+TEST(Pipeline, ALongChainIsCancelledWhole) {
+  auto settings = small_settings();
+  settings.state_write_rps = 60;
+  settings.state_rps = 600;
+  World w(3, {}, settings);
+  constexpr int kLength = 120;
+  w.run_s = 1000;
+  w.run(1);
+  for (int i = 0; i < kLength; ++i) {
+    ASSERT_TRUE(wait_for(w, 20, [&] {
+      const auto next = i == 0 ? stage(0) : stage(i, {i - 1});
+      const auto status = w.ask(i % 3, "POST", "/v1/jobs", text(next)).status;
+      return status == 201 || status == 200;
+    }));
+  }
+  w.cancel(0, name(0));
+  EXPECT_TRUE(wait_for(w, w.base_settings.cancel_s, [&] { return ended(w, kLength - 1); }));
+  EXPECT_TRUE(all_nodes_say(w, kLength - 1, "withdrawn"));
+}
+
+// One that is submitted in the very moment in which what it needs is cancelled elsewhere.
+TEST(Pipeline, ASuccessorIsSubmittedAsItsNeedIsCancelled) {
+  for (const double apart : {-0.008, -0.004, 0.0, 0.004, 0.008}) {
+    World w;
+    w.run_s = 1000;
+    w.run(1);
+    w.submit(0, stage(0));
+    w.run(3);
+    net::Scope scope;
+    const auto asks = [](World& world, double after, int node, std::string path,
+                         std::string body) -> net::Task<void> {
+      net::Sleep pause(world.reactor, after);
+      co_await pause;
+      auto asking = world.user_asks(node, "POST", std::move(path), std::move(body));
+      co_await asking;
+    };
+    scope.spawn(asks(w, 0.01, 1, "/v1/jobs/" + name(0) + "/withdraw", ""));
+    scope.spawn(asks(w, 0.01 + apart, 2, "/v1/jobs", text(stage(1, {0}))));
+    w.run(3);
+    EXPECT_TRUE(all_nodes_say(w, 0, "withdrawn"));
+    EXPECT_TRUE(all_nodes_say(w, 1, "withdrawn")) << apart;
+  }
+}
+
+// ---- limits of the state service ----
+
+// What comes without notice is kept from the start; a record from before is written smaller.
+TEST(Pipeline, TheLimitsFallWhileALongArrayRunsAndItsSuccessorWaits) {
+  auto settings = small_settings();
+  settings.teams = {{"red", 0, 0, 100, 200}};
+  settings.value_kb = 2;
+  settings.txn_ops = 4;
+  settings.state_write_rps = 21;
+  World w(3, {}, settings);
+  w.limits_writes = true;
+  w.run(1);
+  for (int i = 0; i < 16; ++i) w.add_worker();
+  w.run(3);
+  for (int i = 0; i < 120; ++i) w.run_s_of[name(0) + "/" + std::to_string(i)] = 5 + i % 20;
+  w.submit(0, stage(0, {}, 120));
+  w.submit(1, stage(1, {0}));
+  ASSERT_TRUE(wait_for(w, 20, [&] { return w.store.contains("parts/" + name(0) + "/0"); }));
+  w.limits = {2048, 4, 21};
+  w.run(2);
+  const int old = w.leader();
+  w.crash_node(old);
+  ASSERT_TRUE(wait_for(w, 120, [&] { return ended(w, 1); }));
+  EXPECT_EQ(w.refused_as_too_large, 0);
+  w.start_node(old);
+}
+
+// No coming limits were announced: a write that is refused as too large is cut down, not repeated.
+TEST(Pipeline, LimitsThatFallUnannouncedEndNoLeadership) {
+  auto settings = small_settings();
+  settings.teams = {{"red", 0, 0, 100, 200}};
+  World w(3, {}, settings);
+  w.run(1);
+  for (int i = 0; i < 16; ++i) w.add_worker();
+  w.run(3);
+  w.submit(0, stage(0, {}, 100));
+  w.submit(1, stage(1, {0}));
+  ASSERT_TRUE(wait_for(w, 20, [&] { return w.running(name(0)) > 0; }));
+  const int leader = w.leader();
+  w.limits = {1500, 4, 0};
+  ASSERT_TRUE(wait_for(w, 120, [&] { return ended(w, 1); }));
+  EXPECT_EQ(w.leader(), leader);
+  EXPECT_LE(w.refused_as_too_large, 6);
+}
+
+// ---- the upgrade ----
+
+// All nodes are replaced one after the other, with a crash and a cut between, while pipelines run.
+TEST(Pipeline, ARollingRestartLosesNothing) {
+  World w(3, {"a", "a", "a"});
+  w.run_s = 4;
+  w.run(1);
+  for (int i = 0; i < 3; ++i) w.add_worker();
+  w.run(3);
+  int next = 0;
+  const auto submit_some = [&] {
+    const int first = next;
+    w.add_user(stage(first), {});
+    w.run(0.5);
+    w.add_user(stage(first + 1, {first}), {first % 4 == 0 ? 3.0 : -1, false, true});
+    w.run(0.5);
+    w.add_user(stage(first + 2, {first + 1}), {});
+    next += 3;
+  };
+  for (int node = 0; node < 3; ++node) {
+    submit_some();
+    w.crash_node(node);
+    w.run(3);
+    if (node == 1) w.cut_from_state = {2};
+    submit_some();
+    w.run(4);
+    w.start_node(node);
+    w.run(3);
+    w.cut_from_state.clear();
+  }
+  EXPECT_TRUE(wait_for(w, 120, [&] {
+    const auto accepted = w.referee.accepted();
+    return static_cast<int>(accepted.size()) == next &&
+           std::all_of(accepted.begin(), accepted.end(),
+                       [&](const auto& id) { return !w.referee.ending(id).empty(); });
+  }));
+}
+
+}  // namespace
+}  // namespace cranklock::testing
--- a/tests/referee.cpp
+++ b/tests/referee.cpp
@@ -31,6 +31,46 @@
   return it == jobs_.end() ? -1 : it->second.cancelled_at;
 }
 
+std::set<std::string> Referee::ancestors(const std::string& job) const {
+  std::set<std::string> out;
+  std::vector<std::string> next{job};
+  while (!next.empty()) {
+    const auto* described = spec(next.back());
+    next.pop_back();
+    if (described == nullptr) continue;
+    for (const auto& needed : described->needs) {
+      if (out.insert(needed).second) next.push_back(needed);
+    }
+  }
+  return out;
+}
+
+double Referee::orphaned_at(const std::string& job) const {
+  double first = -1;
+  for (const auto& needed : ancestors(job)) {
+    const double at = cancelled_at(needed);
+    if (at >= 0 && (first < 0 || at < first)) first = at;
+  }
+  return first;
+}
+
+bool Referee::cancel_asked(const std::string& job) const {
+  auto candidates = ancestors(job);
+  candidates.insert(job);
+  return std::any_of(candidates.begin(), candidates.end(), [&](const std::string& id) {
+    const auto it = jobs_.find(id);
+    return it != jobs_.end() && it->second.cancel_asked;
+  });
+}
+
+void Referee::check_needs_done(const std::string& job, const std::string& task) {
+  for (const auto& needed : spec(job)->needs) {
+    const auto* described = spec(needed);
+    const bool done = described != nullptr && jobs_.at(needed).done.size() == described->tasks;
+    if (!done) breaks("too_early", task + " before " + needed);
+  }
+}
+
 Referee::Question Referee::ask(const std::string& method, const std::string& path,
                                const std::string& body) {
   Question q;
@@ -69,6 +109,9 @@
   if (status == 404 && q.told > 0) breaks("forgotten", q.job + " got 404");
   const bool repeat = q.kind == Question::Kind::submit && q.told > 0;
   if (repeat && (status == 400 || status == 422)) breaks("forgotten", q.job + " was refused");
+  // What was refused describes no job: its user may submit another under that id.
+  const bool refused = q.kind == Question::Kind::submit && (status == 400 || status == 422);
+  if (refused && job.told == 0) job.described = false;
   if (status != 200 && status != 201) return;
   if (!job.submitted) return breaks("invented", q.job);
   const wire::JsonDocument document(body);
@@ -80,7 +123,11 @@
   if (over && job.told == 2 && job.ending != state) {
     breaks("went_back", q.job + " is called both done and withdrawn");
   }
-  if (state == "withdrawn" && !job.cancel_asked) {
+  const double orphaned = orphaned_at(q.job);
+  if (!over && orphaned >= 0 && now - orphaned > settings_.cancel_s) {
+    breaks("orphaned", q.job + " is called " + state + " at " + std::to_string(now));
+  }
+  if (state == "withdrawn" && !cancel_asked(q.job)) {
     breaks("went_back", q.job + " is called withdrawn, and nobody asked for it");
   }
   if (state == "done" && job.done.size() < job.spec.tasks) {
@@ -102,6 +149,7 @@
   const auto* job = spec(task.job);
   if (job == nullptr) return breaks("invented", task.job + " runs and was never submitted");
   const std::string name = task.job + "/" + std::to_string(task.task);
+  check_needs_done(task.job, name);
   if (!sched::allows(*job, task.kind)) breaks("wrong_place", name + " in " + task.kind.zone);
   std::uint32_t here = 1;
   for (const auto& other : others) {
--- a/tests/referee.hpp
+++ b/tests/referee.hpp
@@ -71,6 +71,12 @@
     wire::JobSpec spec;
     std::set<std::uint32_t> done;
   };
+  /// The jobs that it needs, directly and through others.
+  std::set<std::string> ancestors(const std::string& job) const;
+  /// When the first of those that it needs was called cancelled; below 0: none was.
+  double orphaned_at(const std::string& job) const;
+  bool cancel_asked(const std::string& job) const;
+  void check_needs_done(const std::string& job, const std::string& task);
   void breaks(const std::string& rule, const std::string& how);
   const base::Settings& settings_;
   std::map<std::string, Job> jobs_;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -87,6 +87,31 @@
             std::string::npos);
 }
 
+// What is written now has to fit the limits that come without notice.
+TEST(Settings, OfPresentAndComingLimitsOfTheStateServiceTheSmallerHolds) {
+  const std::string coming = with(kToml, "[facts.cloud]",
+                                  "[facts.state.next]\nwrite_rps = 3.0\nvalue_kb = 2.0\n"
+                                  "txn_ops = 40\n[facts.cloud]");
+  const File toml("next.toml", coming);
+  const auto settings = load_settings(toml.path(), "");
+  EXPECT_DOUBLE_EQ(settings.state_rps, 10);  // not given: it stays
+  EXPECT_DOUBLE_EQ(settings.state_write_rps, 3);
+  EXPECT_DOUBLE_EQ(settings.value_kb, 2);
+  EXPECT_EQ(settings.txn_ops, 12);
+  EXPECT_NE(complaint(with(coming, "txn_ops = 40", "txn_ops = 1"), "")
+                .find("facts.state.next.txn_ops: expected a whole number of at least 2"),
+            std::string::npos);
+  EXPECT_NE(complaint(with(coming, "value_kb = 2.0", "value_kb = \"2\""), "")
+                .find("facts.state.next.value_kb"),
+            std::string::npos);
+  EXPECT_NE(complaint(with(coming, "write_rps = 3.0", "write_rps = 0"), "")
+                .find("facts.state.next.write_rps"),
+            std::string::npos);
+  EXPECT_NE(complaint(with(kToml, "txn_ops = 12", "txn_ops = 12\nnext = 1"), "")
+                .find("facts.state.next: expected a table"),
+            std::string::npos);
+}
+
 TEST(Settings, UnknownXmlElementsAreRefused) {
   EXPECT_EQ(complaint(kToml, "<cranklock><scaler high='0.8' low='0.4'/></cranklock>"), "");
   EXPECT_NE(complaint(kToml, "<cranklock><scalar/></cranklock>").find("scalar"), std::string::npos);
--- a/tests/sweep_test.cpp
+++ b/tests/sweep_test.cpp
@@ -32,6 +32,7 @@
     if (seed % 3 == 1) s.report_s = 2, s.lease_s = 15, s.cancel_s = 30;
     if (seed % 3 == 2) s.report_s = 2, s.lease_s = 29, s.cancel_s = 40;
     s.state_rps = 200;
+    if (seed > 1000) s.value_kb = 2, s.txn_ops = 4, s.state_write_rps = 21;
     return s;
   }
   double roll() { return std::uniform_real_distribution<>(0, 1)(dice); }
@@ -143,6 +144,21 @@
     }
   }
 
+  /// Up to three jobs that were accepted before; never services, which users don't name.
+  void add_needs(wire::JobSpec& job) {
+    std::vector<std::string> candidates;
+    for (const auto& id : w.referee.accepted()) {
+      if (w.referee.spec(id)->shape == Shape::array) candidates.push_back(id);
+    }
+    for (int i = pick(3); i >= 0 && !candidates.empty(); --i) {
+      // Mostly the latest, so that chains come about.
+      const int last = static_cast<int>(candidates.size()) - 1;
+      const int which = roll() < 0.6 ? last : pick(last + 1);
+      job.needs.push_back(candidates[static_cast<std::size_t>(which)]);
+      candidates.erase(candidates.begin() + which);
+    }
+  }
+
   void add_job() {
     const bool array = roll() < 0.6;
     auto job =
@@ -155,6 +171,7 @@
     if (where == 1) job.spread = true;
     if (where == 2) job.zone = roll() < 0.5 ? "a" : "b";
     job.rank = roll() < 0.3 ? wire::Rank::production : wire::Rank::standard;
+    if (pipelines && roll() < 0.5) add_needs(job);
     UserHabits habits;
     habits.looks = roll() < 0.3;
     // Services run until they are cancelled.
@@ -173,12 +190,14 @@
       end_troubles(false);
     }
     end_troubles(true);
+    // Stages are served one after the other.
+    const double served = pipelines ? 1.5 * kServed : kServed;
     const auto over = [this] {
       int n = 0;
       for (const auto& id : w.referee.accepted()) n += w.referee.ending(id).empty() ? 0 : 1;
       return n;
     };
-    for (double t = 0; t < kServed && over() < jobs; ++t) w.run(1);
+    for (double t = 0; t < served && over() < jobs; ++t) w.run(1);
     std::string waiting;
     for (const auto& id : w.referee.accepted()) {
       if (w.referee.ending(id).empty()) waiting += "\n" + w.store["jobs/" + id].data;
@@ -186,6 +205,7 @@
     EXPECT_EQ(over(), jobs) << "not served:" << waiting;
   }
 
+  bool pipelines = false;
   std::mt19937 dice;
   World w;
   int jobs = 0;
@@ -208,5 +228,19 @@
 
 INSTANTIATE_TEST_SUITE_P(Seed, Overlap, ::testing::Range(1U, 151U));
 
+class OverlapWithPipelines : public Overlap {};
+
+// Half of the jobs need others, and the limits of the state service fall in the middle.
+TEST_P(OverlapWithPipelines, BreaksNoRuleAndAllIsServed) {
+  Sweep sweep(GetParam());
+  sweep.pipelines = true;
+  sweep.w.limits_writes = true;
+  sweep.begin(kTrouble / 2, [&sweep] { sweep.w.limits = {2048, 4, 21}; });
+  sweep.play();
+  EXPECT_EQ(sweep.w.refused_as_too_large, 0);
+}
+
+INSTANTIATE_TEST_SUITE_P(Seed, OverlapWithPipelines, ::testing::Range(1001U, 1121U));
+
 }  // namespace
 }  // namespace cranklock::testing
--- /dev/null
+++ b/tests/versions_test.cpp
@@ -0,0 +1,196 @@
+// Two versions on each other's data. What the version in production stores stands here as it writes
+// it, and what this version stores goes through a reader that keeps to the other's bounds.
+#include <gtest/gtest.h>
+
+#include "control/record.hpp"
+#include "fixtures.hpp"
+#include "peer/frames.hpp"
+
+namespace cranklock::testing {
+namespace {
+
+using control::read_record;
+using control::write_record;
+
+const char* const kProductionRecord =
+    R"({"job":{"Id":"j-000412","Gear":"train","Crew":"red","Shape":"batch","Rank":"high",)"
+    R"("Teeth":4,"Cpus":8.0,"Accelerators":1.0,"MemGb":64.0,"Cast":"img-07","SizeGb":6.2,)"
+    R"("OneZone":false,"Apart":false,"Loaners":true,"ExpectS":240.0,"NotchS":0.0,"StowS":0.0,)"
+    R"("DueS":900.0},"at":1000,"w":0,"n":3,"g":17,"d":[[0,1]],"p":[[1,2,"n-000007"]],"parts":1})";
+const char* const kProductionPart = R"({"g":17,"d":[],"p":[[2,3,"n-000008"]]})";
+
+/// What the version in production insists on in a record's main value, from its sources; anything
+/// else it calls malformed and leaves alone.
+bool older_reads(const std::string& text) {
+  const wire::JsonDocument document(text);
+  if (!document.is_object()) return false;
+  const wire::Json& record = document.root();
+  const wire::Json* job = wire::find(record, "job");
+  const auto parts = wire::read_count(record, "parts");
+  if (job == nullptr || !wire::read_amount(record, "at") || !wire::read_amount(record, "w")) {
+    return false;
+  }
+  if (!wire::read_count(record, "n") || !parts || *parts > 64) return false;
+  for (const char* text_field : {"Id", "Gear", "Crew", "Shape", "Rank", "Cast"}) {
+    if (!wire::read_text(*job, text_field)) return false;
+  }
+  for (const char* amount :
+       {"Cpus", "Accelerators", "MemGb", "SizeGb", "ExpectS", "NotchS", "StowS"}) {
+    if (!wire::read_amount(*job, amount)) return false;
+  }
+  for (const char* flag : {"OneZone", "Apart", "Loaners"}) {
+    if (!wire::read_flag(*job, flag)) return false;
+  }
+  return wire::read_count(*job, "Teeth").has_value();
+}
+
+/// The places that the older version takes from main value and parts, in which it insists on three
+/// fields each; -1 when it finds a part of another write.
+int older_places(const std::vector<std::string>& texts) {
+  int places = 0;
+  std::uint64_t generation = 0;
+  for (std::size_t i = 0; i < texts.size(); ++i) {
+    const wire::JsonDocument document(texts[i]);
+    const auto g = wire::read_count(document.root(), "g").value_or(0);
+    if (i > 0 && g != generation) return -1;
+    generation = g;
+    const wire::Json* list = wire::find(document.root(), "p");
+    if (list == nullptr) continue;
+    for (const auto& place : list->GetArray()) {
+      if (place.Size() != 3 || !place[0].IsUint() || !place[1].IsUint64() || !place[2].IsString()) {
+        return -1;
+      }
+      ++places;
+    }
+  }
+  return places;
+}
+
+sched::Job long_job(std::uint32_t tasks) {
+  sched::Job job = make_job("j-000001", wire::Shape::array, tasks, 1);
+  job.revision = 17;
+  for (std::uint32_t i = 0; i < tasks; ++i) {
+    sched::Place place;
+    place.task = i;
+    place.attempt = i + 1;
+    place.machine = "n-" + std::to_string(100'000 + i);
+    job.places.push_back(std::move(place));
+  }
+  job.last_attempt = tasks;
+  return job;
+}
+
+TEST(Versions, RecordsOfTheVersionInProductionAreRead) {
+  int parts = 0;
+  auto job = read_record(kProductionRecord, parts);
+  ASSERT_TRUE(job);
+  EXPECT_EQ(parts, 1);
+  EXPECT_TRUE(job->spec.needs.empty());
+  ASSERT_TRUE(control::read_part(kProductionPart, false, *job));
+  EXPECT_EQ(job->places.size(), 2U);
+  EXPECT_EQ(job->done.size(), 1U);
+  const auto ending = control::read_ending(R"({"s":"done","n":3})");
+  ASSERT_TRUE(ending);
+  EXPECT_EQ(ending->tasks, 3U);
+  EXPECT_EQ(ending->ended_ms, 0);
+}
+
+TEST(Versions, ARecordWithoutNeedsIsWrittenAsInProduction) {
+  int parts = 0;
+  auto job = read_record(kProductionRecord, parts);
+  ASSERT_TRUE(job);
+  ASSERT_TRUE(control::read_part(kProductionPart, false, *job));
+  job->revision = 17;
+  const auto texts = write_record(*job, 8192);
+  ASSERT_EQ(texts.size(), 1U);
+  std::string expected = kProductionRecord;
+  const std::string places = R"([1,2,"n-000007"])";
+  expected.replace(expected.find(places), places.size(), places + R"(,[2,3,"n-000008"])");
+  expected.replace(expected.find("\"parts\":1"), 9, "\"parts\":0");
+  EXPECT_EQ(texts[0], expected);
+  EXPECT_EQ(control::write_ending({wire::JobState::done, 3, 0}), R"({"s":"done","n":3})");
+}
+
+// A record as large as the present limits allow is written again within the coming ones.
+TEST(Versions, ALongRecordIsWrittenInSmallValuesThatTheOlderVersionReads) {
+  constexpr std::size_t kPresent = 8192, kComing = 2048;
+  const auto job = long_job(300);
+  const auto before = write_record(job, kPresent);
+  int parts = 0;
+  auto read = read_record(before[0], parts);
+  ASSERT_TRUE(read);
+  for (int i = 1; i <= parts; ++i) {
+    ASSERT_TRUE(control::read_part(before[static_cast<std::size_t>(i)], false, *read));
+  }
+  read->revision = 18;
+  const auto texts = write_record(*read, kComing);
+  EXPECT_GT(texts.size(), before.size());
+  for (const auto& text : texts) EXPECT_LE(text.size(), kComing);
+  EXPECT_TRUE(older_reads(texts[0]));
+  EXPECT_EQ(older_places(texts), 300);
+}
+
+// As many live tasks as are allowed fit one transaction, with as many ranges of done ones between.
+TEST(Versions, TheRecordOfAsManyLiveTasksAsAllowedFitsATransaction) {
+  for (const auto& [value_kb, txn_ops] :
+       {std::pair(2.0, 4), std::pair(2.0, 8), std::pair(8.0, 12)}) {
+    auto settings = small_settings();
+    settings.value_kb = value_kb;
+    settings.txn_ops = txn_ops;
+    const auto most = static_cast<std::uint32_t>(sched::most_live_tasks(settings));
+    EXPECT_GT(most, 100U);
+    auto job = long_job(most);
+    for (auto& place : job.places) {
+      job.done.add(50'000 + 2 * place.task);
+      place.task = 50'001 + 2 * place.task;
+    }
+    const auto texts = write_record(job, static_cast<std::size_t>(value_kb * 1024));
+    EXPECT_LE(texts.size(), static_cast<std::size_t>(txn_ops)) << value_kb;
+  }
+}
+
+// The older version would start such a job too early, and write its record without what it needs.
+TEST(Versions, TheOlderVersionLeavesAJobWithNeedsAlone) {
+  sched::Job job = long_job(1);
+  EXPECT_TRUE(older_reads(write_record(job, 8192)[0]));
+  job.spec.needs = {"j-000007", "j-000008"};
+  const auto texts = write_record(job, 8192);
+  EXPECT_FALSE(older_reads(texts[0]));
+  int parts = 0;
+  const auto read = read_record(texts[0], parts);
+  ASSERT_TRUE(read);
+  EXPECT_EQ(read->spec.needs, job.spec.needs);
+  // It insists on these two fields of an ending, and ignores others.
+  const std::string ending = control::write_ending({wire::JobState::done, 3, 1234});
+  EXPECT_EQ(ending, R"({"s":"done","n":3,"t":1234})");
+  EXPECT_EQ(control::read_ending(ending)->ended_ms, 1234);
+}
+
+// The older version drops a link on which a frame has another version, kind or length.
+TEST(Versions, FramesBetweenControllersAreThoseOfProduction) {
+  peer::Hello hello;
+  hello.name = "n0";
+  hello.token = 5;
+  hello.reaches_state = true;
+  hello.run = 2;
+  hello.sent_ms = 3;
+  hello.stood_in_ms = 7;
+  std::string expected("\x00\x31\x02\x01", 4);
+  expected += std::string("\x02n0", 3) + std::string("\0\0\0\0\0\0\0\x05", 8);
+  expected += std::string("\x01\x00", 2) + std::string("\0\0\0\0\0\0\0\x02", 8);
+  expected += std::string("\0\0\0\0\0\0\0\x03", 8) + std::string(16, '\0');
+  expected += std::string("\0\0\0\x07", 4);
+  EXPECT_EQ(peer::pack(hello), expected);
+  std::string carried = peer::pack(peer::Carried{9, "ab"});
+  EXPECT_EQ(carried, std::string("\x00\x0c\x02\x02\0\0\0\0\0\0\0\x09\x00\x02"
+                                 "ab",
+                                 16));
+  peer::CarriedAnswer answer{9, 200, 5, 1, "c"};
+  EXPECT_EQ(peer::pack(answer), std::string("\x00\x19\x02\x03\0\0\0\0\0\0\0\x09\x00\xc8"
+                                            "\0\0\0\0\0\0\0\x05\0\0\0\x01\x00\x01"
+                                            "c",
+                                            29));
+}
+
+}  // namespace
+}  // namespace cranklock::testing
--- a/tests/world.cpp
+++ b/tests/world.cpp
@@ -499,11 +499,24 @@
   return transaction(r);
 }
 
+bool World::too_large(const Json& changes) const {
+  if (limits.txn_changes > 0 && changes.Size() > limits.txn_changes) return true;
+  for (const auto& change : changes.GetArray()) {
+    if (limits.value_bytes == 0 || change.HasMember("Remove")) continue;
+    if (wire::to_text(change["Data"]).size() > limits.value_bytes) return true;
+  }
+  return false;
+}
+
 Response World::transaction(const Request& r) {
   JsonWriter w;
   const JsonDocument document(r.body);
+  if (too_large(document.root()["Then"])) {
+    ++refused_as_too_large;
+    return answer(400, R"({"error":"too large"})");
+  }
   if (limits_writes) {
-    const double rate = base_settings.state_write_rps;
+    const double rate = limits.write_rps > 0 ? limits.write_rps : base_settings.state_write_rps;
     if (write_level_at_ == 0) write_level_ = rate;
     write_level_ = std::min(rate, write_level_ + (reactor.now() - write_level_at_) * rate);
     write_level_at_ = reactor.now();
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -100,6 +100,13 @@
   double lost_txns = 0;             ///< this share is executed at once, and not answered
   bool limits_writes = false;       ///< 429 above write_rps
   int refused_writes = 0;
+  /// What the state service takes, where it isn't without limit.
+  struct Limits {
+    std::size_t value_bytes = 0, txn_changes = 0;  ///< 400 above
+    double write_rps = 0;                          ///< for limits_writes, instead of the settings'
+  };
+  Limits limits;
+  int refused_as_too_large = 0;
 
   // The cloud.
   int rented = 0;
@@ -165,6 +172,7 @@
                                     double timeout_s);
   net::Response state(const net::Request& r);
   net::Response transaction(const net::Request& r);
+  bool too_large(const wire::Json& changes) const;
   net::Response cloud(const net::Request& r);
   net::Response commands(Worker& w, const net::Request& r);
   net::Task<void> work(Worker& w);
