Split record writing and reloading out of Term into types of their own (no change)

RecordWriter is the leader's only writer of jobs/ and ended/ with its unknown outcomes, RecordReloader reads anew what the cluster state may be wrong about; Term wires them.

--- a/src/control/ending_reader.cpp
+++ b/src/control/ending_reader.cpp
@@ -9,8 +9,7 @@
 
 namespace {
 constexpr std::size_t kMostAtOnce = 8;
-constexpr double kTimeout = 2.0;  ///< seconds, of a read
-}  // namespace
+}
 
 void EndingReader::read_unknown() {
   const double now = reactor_.now();
@@ -23,7 +22,7 @@
 }
 
 Task<void> EndingReader::read_one(std::string id) {
-  auto reading = store_.read(ended_key(id), kTimeout);
+  auto reading = store_.read(ended_key(id), kStoreTimeout);
   const auto found = co_await reading;
   reading_.erase(id);
   const auto ending =
--- a/src/control/record.hpp
+++ b/src/control/record.hpp
@@ -15,6 +15,8 @@
 
 namespace cranklock::control {
 
+inline constexpr double kStoreTimeout = 2.0;  ///< of a leader's requests to the state service
+
 inline constexpr const char* kLeaderKey = "leader";
 inline constexpr const char* kTypesKey = "types";
 inline constexpr const char* kJobsPrefix = "jobs/";
--- /dev/null
+++ b/src/control/record_reloader.cpp
@@ -0,0 +1,93 @@
+#include "control/record_reloader.hpp"
+
+#include <utility>
+#include <vector>
+
+#include "control/record.hpp"
+
+namespace cranklock::control {
+
+using net::Task;
+using sched::Job;
+using store::Outcome;
+
+RecordReloader::RecordReloader(net::Reactor& reactor, const base::Settings& settings,
+                               store::Client& store, sched::ClusterState& cluster,
+                               std::function<void(Job)> put, net::Signal& changed)
+    : reactor_(reactor),
+      settings_(settings),
+      store_(store),
+      cluster_(cluster),
+      put_(std::move(put)),
+      changed_(changed),
+      due_(reactor) {}
+
+void RecordReloader::request(const std::string& id) {
+  requested_.insert(id);
+  due_.set();
+}
+
+Task<void> RecordReloader::run() {
+  constexpr std::size_t kMostAtOnce = 8;
+  for (;;) {
+    const double every = settings_.report_s / 4;
+    net::Signal::Wait wait(due_, requested_.empty() ? 4 * every : every);
+    co_await wait;
+    const std::vector<std::string> due(requested_.begin(), requested_.end());
+    for (const auto& id : due) {
+      if (reading_.size() >= kMostAtOnce) break;
+      if (reading_.insert(id).second) scope_.spawn(reload_requested(id));
+    }
+  }
+}
+
+Task<void> RecordReloader::reload_requested(std::string id) {
+  auto reading = reload(id);
+  const bool settled = co_await reading;
+  reading_.erase(id);
+  if (!settled) co_return;
+  requested_.erase(id);
+  due_.set();
+  changed_.set();
+}
+
+Task<bool> RecordReloader::read_parts(Job& job, std::uint64_t revision, int parts) {
+  for (int i = 0; i < parts; ++i) {
+    auto reading = store_.read(part_key(job.spec.id, i), kStoreTimeout);
+    const auto part = co_await reading;
+    if (part.outcome != Outcome::ok ||
+        !read_part(part.value.data, part.value.revision == revision, job)) {
+      co_return false;
+    }
+  }
+  co_return true;
+}
+
+Task<bool> RecordReloader::reload(std::string id) {
+  constexpr int kTries = 3;
+  for (int tries = 0; tries < kTries; ++tries) {
+    auto reading = store_.read(job_key(id), kStoreTimeout);
+    const auto found = co_await reading;
+    if (found.outcome == Outcome::failed) {
+      cluster_.drop_job(id);
+      co_return true;
+    }
+    if (found.outcome != Outcome::ok) co_return false;
+    int parts = 0;
+    auto job = read_record(found.value.data, parts);
+    if (!job) co_return false;
+    job->revision = found.value.revision;
+    auto reading_parts = read_parts(*job, found.value.revision, parts);
+    if (!co_await reading_parts) continue;
+    // The news may have overtaken this reading. Nor does it tell anything that is not known: a
+    // write of ours without an answer may still be carried out on top of it.
+    const Job* known = cluster_.job(id);
+    if (known != nullptr && known->revision > job->revision) continue;
+    if (known != nullptr && known->revision == job->revision) co_return true;
+    put_(std::move(*job));
+    co_return true;
+  }
+  co_return false;
+}
+
+}  // namespace cranklock::control
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -22,11 +22,15 @@
       lost_(lost),
       cluster_(services.settings, lease.token(), services.reactor.now()),
       work_(services.reactor),
-      unsettled_(services.reactor),
       deletions_(services.reactor),
       began_(services.reactor.now()),
       last_heard_(began_),
-      endings_(services.reactor, services.store, cluster_, work_) {}
+      endings_(services.reactor, services.store, cluster_, work_),
+      reloader_(
+          services.reactor, services.settings, services.store, cluster_,
+          [this](Job job) { put_job(std::move(job)); }, work_),
+      writer_(services.reactor, services.settings, services.store, cluster_, reloader_,
+              lease.token()) {}
 
 void Term::lose(const char* why) {
   if (is_lost_) return;
@@ -43,18 +47,6 @@
 
 // ---- take-over ----
 
-Task<bool> Term::read_parts(Job& job, std::uint64_t revision, int parts) {
-  for (int i = 0; i < parts; ++i) {
-    auto reading = services_.store.read(part_key(job.spec.id, i), kStoreTimeout);
-    const auto part = co_await reading;
-    if (part.outcome != Outcome::ok ||
-        !read_part(part.value.data, part.value.revision == revision, job)) {
-      co_return false;
-    }
-  }
-  co_return true;
-}
-
 Task<bool> Term::load() {
   auto reading_types = services_.store.read(kTypesKey, kStoreTimeout);
   const auto types = co_await reading_types;
@@ -94,10 +86,10 @@
     }
     job->revision = item.revision;
     if (parts > 0) {
-      auto reading = read_parts(*job, item.revision, parts);
+      auto reading = reloader_.read_parts(*job, item.revision, parts);
       if (!co_await reading) {
         // It changed while it was read: read it again by itself.
-        auto reloading = reload(job->spec.id);
+        auto reloading = reloader_.reload(job->spec.id);
         if (!co_await reloading) co_return false;
         continue;
       }
@@ -124,7 +116,7 @@
 
 void Term::start(net::Scope& scope) {
   scope.spawn(decide());
-  scope.spawn(settle());
+  scope.spawn(reloader_.run());
   scope.spawn(follow_jobs());
   scope.spawn(follow_cloud());
   scope.spawn(follow_types());
@@ -303,8 +295,7 @@
       continue;
     }
     if (parts > 0) {
-      to_reload_.insert(id);
-      unsettled_.set();
+      reloader_.request(id);
       continue;
     }
     job->revision = item.revision;
@@ -319,56 +310,4 @@
   }
 }
 
-// Each record by itself, so that one that can't be had holds up neither the others nor decisions.
-Task<void> Term::settle() {
-  constexpr std::size_t kMostAtOnce = 8;
-  for (;;) {
-    const double every = services_.settings.report_s / 4;
-    net::Signal::Wait wait(unsettled_, to_reload_.empty() ? 4 * every : every);
-    co_await wait;
-    if (is_lost_) co_return;
-    const std::vector<std::string> due(to_reload_.begin(), to_reload_.end());
-    for (const auto& id : due) {
-      if (reloading_.size() >= kMostAtOnce) break;
-      if (reloading_.insert(id).second) scope_.spawn(settle_one(id));
-    }
-  }
-}
-
-Task<void> Term::settle_one(std::string id) {
-  auto reading = reload(id);
-  const bool settled = co_await reading;
-  reloading_.erase(id);
-  if (!settled) co_return;
-  to_reload_.erase(id);
-  unsettled_.set();
-  work_.set();
-}
-
-Task<bool> Term::reload(std::string id) {
-  for (int tries = 0; tries < 3; ++tries) {
-    auto reading = services_.store.read(job_key(id), kStoreTimeout);
-    const auto found = co_await reading;
-    if (found.outcome == Outcome::failed) {
-      cluster_.drop_job(id);
-      co_return true;
-    }
-    if (found.outcome != Outcome::ok) co_return false;
-    int parts = 0;
-    auto job = read_record(found.value.data, parts);
-    if (!job) co_return false;
-    job->revision = found.value.revision;
-    auto reading_parts = read_parts(*job, found.value.revision, parts);
-    if (!co_await reading_parts) continue;
-    // The news may have overtaken this reading. Nor does it tell anything that is not known: a
-    // write of ours without an answer may still be carried out on top of it.
-    const Job* known = cluster_.job(id);
-    if (known != nullptr && known->revision > job->revision) continue;
-    if (known != nullptr && known->revision == job->revision) co_return true;
-    put_job(std::move(*job));
-    co_return true;
-  }
-  co_return false;
-}
-
 }  // namespace cranklock::control
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -13,7 +13,8 @@
 #include "cloud/client.hpp"
 #include "control/ending_reader.hpp"
 #include "control/leader_lease.hpp"
-#include "control/record.hpp"
+#include "control/record_reloader.hpp"
+#include "control/record_writer.hpp"
 #include "net/client.hpp"
 #include "net/reactor.hpp"
 #include "net/task.hpp"
@@ -24,8 +25,6 @@
 
 namespace cranklock::control {
 
-inline constexpr double kStoreTimeout = 2.0;  ///< of a leader's requests to the state service
-
 /// What every part of a node works with.
 struct Services {
   net::Reactor& reactor;
@@ -70,21 +69,7 @@
   net::Task<void> announce_token();  // our token, to workers that do not report here
   net::Task<void> call_worker(std::string machine);
 
-  struct Batch;
   net::Task<void> write_jobs();
-  std::vector<sched::Job*> jobs_to_write();
-  Batch next_batch();
-  void add_to_batch(sched::Job& job, Batch& batch);
-  void add_stale_parts(Batch& batch);
-  std::vector<wire::Change> retiring_changes(const sched::Job& job, const Ending& ending,
-                                             std::vector<std::string>& left_parts) const;
-  void note_retired(const std::string& id, const Ending& ending);
-  void settle_written(Batch& batch, std::uint64_t revision);
-  void settle_unwritten(const Batch& batch, const store::TxnResult& result);
-  net::Task<void> settle();  // records of which this cluster state may be wrong
-  net::Task<void> settle_one(std::string id);
-  net::Task<bool> reload(std::string id);
-  net::Task<bool> read_parts(sched::Job& job, std::uint64_t revision, int parts);
   /// The earliest time at which a job may have been cancelled that was marked so at this time of
   /// day.
   double cancelled_since(std::int64_t at_ms) const;
@@ -111,7 +96,6 @@
   bool is_lost_ = false;
   sched::ClusterState cluster_;
   net::Signal work_;
-  net::Signal unsettled_;
   net::Signal deletions_;
   double began_;
   double last_heard_;
@@ -119,11 +103,7 @@
   bool first_ever_ = false;
 
   std::deque<wire::StoredValue> news_;
-  double known_before_ = -1e9;  ///< when the news last taken in were asked for
-  double write_after_ = 0;      ///< the state service has refused a write
-  /// Changed by somebody else, or told of in part only: not written again until read anew.
-  std::set<std::string> to_reload_;
-  std::set<std::string> reloading_;
+  double known_before_ = -1e9;     ///< when the news last taken in were asked for
   std::set<std::string> pushing_;  ///< workers being called
   /// Guards the sockets against hung machines by the hundred, each of which holds one until its
   /// call's time is over.
@@ -141,8 +121,8 @@
   void note_deleted(const std::vector<std::string>& names);
   std::uint64_t rental_sequence_ = 0;
   EndingReader endings_;
-  /// Parts of records of jobs that are over: never read again, removed when a transaction has room.
-  std::deque<std::string> stale_parts_;
+  RecordReloader reloader_;
+  RecordWriter writer_;
   double next_pass_at_ = 0;  ///< no placement pass before
   /// Since the last pass a job has come, or one that others need has ended.
   bool pass_awaited_ = false;
