--- a/src/control/job_lookup.hpp
+++ b/src/control/job_lookup.hpp
@@ -26,7 +26,7 @@
 
   /// A task of it was placed. It can't have been before all jobs that it needs were done.
   bool started() const {
-    return !job.places.empty() || job.done.size() > 0 || job.stored_parts > 0;
+    return !job.placements.empty() || job.done.size() > 0 || job.stored_parts > 0;
   }
   bool cancelled() const {
     return kind == Kind::live ? job.withdrawn()
--- a/src/control/leader_lease.hpp
+++ b/src/control/leader_lease.hpp
@@ -22,19 +22,19 @@
   void confirm(double sent) { confirmed_sent_ = std::max(confirmed_sent_, sent); }
   /// Every cancellation stored before this time has been taken in: it is when the exchange was sent
   /// whose answer held all changes of jobs up to its revision. A leader lease is not knowledge:
-  /// after a refusal or an outage a renewal may well come through before the news do.
+  /// after a refusal or an outage a renewal may well come through before the changes do.
   void caught_up(double sent) {
     caught_up_sent_ = std::max(caught_up_sent_, sent);
     behind_ = false;
   }
-  /// An exchange for news was refused or not answered: until one succeeds nothing is started, since
-  /// others may be cancelling meanwhile.
+  /// An exchange for changes was refused or not answered: until one succeeds nothing is started,
+  /// since others may be cancelling meanwhile.
   void fell_behind() { behind_ = true; }
   /// Nobody else can lead now.
   bool valid(double now) const { return now < confirmed_sent_ + validity(); }
   /// Nothing that is started now was cancelled longer ago than this leader lease is certain for.
   bool may_start(double now) const { return !behind_ && now < known_until() + validity(); }
-  /// Until then reports may be answered 200, by us or by a deputy in our stead.
+  /// Until then reports may be answered 200, by us or by a forwarder in our stead.
   double answer_until() const { return known_until() + base::answer_span(settings_); }
   bool may_answer(double now) const { return now < answer_until(); }
   double confirmed_sent() const { return confirmed_sent_; }
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -16,7 +16,7 @@
 Node::Node(Services services)
     : services_(services),
       users_(services, [this] { return reaches_state(); }),
-      deputy_(services.reactor, services.settings),
+      forwarder_(services.reactor, services.settings),
       lost_(services.reactor),
       roster_(4 * hello_every(services.settings)),
       direct_reports_(2 * services.settings.report_s),
@@ -45,30 +45,30 @@
                     now - workers_heard_ < 2 * services_.settings.report_s};
   hello.run = run_;
   hello.sent_ms = static_cast<std::uint64_t>(now * 1000);
-  deputy_.describe(hello);
+  forwarder_.describe(hello);
   return hello;
 }
 
-void Node::set_send(Deputy::Send send) {
+void Node::set_send(ReportForwarder::Send send) {
   send_ = send;
-  deputy_.set_send(std::move(send));
+  forwarder_.set_send(std::move(send));
 }
 
 void Node::heard(const std::string& from, peer::Frame frame) {
   if (const auto* hello = std::get_if<peer::Hello>(&frame)) return heard_hello(*hello);
-  if (const auto* carried = std::get_if<peer::Carried>(&frame))
-    return heard_carried(from, *carried);
-  deputy_.answered(std::get<peer::CarriedAnswer>(frame));
+  if (const auto* forwarded = std::get_if<peer::ForwardedReport>(&frame))
+    return heard_forwarded_report(from, *forwarded);
+  forwarder_.answered(std::get<peer::ForwardedAnswer>(frame));
 }
 
-void Node::heard_carried(const std::string& from, const peer::Carried& carried) {
-  peer::CarriedAnswer answer{carried.id, 503, 0, 0, ""};
-  const auto report = wire::parse_report(carried.report);
-  if (report && leads()) answer = term_->carried_checkin(*report, from, carried.id);
+void Node::heard_forwarded_report(const std::string& from, const peer::ForwardedReport& forwarded) {
+  peer::ForwardedAnswer answer{forwarded.id, 503, 0, 0, ""};
+  const auto report = wire::parse_report(forwarded.report);
+  if (report && leads()) answer = term_->handle_forwarded_report(*report, from, forwarded.id);
   if (send_) send_(from, answer);
 }
 
-// A report that comes straight here costs two packets; carried ones come and go together with
+// A report that comes straight here costs two packets; forwarded ones come and go together with
 // others, at the expense of a node that has more to spare.
 bool Node::reports_crowd() {
   constexpr double kMostShare = 0.1;  // of this node's own, for reports of its own zone
@@ -78,7 +78,7 @@
   return cost > kMostShare * services_.settings.core_share;
 }
 
-std::string Node::deputy_for(const wire::Report& report) {
+std::string Node::forwarder_for(const wire::Report& report) {
   if (!send_) return {};
   const bool own_zone = report.zone == services_.settings.zone;
   const double now = services_.reactor.now();
@@ -103,7 +103,7 @@
 void Node::heard_hello(const peer::Hello& hello) {
   const double now = services_.reactor.now();
   roster_.heard(hello, now);
-  deputy_.heard(hello);
+  forwarder_.heard(hello);
   if (term_ != nullptr) term_->heard(hello);
   // A leader that lost only the state service learns here that it has a successor, long before it
   // would have to stop answering; until it does, its workers stay with it.
@@ -234,8 +234,8 @@
       state_heard_ = services_.reactor.now();
       // A former run of this node may still be named; its lease then ends by itself.
       auto watching = services_.store.watch(kLeaderKey, found.value.revision, 2 * life);
-      const auto news = co_await watching;
-      if (news.outcome != Outcome::ok) {
+      const auto change = co_await watching;
+      if (change.outcome != Outcome::ok) {
         Sleep pause(services_.reactor, life / 8);
         co_await pause;
       }
@@ -313,23 +313,23 @@
   workers_heard_ = services_.reactor.now();
   if (leads()) {
     direct_reports_.note(workers_heard_);
-    const auto deputy = deputy_for(*report);
-    if (!deputy.empty()) co_return plain_answer(421, wire::misdirected_answer(deputy));
-    co_return term_->checkin(*report);
+    const auto forwarder = forwarder_for(*report);
+    if (!forwarder.empty()) co_return plain_answer(421, wire::misdirected_answer(forwarder));
+    co_return term_->handle_report(*report);
   }
   if (term_ != nullptr) co_return come_back("taking over");
   const std::string machine = report->machine;
-  if (deputy_.may_carry(*report)) {
-    auto carrying =
-        deputy_.carry(std::move(*report), std::move(request.body), [this] { return state_heard_; });
-    auto response = co_await carrying;
+  if (forwarder_.may_forward(*report)) {
+    auto forwarding = forwarder_.forward(std::move(*report), std::move(request.body),
+                                         [this] { return state_heard_; });
+    auto response = co_await forwarding;
     if (response.status == 200) {
-      deputy_.sent_away(machine);  // for as long as it comes here, it may go on doing so
+      forwarder_.sent_away(machine);  // for as long as it comes here, it may go on doing so
       co_return response;
     }
   }
   const auto leader = believed_leader();
-  if (!leader.empty()) deputy_.sent_away(machine);
+  if (!leader.empty()) forwarder_.sent_away(machine);
   co_return plain_answer(421, wire::misdirected_answer(leader));
 }
 
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "base/event_rate.hpp"
-#include "control/deputy.hpp"
+#include "control/report_forwarder.hpp"
 #include "control/term.hpp"
 #include "control/users.hpp"
 #include "peer/roster.hpp"
@@ -32,7 +32,7 @@
   peer::Hello hello() const;
   void heard(const std::string& from, peer::Frame frame);
   /// How frames reach the other nodes; without it each node serves only its own workers.
-  void set_send(Deputy::Send send);
+  void set_send(ReportForwarder::Send send);
   static double hello_every(const base::Settings& settings) { return settings.report_s / 3; }
   bool leads() const { return term_ != nullptr && serving_; }
   Term* term() { return term_.get(); }
@@ -48,9 +48,9 @@
   net::Task<net::Response> checkin(net::Request request);
   net::Task<bool> store_types(std::string text);
   void heard_hello(const peer::Hello& hello);
-  void heard_carried(const std::string& from, const peer::Carried& carried);
-  /// The node that is to carry this worker's reports from now on, or none.
-  std::string deputy_for(const wire::Report& report);
+  void heard_forwarded_report(const std::string& from, const peer::ForwardedReport& forwarded);
+  /// The node that is to forward this worker's reports from now on, or none.
+  std::string forwarder_for(const wire::Report& report);
   /// Reports that come straight here take more of this node's share than they should.
   bool reports_crowd();
   void note_leader(const store::ReadResult& found);
@@ -60,8 +60,8 @@
 
   Services services_;
   Users users_;
-  Deputy deputy_;
-  Deputy::Send send_;
+  ReportForwarder forwarder_;
+  ReportForwarder::Send send_;
   net::Signal lost_;
   peer::Roster roster_;
   std::unique_ptr<LeaderLease> leader_lease_;
--- a/src/control/record.cpp
+++ b/src/control/record.cpp
@@ -25,7 +25,7 @@
 
 bool read_lists(const Json& o, sched::Job& job) {
   const Json* done = wire::find(o, "d");
-  const Json* places = wire::find(o, "p");
+  const Json* placements = wire::find(o, "p");
   if (done != nullptr) {
     if (!done->IsArray()) return false;
     for (const auto& r : done->GetArray()) {
@@ -33,18 +33,18 @@
       job.done.add_range({r[0].GetUint(), r[1].GetUint()});
     }
   }
-  if (places == nullptr) return true;
-  if (!places->IsArray()) return false;
-  for (const auto& p : places->GetArray()) {
+  if (placements == nullptr) return true;
+  if (!placements->IsArray()) return false;
+  for (const auto& p : placements->GetArray()) {
     if (!p.IsArray() || p.Size() != 3 || !p[0].IsUint() || !p[1].IsUint64() || !p[2].IsString()) {
       return false;
     }
-    sched::Place place;
-    place.task = p[0].GetUint();
-    place.attempt = p[1].GetUint64();
-    place.machine = p[2].GetString();
-    place.durable = true;
-    job.places.push_back(std::move(place));
+    sched::Placement placement;
+    placement.task = p[0].GetUint();
+    placement.attempt = p[1].GetUint64();
+    placement.machine = p[2].GetString();
+    placement.durable = true;
+    job.placements.push_back(std::move(placement));
   }
   return true;
 }
@@ -52,14 +52,14 @@
 }  // namespace
 
 std::vector<std::string> write_record(const sched::Job& job, std::size_t most_bytes) {
-  std::vector<std::string> done, places;
+  std::vector<std::string> done, placements;
   for (const auto& [from, to] : job.done.ranges()) {
     done.push_back("[" + std::to_string(from) + "," + std::to_string(to) + "]");
   }
-  for (const auto& p : job.places) {
+  for (const auto& p : job.placements) {
     if (p.ended || p.dropped) continue;
-    places.push_back("[" + std::to_string(p.task) + "," + std::to_string(p.attempt) + ",\"" +
-                     p.machine + "\"]");
+    placements.push_back("[" + std::to_string(p.task) + "," + std::to_string(p.attempt) + ",\"" +
+                         p.machine + "\"]");
   }
   JsonWriter head;
   head.begin().key(job.spec.needs.empty() ? kJobName : kDependentJobName);
@@ -87,12 +87,12 @@
       text += "]";
     };
     add("d", done, next_done);
-    add("p", places, next_place);
+    add("p", placements, next_place);
     return text;
   };
   std::vector<std::string> out;
   out.push_back(fill(std::move(main), false));
-  while (next_done < done.size() || next_place < places.size()) {
+  while (next_done < done.size() || next_place < placements.size()) {
     out.push_back(fill("{\"g\":" + std::to_string(job.revision), false) + "}");
   }
   out.front() += ",\"parts\":" + std::to_string(out.size() - 1) + "}";
--- a/src/control/record_reloader.cpp
+++ b/src/control/record_reloader.cpp
@@ -79,7 +79,7 @@
     job->revision = found.value.revision;
     auto reading_parts = read_parts(*job, found.value.revision, parts);
     if (!co_await reading_parts) continue;
-    // The news may have overtaken this reading. Nor does it tell anything that is not known: a
+    // The changes may have overtaken this reading. Nor does it tell anything that is not known: a
     // write of ours without an answer may still be carried out on top of it.
     const Job* known = cluster_.job(id);
     if (known != nullptr && known->revision > job->revision) continue;
--- a/src/control/record_writer.cpp
+++ b/src/control/record_writer.cpp
@@ -107,7 +107,7 @@
     }
     return;
   }
-  for (const auto& p : job.places) {
+  for (const auto& p : job.placements) {
     auto& list = p.ended ? entry.ended : p.dropped ? entry.dropped : entry.live;
     list.emplace_back(p.task, p.attempt);
   }
@@ -128,8 +128,8 @@
 };
 
 bool has_unwritten_starts(const Job& job) {
-  return std::any_of(job.places.begin(), job.places.end(),
-                     [](const sched::Place& p) { return !p.durable && !p.ended; });
+  return std::any_of(job.placements.begin(), job.placements.end(),
+                     [](const sched::Placement& p) { return !p.durable && !p.ended; });
 }
 
 /// Overdue records and starts in turn, so that neither waits for all of the other, then the rest.
@@ -193,7 +193,7 @@
   auto writing = store_.transact(batch.conditions, batch.changes, kStoreTimeout);
   const auto result = co_await writing;
   if (result.outcome == Outcome::ok) {
-    settle_written(batch, result.revision);
+    apply_stored(batch, result.revision);
     co_return Written::stored;
   }
   const auto& failed = result.failed;
@@ -201,15 +201,15 @@
       std::find(failed.begin(), failed.end(), kLeaderKey) != failed.end()) {
     co_return Written::leadership_lost;
   }
-  settle_unwritten(batch, result);
-  co_return Written::unsettled;
+  apply_not_stored(batch, result);
+  co_return Written::unresolved;
 }
 
 // What was refused, or failed for another record's sake, is written again as it then stands. So is
 // what was not answered: it may be carried out late, but conditions let only one of the two
 // through. Guards against room that is given to others meanwhile: were what is stored now taken for
-// the last word, a team would be beyond its limit when the late write makes its places good.
-void RecordWriter::settle_unwritten(const Batch& batch, const store::TxnResult& result) {
+// the last word, a team would be beyond its limit when the late write makes its placements good.
+void RecordWriter::apply_not_stored(const Batch& batch, const store::TxnResult& result) {
   stale_parts_.insert(stale_parts_.end(), batch.stale_parts.begin(), batch.stale_parts.end());
   for (const auto& entry : batch.entries) {
     const auto& failed = result.failed;
@@ -226,13 +226,13 @@
     if (result.outcome != Outcome::unknown) continue;
     for (const auto& [task, attempt] : entry.live) {
       auto* p = job->find(task, attempt);
-      if (p != nullptr && !p->durable && !p->ended) p->undecided = true;
+      if (p != nullptr && !p->durable && !p->ended) p->outcome_unknown = true;
     }
   }
   if (result.outcome != Outcome::failed) write_after_ = now() + settings_.report_s / 8;
 }
 
-void RecordWriter::settle_written(Batch& batch, std::uint64_t revision) {
+void RecordWriter::apply_stored(Batch& batch, std::uint64_t revision) {
   for (auto& entry : batch.entries) {
     Job* job = cluster_.job(entry.id);
     if (job == nullptr) continue;
@@ -247,16 +247,16 @@
       auto* p = job->find(task, attempt);
       if (p == nullptr) continue;
       p->durable = true;
-      if (p->undecided && p->dropped) {  // since it was sent
-        cluster_.settle_dropped(*job, *p, now());
+      if (p->outcome_unknown && p->dropped) {  // since it was sent
+        cluster_.resolve_dropped(*job, *p, now());
         job->dirty = true;
       }
-      p->undecided = false;
+      p->outcome_unknown = false;
     }
     for (const auto& which : entry.dropped) {
       auto* p = job->find(which.first, which.second);
       if (p == nullptr) continue;
-      cluster_.settle_dropped(*job, *p, now());
+      cluster_.resolve_dropped(*job, *p, now());
       entry.ended.push_back(which);
     }
     cluster_.forget_ended(*job, entry.ended);
--- a/src/control/record_writer.hpp
+++ b/src/control/record_writer.hpp
@@ -26,7 +26,7 @@
   enum class Written {
     nothing,          ///< there is nothing to write, or not now
     stored,           ///< one transaction has succeeded; there may be more to write
-    unsettled,        ///< refused, failed for a record's sake, or not answered
+    unresolved,       ///< refused, failed for a record's sake, or not answered
     leadership_lost,  ///< the leader's key has changed
   };
 
@@ -47,8 +47,8 @@
   void add_stale_parts(Batch& batch);
   std::vector<wire::Change> retiring_changes(const sched::Job& job, const Ending& ending,
                                              std::vector<std::string>& left_parts) const;
-  void settle_written(Batch& batch, std::uint64_t revision);
-  void settle_unwritten(const Batch& batch, const store::TxnResult& result);
+  void apply_stored(Batch& batch, std::uint64_t revision);
+  void apply_not_stored(const Batch& batch, const store::TxnResult& result);
   void note_retired(const std::string& id, const Ending& ending);
   double now() const { return reactor_.now(); }
 
--- a/src/control/deputy.cpp
+++ b/src/control/report_forwarder.cpp
@@ -1,4 +1,4 @@
-#include "control/deputy.hpp"
+#include "control/report_forwarder.hpp"
 
 #include <spdlog/spdlog.h>
 
@@ -9,7 +9,7 @@
 using net::Response;
 using net::Task;
 
-void Deputy::heard(const peer::Hello& hello) {
+void ReportForwarder::heard(const peer::Hello& hello) {
   if (hello.token == 0 || hello.token < token_) return;
   token_ = hello.token;
   leader_ = hello.name;
@@ -17,28 +17,28 @@
   heard_at_ = reactor_.now();
 }
 
-void Deputy::describe(peer::Hello& hello) const {
+void ReportForwarder::describe(peer::Hello& hello) const {
   hello.echo_token = token_;
   hello.echo_ms = leader_ms_;
-  if (stood_in_at_ >= 0) {
-    const double age = (reactor_.now() - stood_in_at_) * 1000;
-    hello.stood_in_ms = static_cast<std::uint32_t>(std::min(age, peer::kNever - 1.0));
+  if (answered_alone_at_ >= 0) {
+    const double age = (reactor_.now() - answered_alone_at_) * 1000;
+    hello.answered_alone_ms = static_cast<std::uint32_t>(std::min(age, peer::kNever - 1.0));
   }
 }
 
-bool Deputy::reaches_leader() const {
+bool ReportForwarder::reaches_leader() const {
   return token_ > 0 && reactor_.now() - heard_at_ < patience(settings_);
 }
 
 // Guards the leader's timing of leases: it counts on no answer of ours while it is heard here, and
 // on none after what it allowed. A worker that has seen a newer token would drop the answer anyway.
-bool Deputy::stands_in(const wire::Report& report) const {
+bool ReportForwarder::answers_alone(const wire::Report& report) const {
   const auto it = trusted_.find(report.machine);
   return it != trusted_.end() && it->second.token == token_ && report.token <= token_ &&
          !reaches_leader() && reactor_.now() < it->second.until;
 }
 
-void Deputy::sent_away(const std::string& machine) {
+void ReportForwarder::sent_away(const std::string& machine) {
   constexpr std::size_t kMost = 4096;
   if (sent_away_.size() >= kMost) sent_away_.clear();
   sent_away_[machine] = reactor_.now();
@@ -46,12 +46,12 @@
 
 // Guards against workers sent to and fro until their leases end: one that is back so soon has found
 // that the leader, which this node hears, can't be reached from there.
-bool Deputy::came_back(const std::string& machine) const {
+bool ReportForwarder::came_back(const std::string& machine) const {
   const auto it = sent_away_.find(machine);
   return it != sent_away_.end() && reactor_.now() - it->second < settings_.lease_s;
 }
 
-void Deputy::answered(const peer::CarriedAnswer& answer) {
+void ReportForwarder::answered(const peer::ForwardedAnswer& answer) {
   const auto it = pending_.find(answer.id);
   if (it == pending_.end()) return;  // too late: its worker has been answered otherwise
   it->second->answer = answer;
@@ -59,8 +59,8 @@
   it->second->arrived.set();
 }
 
-Task<Response> Deputy::carry(wire::Report report, std::string body,
-                             std::function<double()> state_heard) {
+Task<Response> ReportForwarder::forward(wire::Report report, std::string body,
+                                        std::function<double()> state_heard) {
   constexpr double kWorkersPatience = 4.0;  // PROTOCOL: then it tries the next node
   const double sent = reactor_.now();
   const double until = sent + 0.8 * kWorkersPatience;
@@ -77,7 +77,7 @@
     };
     const Listed listed{pending_, id};
     pending_[id] = &pending;
-    send_(leader_, peer::Carried{id, std::move(body)});
+    send_(leader_, peer::ForwardedReport{id, std::move(body)});
     while (!pending.done && reactor_.now() < until) {
       // Looked at again and again: the leader may have ended, and its successor be known.
       if (!reaches_leader() && !cut_off()) break;
@@ -88,16 +88,16 @@
       const auto& answer = pending.answer;
       // Counted from the sending, which came before the leader's answer.
       if (trusted_.size() > 4096) trusted_.clear();
-      trusted_[report.machine] = {answer.token, sent + answer.stand_in_ms / 1000.0};
+      trusted_[report.machine] = {answer.token, sent + answer.answer_alone_ms / 1000.0};
       response.body = answer.body;
       co_return response;
     }
   }
-  if (cut_off() && stands_in(report)) {
-    if (stood_in_at_ < 0 || reactor_.now() - stood_in_at_ > settings_.lease_s) {
+  if (cut_off() && answers_alone(report)) {
+    if (answered_alone_at_ < 0 || reactor_.now() - answered_alone_at_ > settings_.lease_s) {
       spdlog::info("answering the zone's workers in the leader's stead, token {}", token_);
     }
-    stood_in_at_ = reactor_.now();
+    answered_alone_at_ = reactor_.now();
     response.body = wire::orders_answer(token_, {});
     co_return response;
   }
--- a/src/control/deputy.hpp
+++ b/src/control/report_forwarder.hpp
@@ -1,6 +1,6 @@
-// A node that does not lead serves its own zone's workers: it carries their reports to the leader,
+// A node that does not lead serves its own zone's workers: it forwards their reports to the leader,
 // and when the zone is cut off it answers them in the leader's stead, for as long as that is safe.
-// Workers of other zones it sends to the leader, and carries for those that can't reach it.
+// Workers of other zones it sends to the leader, and forwards for those that can't reach it.
 #pragma once
 
 #include <algorithm>
@@ -19,35 +19,35 @@
 
 namespace cranklock::control {
 
-class Deputy {
+class ReportForwarder {
  public:
   using Send = std::function<void(const std::string& to, const peer::Frame&)>;
 
-  Deputy(net::Reactor& reactor, const base::Settings& settings)
+  ReportForwarder(net::Reactor& reactor, const base::Settings& settings)
       : reactor_(reactor),
         settings_(settings),
         // Guards against an answer to a former run, whose question was held up on the way, being
         // taken for one to ours: the time of day goes faster than reports come.
         next_id_(static_cast<std::uint64_t>(reactor.wall_ms()) << 16) {}
 
-  /// Without it nothing is carried.
+  /// Without it nothing is forwarded.
   void set_send(Send send) { send_ = std::move(send); }
 
-  /// A leader that has not been heard for so long can't be reached. Only then does a deputy answer
-  /// in its stead; until then, so the leader knows, no deputy that it heard from has.
+  /// A leader that has not been heard for so long can't be reached. Only then does a forwarder
+  /// answer in its stead; until then, so the leader knows, no forwarder that it heard from has.
   static double patience(const base::Settings& settings) {
     return std::min(1.2 * settings.report_s, 3.0);
   }
 
   void heard(const peer::Hello& hello);
-  void answered(const peer::CarriedAnswer& answer);
+  void answered(const peer::ForwardedAnswer& answer);
   /// What this node's hellos say of it.
   void describe(peer::Hello& hello) const;
-  /// A leader is heard that may have reports carried to it.
+  /// A leader is heard that may have reports forwarded to it.
   bool reaches_leader() const;
-  bool may_carry(const wire::Report& report) const {
+  bool may_forward(const wire::Report& report) const {
     if (!send_) return false;
-    if (report.zone == settings_.zone) return reaches_leader() || stands_in(report);
+    if (report.zone == settings_.zone) return reaches_leader() || answers_alone(report);
     return reaches_leader() && came_back(report.machine);
   }
   /// The worker of another zone was told to report to the leader.
@@ -56,21 +56,21 @@
   /// `state_heard` says when the state service last answered: that tells a zone that is cut off
   /// from a leader that has ended, whose workers had better look for its successor. An answer of
   /// status 421 means that they should go elsewhere.
-  net::Task<net::Response> carry(wire::Report report, std::string body,
-                                 std::function<double()> state_heard);
+  net::Task<net::Response> forward(wire::Report report, std::string body,
+                                   std::function<double()> state_heard);
 
  private:
   struct Pending {
     explicit Pending(net::Reactor& reactor) : arrived(reactor) {}
     net::Signal arrived;
     bool done = false;
-    peer::CarriedAnswer answer;
+    peer::ForwardedAnswer answer;
   };
   struct Trust {
     std::uint64_t token = 0;
     double until = 0;
   };
-  bool stands_in(const wire::Report& report) const;
+  bool answers_alone(const wire::Report& report) const;
   bool came_back(const std::string& machine) const;
 
   net::Reactor& reactor_;
@@ -80,7 +80,7 @@
   std::uint64_t token_ = 0;  ///< the highest that a leader was heard with
   std::uint64_t leader_ms_ = 0;
   double heard_at_ = -1e9;
-  double stood_in_at_ = -1;
+  double answered_alone_at_ = -1;
   std::uint64_t next_id_;
   std::map<std::uint64_t, Pending*> pending_;
   std::map<std::string, Trust> trusted_;  ///< by worker, as the leader last allowed
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -4,8 +4,8 @@
 
 #include <algorithm>
 
-#include "control/deputy.hpp"
 #include "control/record.hpp"
+#include "control/report_forwarder.hpp"
 
 namespace cranklock::control {
 
@@ -101,7 +101,7 @@
 }
 
 // Guards against a deletion put off by every change of leader: the record tells when its user
-// cancelled, as well as two clocks of the day agree. What came with the news was not stored yet
+// cancelled, as well as two clocks of the day agree. What came with the changes was not stored yet
 // when all was known last.
 double Term::cancelled_since(std::int64_t at_ms) const {
   const double age = static_cast<double>(services_.reactor.wall_ms() - at_ms) / 1000 +
@@ -128,7 +128,7 @@
 
 // ---- reports ----
 
-Response Term::checkin(const wire::Report& report) {
+Response Term::handle_report(const wire::Report& report) {
   Response response;
   const double at = now();
   if (report.token > leader_lease_.token()) {
@@ -173,11 +173,12 @@
   return response;
 }
 
-peer::CarriedAnswer Term::carried_checkin(const wire::Report& report, const std::string& deputy,
-                                          std::uint64_t id) {
-  const auto response = checkin(report);
-  peer::CarriedAnswer answer{id, static_cast<std::uint16_t>(response.status), leader_lease_.token(),
-                             0, response.body};
+peer::ForwardedAnswer Term::handle_forwarded_report(const wire::Report& report,
+                                                    const std::string& forwarder,
+                                                    std::uint64_t id) {
+  const auto response = handle_report(report);
+  peer::ForwardedAnswer answer{id, static_cast<std::uint16_t>(response.status),
+                               leader_lease_.token(), 0, response.body};
   Machine* m = cluster_.machine(report.machine);
   if (response.status != 200 || m == nullptr || response.body.size() > peer::kMostText) {
     if (response.status == 200) answer.status = 503;
@@ -187,11 +188,11 @@
   const double until = leader_lease_.answer_until();
   const auto& others = services_.settings.others;
   const bool own_zone = std::any_of(others.begin(), others.end(), [&](const base::Peer& peer) {
-    return peer.name == deputy && peer.zone == m->kind.zone;
+    return peer.name == forwarder && peer.zone == m->kind.zone;
   });
   if (own_zone && until > now() && !cluster_.stopping(*m)) {
-    answer.stand_in_ms = static_cast<std::uint32_t>((until - now()) * 1000);
-    auto& kept = m->kept_until[deputy];
+    answer.answer_alone_ms = static_cast<std::uint32_t>((until - now()) * 1000);
+    auto& kept = m->kept_until[forwarder];
     kept = std::max(kept, until);
   }
   return answer;
@@ -200,24 +201,26 @@
 void Term::heard(const peer::Hello& hello) {
   const bool ours = hello.echo_token == leader_lease_.token();
   const double never = -1;
-  cluster_.note_deputy(
+  cluster_.note_forwarder(
       hello.name, hello.run,
-      ours ? static_cast<double>(hello.echo_ms) / 1000 + Deputy::patience(services_.settings) * 0.98
+      ours ? static_cast<double>(hello.echo_ms) / 1000 +
+                 ReportForwarder::patience(services_.settings) * 0.98
            : 0,
-      hello.stood_in_ms == peer::kNever ? never : now() - hello.stood_in_ms / 1000.0, now());
+      hello.answered_alone_ms == peer::kNever ? never : now() - hello.answered_alone_ms / 1000.0,
+      now());
 }
 
-bool Term::may_hand_over(const std::string& id, const std::string& deputy) {
+bool Term::may_hand_over(const std::string& id, const std::string& forwarder) {
   Machine* m = cluster_.machine(id);
   const double at = now();
-  if (m == nullptr || !m->shown_token || !cluster_.deputy_heard(deputy, at)) return false;
-  // Once in a while only: a worker that comes back has found its deputy wanting.
+  if (m == nullptr || !m->shown_token || !cluster_.forwarder_heard(forwarder, at)) return false;
+  // Once in a while only: a worker that comes back has found its forwarder wanting.
   if (m->handed_over > 0 && at - m->handed_over < 2 * services_.settings.lease_s) return false;
   m->handed_over = at;
   return true;
 }
 
-// ---- news of jobs ----
+// ---- changes of jobs ----
 
 Task<void> Term::follow_jobs() {
   std::uint64_t since = loaded_revision_;
@@ -231,7 +234,7 @@
     if (result.outcome == Outcome::ok) {
       unclear = 0;
       since = std::max(since, result.page.revision);
-      note_news(std::move(result.page.items), sent);
+      note_changes(std::move(result.page.items), sent);
       continue;
     }
     leader_lease_.fell_behind();
@@ -240,14 +243,14 @@
     const bool served = leader_lease_.confirmed_sent() > sent;
     unclear = result.outcome == Outcome::unknown && served ? unclear + 1 : 0;
     if (result.outcome == Outcome::failed || unclear >= 3) {
-      // Too far behind: read everything again, as news.
+      // Too far behind: read everything again, as changes.
       const double asked = now();
       auto reading = services_.store.read_all(kJobsPrefix, kStoreTimeout);
       auto all = co_await reading;
       if (all.outcome == Outcome::ok) {
         unclear = 0;
         since = all.page.revision;
-        note_news(std::move(all.page.items), asked);
+        note_changes(std::move(all.page.items), asked);
         continue;
       }
     }
@@ -256,9 +259,9 @@
   }
 }
 
-// Cancellations are acted on as they come: other news wait until no transaction of ours is under
+// Cancellations are acted on as they come: other changes wait until no transaction of ours is under
 // way, which may take as long as the state service pleases.
-void Term::note_news(std::vector<wire::StoredValue> items, double sent) {
+void Term::note_changes(std::vector<wire::StoredValue> items, double sent) {
   bool stops = false;
   for (auto& item : items) {
     Job* known = cluster_.job(item.key.substr(std::string(kJobsPrefix).size()));
@@ -268,19 +271,19 @@
         stops = true;
       }
     }
-    news_.push_back(std::move(item));
+    pending_changes_.push_back(std::move(item));
   }
   leader_lease_.caught_up(sent);
   known_before_ = std::max(known_before_, sent);
-  if (!news_.empty()) work_.set();
+  if (!pending_changes_.empty()) work_.set();
   if (stops) push_orders();
 }
 
-void Term::take_news() {
+void Term::apply_changes() {
   // Only between transactions of our own, so that a record is never compared with one in flight.
-  while (!news_.empty()) {
-    auto item = std::move(news_.front());
-    news_.pop_front();
+  while (!pending_changes_.empty()) {
+    auto item = std::move(pending_changes_.front());
+    pending_changes_.pop_front();
     const auto id = item.key.substr(std::string(kJobsPrefix).size());
     Job* known = cluster_.job(id);
     if (known != nullptr && item.revision <= known->revision) continue;
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -44,13 +44,13 @@
   /// Starts the duties.
   void start(net::Scope& scope);
 
-  net::Response checkin(const wire::Report& report);
-  /// The same for a report that another node has carried here.
-  peer::CarriedAnswer carried_checkin(const wire::Report& report, const std::string& deputy,
-                                      std::uint64_t id);
+  net::Response handle_report(const wire::Report& report);
+  /// The same for a report that another node has forwarded here.
+  peer::ForwardedAnswer handle_forwarded_report(const wire::Report& report,
+                                                const std::string& forwarder, std::uint64_t id);
   void heard(const peer::Hello& hello);
   /// Whether the worker may be sent to report to this node of its own zone.
-  bool may_hand_over(const std::string& machine, const std::string& deputy);
+  bool may_hand_over(const std::string& machine, const std::string& forwarder);
   bool is_lost() const { return is_lost_; }
   void lose(const char* why);
   /// Nothing was heard of any worker for so long that this node may be cut off from them.
@@ -59,7 +59,7 @@
 
  private:
   // Duties, each a routine.
-  net::Task<void> decide();        // news, placement, writing, starts
+  net::Task<void> decide();        // changes, placement, writing, starts
   net::Task<void> follow_jobs();   // other nodes' acceptances and cancellations
   net::Task<void> follow_cloud();  // the machine list
   net::Task<void> follow_types();  // machine types and prices
@@ -74,8 +74,8 @@
   /// day.
   double cancelled_since(std::int64_t at_ms) const;
   void put_job(sched::Job job);
-  void note_news(std::vector<wire::StoredValue> items, double sent);
-  void take_news();
+  void note_changes(std::vector<wire::StoredValue> items, double sent);
+  void apply_changes();
   void push_orders();
   net::Task<void> push_to(std::string machine);
   net::Task<void> rent(sched::MachineKind kind, int count);
@@ -102,8 +102,8 @@
   std::uint64_t loaded_revision_ = 0;
   bool first_ever_ = false;
 
-  std::deque<wire::StoredValue> news_;
-  double known_before_ = -1e9;     ///< when the news last taken in were asked for
+  std::deque<wire::StoredValue> pending_changes_;
+  double known_before_ = -1e9;     ///< when the changes last taken in were asked for
   std::set<std::string> pushing_;  ///< workers being called
   /// Guards the sockets against hung machines by the hundred, each of which holds one until its
   /// call's time is over.
--- a/src/control/term_decide.cpp
+++ b/src/control/term_decide.cpp
@@ -32,7 +32,7 @@
       co_await pause;
     }
     if (is_lost_) co_return;
-    take_news();
+    apply_changes();
     endings_.read_unknown();
     const bool overdue = now() - last_pass > services_.settings.report_s;
     if (!cluster_.types().empty() && (cluster_.take_changed() || overdue)) {
@@ -42,7 +42,7 @@
       if (result.cut_short) cluster_.mark_changed();
       if (shortfall_.wanted.empty() && !result.shortfall.wanted.empty()) {
         const auto& [kind, count] = *result.shortfall.wanted.begin();
-        spdlog::info("work finds no place: {} more {} wanted in {}{}", count, kind.type, kind.zone,
+        spdlog::info("work finds no room: {} more {} wanted in {}{}", count, kind.type, kind.zone,
                      kind.spot ? ", spot" : "");
       }
       // Guards reports, users and the renewal of the leader lease against a fleet so large, or a
@@ -67,7 +67,7 @@
     if (written == RecordWriter::Written::leadership_lost) lose("the leader's key has changed");
     if (written != RecordWriter::Written::stored) co_return;
     push_orders();
-    take_news();
+    apply_changes();
     if (writer_.take_needed_job_done()) pass_awaited_ = true;
     if (pass_awaited_ && now() >= next_pass_at_) {
       // Guards against new jobs, and next stages of pipelines, that wait for hundreds of other
@@ -87,12 +87,12 @@
   bool start, stop;
 };
 
-bool start_due(const Job& job, const sched::Place& p, Allowed allowed) {
+bool start_due(const Job& job, const sched::Placement& p, Allowed allowed) {
   return allowed.start && !job.withdrawn() && job.needs_met && p.durable && !p.ended && !p.stop &&
-         !p.seen && p.carried_session == 0 && p.doubtful_session == 0;
+         !p.seen && p.start_session == 0 && p.unconfirmed_session == 0;
 }
 
-bool stop_due(const Job& job, const sched::Place& p, Allowed allowed) {
+bool stop_due(const Job& job, const sched::Placement& p, Allowed allowed) {
   return ((p.stop && allowed.stop) || job.withdrawn()) && p.seen && !p.ended && !p.stop_sent;
 }
 }  // namespace
@@ -103,7 +103,7 @@
   const Allowed allowed{leader_lease_.may_start(at), leader_lease_.valid(at)};
   std::set<std::string> machines;
   for (const auto& [id, job] : cluster_.jobs()) {
-    for (const auto& p : job.places) {
+    for (const auto& p : job.placements) {
       if (start_due(job, p, allowed) || stop_due(job, p, allowed)) machines.insert(p.machine);
     }
   }
@@ -124,13 +124,13 @@
   const Allowed allowed{leader_lease_.may_start(now()), leader_lease_.valid(now())};
   for (const auto& held : m->tasks) {
     const Job& job = *held.job;
-    sched::Place& p = held.place();
+    sched::Placement& p = held.placement();
     const wire::TaskName task{job.spec.id, p.task};
     if (start_due(job, p, allowed)) {
       orders.push_back({wire::Verb::start, task, p.attempt, 0});
       // In doubt from the moment of sending until answered.
-      p.doubtful_session = session;
-      m->doubtful.insert({task, p.attempt});
+      p.unconfirmed_session = session;
+      m->unconfirmed_starts.insert({task, p.attempt});
     } else if (stop_due(job, p, allowed)) {
       orders.push_back({wire::Verb::stop, task, p.attempt, job.withdrawn() ? 0 : p.grace_s});
       p.stop_sent = true;
@@ -156,14 +156,14 @@
   if (m == nullptr) co_return;
   for (const auto& order : orders) {
     if (order.verb != wire::Verb::start) continue;
-    if (m->session == session) m->doubtful.erase({order.task, order.attempt});
+    if (m->session == session) m->unconfirmed_starts.erase({order.task, order.attempt});
     Job* job = cluster_.job(order.task.job);
     auto* p = job != nullptr ? job->find(order.task.index, order.attempt) : nullptr;
     if (p == nullptr) continue;
-    p->doubtful_session = 0;
+    p->unconfirmed_session = 0;
     if (reply.status() == 200) {
-      p->carried_session = std::max(p->carried_session, report->session);
-      p->carried_tick = std::max(p->carried_tick, report->tick);
+      p->start_session = std::max(p->start_session, report->session);
+      p->start_tick = std::max(p->start_tick, report->tick);
     }
   }
   if (!report) co_return;
--- a/src/control/term_machines.cpp
+++ b/src/control/term_machines.cpp
@@ -57,7 +57,7 @@
 namespace {
 bool holds_cancelled(const Machine& m) {
   return std::any_of(m.tasks.begin(), m.tasks.end(),
-                     [](const sched::Held& held) { return held.job->withdrawn(); });
+                     [](const sched::PlacementRef& held) { return held.job->withdrawn(); });
 }
 }  // namespace
 
@@ -122,12 +122,13 @@
     // leader who has been there for long enough, does no work.
     const double patience = s.operators.boot_patience * ready_s;
     // Nor has one that its zone's cut keeps from reporting failed to come up.
-    if (at - m.rented_at > patience && at - began_ > s.lease_s * 2 && at > m.excused_until) {
+    if (at - m.rented_at > patience && at - began_ > s.lease_s * 2 &&
+        at > m.silence_allowed_until) {
       retire_machine(m, "it never came up");
     }
     return;
   }
-  if (m.silent && at - m.last_answered > 2 * s.lease_s && at > m.excused_until) {
+  if (m.silent && at - m.last_answered > 2 * s.lease_s && at > m.silence_allowed_until) {
     return retire_machine(m, "it is silent");
   }
   // Its deletion proves what its lease would prove only later: its work starts elsewhere the
@@ -139,7 +140,7 @@
   for (const auto& held : m.tasks) {
     const auto& spec = held.job->spec;
     if (spec.checkpoint_s > 0 && *m.taken_at - at < 2 * spec.save_s + 3 * s.report_s) {
-      sched::ClusterState::request_stop(held.place(), spec.save_s, at);
+      sched::ClusterState::request_stop(held.placement(), spec.save_s, at);
     }
   }
 }
@@ -165,7 +166,7 @@
     work_.set();
   }
   for (const auto& zone : cluster_.watch_zones(at)) {
-    spdlog::info("zone {} is dark: none of its workers is heard", zone);
+    spdlog::info("zone {} is unreachable: none of its workers is heard", zone);
     work_.set();
   }
 }
@@ -179,7 +180,7 @@
   std::vector<std::string> unknown;
   for (const auto& [id, job] : cluster_.jobs()) {
     const bool overdue = job.withdrawn() && at > cancel_due(job);
-    for (const auto& p : job.places) {
+    for (const auto& p : job.placements) {
       if (p.ended) continue;
       Machine* m = cluster_.machine(p.machine);
       if (m != nullptr && overdue) retire_machine(*m, "a cancelled task may still be on it");
@@ -253,7 +254,7 @@
   };
   std::map<std::string, int> zones;
   for (const auto& zone : type->zones) {
-    if (!cluster_.dark(zone)) zones[zone] = 0;
+    if (!cluster_.is_unreachable(zone)) zones[zone] = 0;
   }
   for (const auto& [id, m] : cluster_.machines()) {
     if (sched::pool_of(m.kind) == pool && zones.contains(m.kind.zone)) {
--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -19,7 +19,7 @@
 
 JobState state_of(const sched::Job& job) {
   if (job.withdrawn()) return JobState::withdrawn;
-  return job.places.empty() ? JobState::queued : JobState::running;
+  return job.placements.empty() ? JobState::queued : JobState::running;
 }
 }  // namespace
 
@@ -244,7 +244,7 @@
   if (found.kind == StoredJob::Kind::absent) co_return no_such();
   const bool ended = found.kind == StoredJob::Kind::ended;
   const std::uint64_t done = ended ? found.ending.tasks : found.job.done.size();
-  const std::uint64_t running = ended ? 0 : found.job.places.size();
+  const std::uint64_t running = ended ? 0 : found.job.placements.size();
   auto telling = state_to_tell(std::move(found));
   const auto state = co_await telling;
   if (!state) co_return come_back(kNoStateService);
--- a/src/peer/frames.cpp
+++ b/src/peer/frames.cpp
@@ -3,7 +3,7 @@
 namespace cranklock::peer {
 namespace {
 
-enum class Kind : std::uint8_t { hello = 1, carried = 2, carried_answer = 3 };
+enum class Kind : std::uint8_t { hello = 1, forwarded_report = 2, forwarded_answer = 3 };
 
 class Packer {
  public:
@@ -78,21 +78,21 @@
   p.number(static_cast<std::uint8_t>(hello.reaches_state ? 1 : 0));
   p.number(static_cast<std::uint8_t>(hello.hears_workers ? 1 : 0));
   p.number(hello.run).number(hello.sent_ms).number(hello.echo_token).number(hello.echo_ms);
-  p.number(hello.stood_in_ms);
+  p.number(hello.answered_alone_ms);
   return std::move(p).frame(Kind::hello);
 }
 
-std::string pack_one(const Carried& carried) {
+std::string pack_one(const ForwardedReport& forwarded) {
   Packer p;
-  p.number(carried.id).long_text(carried.report);
-  return std::move(p).frame(Kind::carried);
+  p.number(forwarded.id).long_text(forwarded.report);
+  return std::move(p).frame(Kind::forwarded_report);
 }
 
-std::string pack_one(const CarriedAnswer& answer) {
+std::string pack_one(const ForwardedAnswer& answer) {
   Packer p;
-  p.number(answer.id).number(answer.status).number(answer.token).number(answer.stand_in_ms);
+  p.number(answer.id).number(answer.status).number(answer.token).number(answer.answer_alone_ms);
   p.long_text(answer.body);
-  return std::move(p).frame(Kind::carried_answer);
+  return std::move(p).frame(Kind::forwarded_answer);
 }
 
 // The members of a braced list are read from left to right.
@@ -121,7 +121,7 @@
   const auto version = head.number<std::uint8_t>();
   const auto kind = head.number<std::uint8_t>();
   const bool known = kind >= static_cast<std::uint8_t>(Kind::hello) &&
-                     kind <= static_cast<std::uint8_t>(Kind::carried_answer);
+                     kind <= static_cast<std::uint8_t>(Kind::forwarded_answer);
   if (version != kVersion || !known) return Unpacked::broken;
   if (buffer.size() < kHeader + length) return Unpacked::more;
   Unpacker in(std::string_view(buffer).substr(kHeader, length));
@@ -130,12 +130,13 @@
     case Kind::hello:
       frame = read_hello(in);
       break;
-    case Kind::carried:
-      frame = Carried{in.number<std::uint64_t>(), in.long_text()};
+    case Kind::forwarded_report:
+      frame = ForwardedReport{in.number<std::uint64_t>(), in.long_text()};
       break;
-    case Kind::carried_answer:
-      frame = CarriedAnswer{in.number<std::uint64_t>(), in.number<std::uint16_t>(),
-                            in.number<std::uint64_t>(), in.number<std::uint32_t>(), in.long_text()};
+    case Kind::forwarded_answer:
+      frame =
+          ForwardedAnswer{in.number<std::uint64_t>(), in.number<std::uint16_t>(),
+                          in.number<std::uint64_t>(), in.number<std::uint32_t>(), in.long_text()};
       break;
   }
   if (!in.whole()) return Unpacked::broken;
--- a/src/peer/frames.hpp
+++ b/src/peer/frames.hpp
@@ -26,29 +26,29 @@
   /// The newest hello that it heard from a leader: whose token, and that leader's clock.
   std::uint64_t echo_token = 0, echo_ms = 0;
   /// How long ago it last answered a worker in a leader's stead.
-  std::uint32_t stood_in_ms = kNever;
+  std::uint32_t answered_alone_ms = kNever;
   bool operator==(const Hello&) const = default;
 };
 
-/// A worker's report, carried to the leader by the node that it reports to.
-struct Carried {
+/// A worker's report, forwarded to the leader by the node that it reports to.
+struct ForwardedReport {
   std::uint64_t id = 0;  ///< never used again, not even by another run of the node
   std::string report;
-  bool operator==(const Carried&) const = default;
+  bool operator==(const ForwardedReport&) const = default;
 };
 
 /// What the leader has the worker answered.
-struct CarriedAnswer {
+struct ForwardedAnswer {
   std::uint64_t id = 0;
   std::uint16_t status = 0;
   std::uint64_t token = 0;
-  /// For so long from the sending of what it answers, its carrier may answer this worker alone.
-  std::uint32_t stand_in_ms = 0;
+  /// For so long from the sending of what it answers, its forwarder may answer this worker alone.
+  std::uint32_t answer_alone_ms = 0;
   std::string body;
-  bool operator==(const CarriedAnswer&) const = default;
+  bool operator==(const ForwardedAnswer&) const = default;
 };
 
-using Frame = std::variant<Hello, Carried, CarriedAnswer>;
+using Frame = std::variant<Hello, ForwardedReport, ForwardedAnswer>;
 
 std::string pack(const Frame& frame);
 
--- a/src/sched/cluster_state.cpp
+++ b/src/sched/cluster_state.cpp
@@ -8,7 +8,7 @@
 using wire::TaskState;
 
 namespace {
-constexpr int kUnheeded = 2;  ///< answers in a row; one may be lost
+constexpr int kUnacknowledged = 2;  ///< answers in a row; one may be lost
 }
 
 void TaskSet::add(std::uint32_t task) {
@@ -47,12 +47,12 @@
 }
 
 std::size_t Job::live() const {
-  return static_cast<std::size_t>(
-      std::count_if(places.begin(), places.end(), [](const Place& p) { return !p.ended; }));
+  return static_cast<std::size_t>(std::count_if(placements.begin(), placements.end(),
+                                                [](const Placement& p) { return !p.ended; }));
 }
 
-Place* Job::find(std::uint32_t task, std::uint64_t attempt) {
-  for (auto& p : places) {
+Placement* Job::find(std::uint32_t task, std::uint64_t attempt) {
+  for (auto& p : placements) {
     if (p.task == task && p.attempt == attempt) return &p;
   }
   return nullptr;
@@ -60,7 +60,7 @@
 
 std::vector<std::uint32_t> Job::pending(std::size_t most) const {
   std::set<std::uint32_t> placed;
-  for (const auto& p : places) {
+  for (const auto& p : placements) {
     if (!p.ended) placed.insert(p.task);
   }
   std::vector<std::uint32_t> out;
@@ -80,7 +80,7 @@
 
 std::uint32_t Job::pending_count() const {
   std::uint32_t placed = 0;
-  for (const auto& p : places) placed += !p.ended && !done.contains(p.task) ? 1 : 0;
+  for (const auto& p : placements) placed += !p.ended && !done.contains(p.task) ? 1 : 0;
   return spec.tasks - std::min(spec.tasks, done.size() + placed);
 }
 
@@ -131,26 +131,26 @@
   return it == team_use_.end() ? none : it->second;
 }
 
-void ClusterState::attach(Job& job, Place& place) {
-  if (place.ended) return;
+void ClusterState::attach(Job& job, Placement& placement) {
+  if (placement.ended) return;
   team_use_[job.spec.team] += job.spec.room;
-  const Held held{&job, place.task, place.attempt};
-  Machine* m = machine(place.machine);
+  const PlacementRef held{&job, placement.task, placement.attempt};
+  Machine* m = machine(placement.machine);
   // A record may name a machine that neither list nor report has shown yet.
   if (m == nullptr) {
-    unseen_[place.machine].push_back(held);
+    unseen_[placement.machine].push_back(held);
     return;
   }
   m->used += job.spec.room;
   m->tasks.push_back(held);
 }
 
-void ClusterState::detach(Job& job, const Place& place, double now) {
+void ClusterState::detach(Job& job, const Placement& placement, double now) {
   team_use_[job.spec.team] -= job.spec.room;
-  const Held held{&job, place.task, place.attempt};
-  Machine* m = machine(place.machine);
+  const PlacementRef held{&job, placement.task, placement.attempt};
+  Machine* m = machine(placement.machine);
   if (m == nullptr) {
-    const auto unseen = unseen_.find(place.machine);
+    const auto unseen = unseen_.find(placement.machine);
     if (unseen == unseen_.end()) return;
     std::erase(unseen->second, held);
     if (unseen->second.empty()) unseen_.erase(unseen);
@@ -170,7 +170,7 @@
   changed_ = true;
   const auto id = job.spec.id;
   if (Job* old = this->job(id)) {
-    // The stored record decides which places there are; what was learnt of each is kept.
+    // The stored record decides which placements there are; what was learnt of each is kept.
     job.known_since = old->known_since;
     job.backoff_until = old->backoff_until;
     job.failures = old->failures;
@@ -182,23 +182,23 @@
       job.withdrawn_since = old->withdrawn_since;
     }
     // Guards against a number given once to one machine and, after an unanswered write, to another:
-    // carried out late, that write would make the two look like one place.
+    // carried out late, that write would make the two look like one placement.
     job.last_attempt = std::max(job.last_attempt, old->last_attempt);
     const auto stored_done = job.done.size();
     job.done.merge(old->done);  // learnt, perhaps not written yet; it stays true
     // Something it knew may be missing in the record, which is then written again.
     job.dirty = job.done.size() != stored_done;
-    for (auto& p : job.places) {
-      const Place* known = old->find(p.task, p.attempt);
+    for (auto& p : job.placements) {
+      const Placement* known = old->find(p.task, p.attempt);
       if (known == nullptr || known->machine != p.machine) continue;
       p = *known;
       p.durable = true;
       // What was dropped before it was stored has never been started.
       p.ended = p.ended || p.dropped;
-      p.undecided = p.dropped = false;
+      p.outcome_unknown = p.dropped = false;
       job.dirty = job.dirty || p.ended;
     }
-    for (const auto& p : old->places) {
+    for (const auto& p : old->placements) {
       if (!p.ended) detach(*old, p, now);
     }
     jobs_.erase(id);
@@ -207,7 +207,7 @@
   }
   if (job.withdrawn() && job.withdrawn_since == 0) job.withdrawn_since = now;
   Job& put = jobs_.emplace(id, std::move(job)).first->second;
-  for (auto& p : put.places) {
+  for (auto& p : put.placements) {
     if (p.decided_at == 0) p.decided_at = now;  // by a former leader, who knows when
     attach(put, p);
   }
@@ -280,7 +280,7 @@
 void ClusterState::drop_job(const std::string& id) {
   Job* j = job(id);
   if (j == nullptr) return;
-  for (const auto& p : j->places) {
+  for (const auto& p : j->placements) {
     if (!p.ended) detach(*j, p, j->known_since);
   }
   dependencies_.remove(id);
@@ -288,49 +288,49 @@
   changed_ = true;
 }
 
-Place& ClusterState::add_place(Job& job, std::uint32_t task, std::uint64_t attempt,
-                               const std::string& machine_id, double now) {
-  Place place;
-  place.task = task;
-  place.attempt = attempt;
-  place.machine = machine_id;
-  place.decided_at = now;
+Placement& ClusterState::add_placement(Job& job, std::uint32_t task, std::uint64_t attempt,
+                                       const std::string& machine_id, double now) {
+  Placement placement;
+  placement.task = task;
+  placement.attempt = attempt;
+  placement.machine = machine_id;
+  placement.decided_at = now;
   job.last_attempt = std::max(job.last_attempt, attempt);
   job.dirty = true;
-  job.places.push_back(std::move(place));
-  attach(job, job.places.back());
-  return job.places.back();
+  job.placements.push_back(std::move(placement));
+  attach(job, job.placements.back());
+  return job.placements.back();
 }
 
-void ClusterState::end_place(Job& job, Place& place, double now) {
-  if (place.ended) return;
+void ClusterState::end_placement(Job& job, Placement& placement, double now) {
+  if (placement.ended) return;
   job.dirty = true;
   changed_ = true;
-  if (place.undecided) {
-    place.dropped = true;
+  if (placement.outcome_unknown) {
+    placement.dropped = true;
     return;
   }
-  place.ended = true;
-  detach(job, place, now);
+  placement.ended = true;
+  detach(job, placement, now);
 }
 
-void ClusterState::settle_dropped(Job& job, Place& place, double now) {
+void ClusterState::resolve_dropped(Job& job, Placement& placement, double now) {
   const bool dirty = job.dirty;
-  place.undecided = place.dropped = false;
-  end_place(job, place, now);
+  placement.outcome_unknown = placement.dropped = false;
+  end_placement(job, placement, now);
   job.dirty = dirty;
 }
 
-void ClusterState::request_stop(Place& place, double grace_s, double now) {
-  if (place.ended || place.stop) return;
-  place.stop = true;
-  place.grace_s = grace_s;
-  place.stop_since = now;
+void ClusterState::request_stop(Placement& placement, double grace_s, double now) {
+  if (placement.ended || placement.stop) return;
+  placement.stop = true;
+  placement.grace_s = grace_s;
+  placement.stop_since = now;
 }
 
 void ClusterState::forget_ended(Job& job,
                                 const std::vector<std::pair<std::uint32_t, std::uint64_t>>& which) {
-  std::erase_if(job.places, [&](const Place& p) {
+  std::erase_if(job.placements, [&](const Placement& p) {
     return p.ended &&
            std::find(which.begin(), which.end(), std::make_pair(p.task, p.attempt)) != which.end();
   });
@@ -353,9 +353,9 @@
 }
 
 void ClusterState::end_all(Machine& m, double now) {
-  const auto tasks = m.tasks;  // ending a place changes the list
+  const auto tasks = m.tasks;  // ending a placement changes the list
   for (const auto& held : tasks) {
-    end_place(*held.job, held.place(), now);
+    end_placement(*held.job, held.placement(), now);
     break_gang(*held.job, held.attempt, now);
   }
 }
@@ -370,7 +370,7 @@
 
 void ClusterState::break_gang(Job& job, std::uint64_t attempt, double now) {
   if (job.spec.shape != wire::Shape::gang) return;
-  for (auto& p : job.places) {
+  for (auto& p : job.placements) {
     if (p.attempt == attempt && !p.ended) request_stop(p, 0, now);
   }
 }
@@ -402,14 +402,14 @@
   }
 }
 
-void ClusterState::task_exited(Job& job, Place& place, const wire::TaskReport& t, Machine& m,
-                               double now) {
-  place.seen = true;
-  place.state = TaskState::exited;
-  const auto attempt = place.attempt;
+void ClusterState::task_exited(Job& job, Placement& placement, const wire::TaskReport& t,
+                               Machine& m, double now) {
+  placement.seen = true;
+  placement.state = TaskState::exited;
+  const auto attempt = placement.attempt;
   switch (t.cause) {
     case Cause::done:
-      job.done.add(place.task);
+      job.done.add(placement.task);
       job.succeeded = true;
       m.failed_jobs.clear();
       break;
@@ -424,15 +424,15 @@
     default:
       break;
   }
-  end_place(job, place, now);
+  end_placement(job, placement, now);
   if (t.cause != Cause::done) break_gang(job, attempt, now);
 }
 
-ClusterState::Freshness ClusterState::apply_report(const wire::Report& r, bool checkin,
+ClusterState::Freshness ClusterState::apply_report(const wire::Report& r, bool own_report,
                                                    double now) {
   Machine& m = put_machine(r.machine, {r.type, r.zone, r.spot}, now);
   const std::pair when(r.session, r.tick);
-  if (checkin) {
+  if (own_report) {
     if (when <= std::pair(m.own_session, m.own_tick)) return Freshness::late_copy;
     m.own_session = r.session;
     m.own_tick = r.tick;
@@ -443,11 +443,12 @@
   // Absences. Only a report of the worker's own that shows our token counts, and only one newer
   // than what carried the start: the token shuts out a former leader's commands still under way,
   // the order shuts out late copies and answers crossing on the way.
-  if (checkin && r.token < token_ && m.last_answered > 0 && ++m.unheeded >= kUnheeded) {
-    m.deaf_until = now + settings_.lease_s;
+  if (own_report && r.token < token_ && m.last_answered > 0 &&
+      ++m.unacknowledged >= kUnacknowledged) {
+    m.unresponsive_until = now + settings_.lease_s;
   }
-  if (!checkin || r.token != token_) return Freshness::fresh;
-  m.unheeded = 0;
+  if (!own_report || r.token != token_) return Freshness::fresh;
+  m.unacknowledged = 0;
   end_absent(m, r, reported, now);
   return Freshness::fresh;
 }
@@ -457,7 +458,7 @@
   const bool was_usable = m.reported && !m.silent;
   if (r.session != m.session) {
     // What an earlier session was told can't be executed in this one.
-    m.doubtful.clear();
+    m.unconfirmed_starts.clear();
     if (m.reported) m.images.clear(), m.shown_token = false;
   }
   m.address = r.address;
@@ -477,73 +478,74 @@
     if (!m.taken_at) changed_ = true;
     m.taken_at = m.taken_at ? std::min(*m.taken_at, at) : at;
   }
-  if (m.deaf_until > 0 && now > m.deaf_until) m.deaf_until = 0, changed_ = true;
+  if (m.unresponsive_until > 0 && now > m.unresponsive_until)
+    m.unresponsive_until = 0, changed_ = true;
   if (!was_usable) changed_ = true;
 }
 
 // What a message says of tasks; returns all that it names.
 ClusterState::Attempts ClusterState::apply_tasks(Machine& m, const wire::Report& r, double now) {
   Attempts reported;
-  int strangers = 0;
+  int unknown_tasks = 0;
   for (const auto& t : r.tasks) {
     reported.insert({t.task, t.attempt});
     Job* j = job(t.task.job);
-    Place* p = j != nullptr ? j->find(t.task.index, t.attempt) : nullptr;
+    Placement* p = j != nullptr ? j->find(t.task.index, t.attempt) : nullptr;
     if (p == nullptr || p->machine != m.id) {
-      if (t.state != TaskState::exited) ++strangers;
+      if (t.state != TaskState::exited) ++unknown_tasks;
     } else if (!p->ended) {
       apply_task(m, *j, *p, t, r.token == token_, now);
     }
   }
-  if (m.strangers != strangers) changed_ = true;
-  m.strangers = strangers;
+  if (m.unknown_tasks != unknown_tasks) changed_ = true;
+  m.unknown_tasks = unknown_tasks;
   return reported;
 }
 
-void ClusterState::apply_task(Machine& m, Job& job, Place& place, const wire::TaskReport& t,
+void ClusterState::apply_task(Machine& m, Job& job, Placement& placement, const wire::TaskReport& t,
                               bool shows_token, double now) {
   if (t.state == TaskState::exited) {
     // Guards against a late copy, from before our leadership, of an end in an earlier session: the
     // same attempt may have been started again since. Only that it is done stays true.
     if (shows_token) {
-      task_exited(job, place, t, m, now);
-    } else if (t.cause == Cause::done && !job.done.contains(place.task)) {
-      job.done.add(place.task);
+      task_exited(job, placement, t, m, now);
+    } else if (t.cause == Cause::done && !job.done.contains(placement.task)) {
+      job.done.add(placement.task);
       job.dirty = true;
       changed_ = true;
     }
     return;
   }
-  if (!place.seen || (place.state != t.state && t.state == TaskState::running)) {
+  if (!placement.seen || (placement.state != t.state && t.state == TaskState::running)) {
     used_image(m, job.spec);
-    if (t.state == TaskState::running) place.running_since = now;
+    if (t.state == TaskState::running) placement.running_since = now;
   }
-  place.seen = true;
-  place.state = t.state;
+  placement.seen = true;
+  placement.state = t.state;
 }
 
-// Ends the places that a report proves gone by not naming them.
+// Ends the placements that a report proves gone by not naming them.
 void ClusterState::end_absent(Machine& m, const wire::Report& r, const Attempts& reported,
                               double now) {
-  const auto tasks = m.tasks;  // ending a place changes the list
+  const auto tasks = m.tasks;  // ending a placement changes the list
   for (const auto& held : tasks) {
     Job& j = *held.job;
-    Place& p = held.place();
+    Placement& p = held.placement();
     if (reported.contains({{j.spec.id, p.task}, p.attempt})) continue;
-    if (p.doubtful_session == r.session) continue;  // may still be executed
-    const bool carried = p.carried_session != 0;
-    if (carried && std::pair(r.session, r.tick) <= std::pair(p.carried_session, p.carried_tick)) {
+    if (p.unconfirmed_session == r.session) continue;  // may still be executed
+    const bool told = p.start_session != 0;
+    if (told && std::pair(r.session, r.tick) <= std::pair(p.start_session, p.start_tick)) {
       continue;
     }
-    const bool lost = p.seen || (carried && p.carried_session != r.session) ||
-                      (p.doubtful_session != 0 && p.doubtful_session != r.session);
+    const bool lost = p.seen || (told && p.start_session != r.session) ||
+                      (p.unconfirmed_session != 0 && p.unconfirmed_session != r.session);
     if (!lost && !p.stop && !j.withdrawn()) {
       // Guards against a machine whose reports arrive and whom no answer reaches: idle for ever, it
       // would hold whatever is put on it. What it was not told it does not run.
-      if (!carried || ++p.unheeded < kUnheeded) continue;  // its start is sent (again)
-      m.deaf_until = now + settings_.lease_s;
+      if (!told || ++p.unacknowledged < kUnacknowledged) continue;  // its start is sent (again)
+      m.unresponsive_until = now + settings_.lease_s;
     }
-    end_place(j, p, now);
+    end_placement(j, p, now);
     break_gang(j, held.attempt, now);
   }
 }
@@ -556,12 +558,12 @@
   for (const auto& t : r.tasks) {
     reported.insert({t.task, t.attempt});
     Job* j = job(t.task.job);
-    const Place* p = j != nullptr ? j->find(t.task.index, t.attempt) : nullptr;
+    const Placement* p = j != nullptr ? j->find(t.task.index, t.attempt) : nullptr;
     const bool ours = p != nullptr && p->machine == m->id;
     if (t.state == TaskState::exited) {
-      // A place still kept has not been written as ended yet: `done` is durable before `forget`.
-      // A start in doubt would run once more if it came after a forget.
-      if (!ours && !m->doubtful.contains({t.task, t.attempt})) {
+      // A placement still kept has not been written as ended yet: `done` is durable before
+      // `forget`. A start in doubt would run once more if it came after a forget.
+      if (!ours && !m->unconfirmed_starts.contains({t.task, t.attempt})) {
         out.push_back({wire::Verb::forget, t.task, t.attempt, 0});
       }
     } else if (!ours || p->ended || j->withdrawn()) {
@@ -577,17 +579,17 @@
   if (!may_start || m->removing) return out;
   for (const auto& held : m->tasks) {
     const Job& j = *held.job;
-    Place& p = held.place();
+    Placement& p = held.placement();
     if (j.withdrawn() || !p.durable || !j.needs_met) continue;
-    // Guards against a place that is stopped while its start is in doubt: nobody would ever see it
-    // end. Told here of both, the worker knows the attempt, and the start in doubt has no effect
+    // Guards against a placement that is stopped while its start is in doubt: nobody would ever see
+    // it end. Told here of both, the worker knows the attempt, and the start in doubt has no effect
     // any more.
-    if (p.stop && p.doubtful_session != r.session) continue;
+    if (p.stop && p.unconfirmed_session != r.session) continue;
     if (reported.contains({{j.spec.id, p.task}, p.attempt})) continue;
     out.push_back({wire::Verb::start, {j.spec.id, p.task}, p.attempt, 0});
     if (p.stop) out.push_back({wire::Verb::stop, {j.spec.id, p.task}, p.attempt, 0});
-    p.carried_session = r.session;
-    p.carried_tick = r.tick;
+    p.start_session = r.session;
+    p.start_tick = r.tick;
   }
   return out;
 }
@@ -596,25 +598,26 @@
   if (Machine* m = machine(id)) m->last_answered = now;
 }
 
-void ClusterState::note_deputy(const std::string& name, std::uint64_t run, double quiet_until,
-                               double stood_in_at, double now) {
-  const auto [it, first] = deputies_.try_emplace(name);
-  Deputy& deputy = it->second;
+void ClusterState::note_forwarder(const std::string& name, std::uint64_t run, double quiet_until,
+                                  double answered_alone_at, double now) {
+  const auto [it, first] = forwarders_.try_emplace(name);
+  ReportForwarder& forwarder = it->second;
   // What another run of it did until it ended, nobody remembers.
-  if (first || deputy.run != run) stood_in_at = now;
-  deputy.run = run;
-  deputy.quiet_until = std::max(deputy.quiet_until, quiet_until);
-  deputy.stood_in_at = std::max(deputy.stood_in_at, stood_in_at);
+  if (first || forwarder.run != run) answered_alone_at = now;
+  forwarder.run = run;
+  forwarder.quiet_until = std::max(forwarder.quiet_until, quiet_until);
+  forwarder.answered_alone_at = std::max(forwarder.answered_alone_at, answered_alone_at);
 }
 
-bool ClusterState::deputy_heard(const std::string& name, double now) const {
-  const auto it = deputies_.find(name);
-  return it != deputies_.end() && now < it->second.quiet_until;
+bool ClusterState::forwarder_heard(const std::string& name, double now) const {
+  const auto it = forwarders_.find(name);
+  return it != forwarders_.end() && now < it->second.quiet_until;
 }
 
 bool ClusterState::stopping(const Machine& m) {
-  return m.strangers > 0 || std::any_of(m.tasks.begin(), m.tasks.end(), [](const Held& held) {
-           return held.job->withdrawn() || held.place().stop;
+  return m.unknown_tasks > 0 ||
+         std::any_of(m.tasks.begin(), m.tasks.end(), [](const PlacementRef& held) {
+           return held.job->withdrawn() || held.placement().stop;
          });
 }
 
@@ -627,16 +630,16 @@
     at = std::max(at, began_ + base::answer_span(settings_) * (1 + 4 * base::kClockDrift));
   }
   for (const auto& [name, until] : m.kept_until) {
-    const auto it = deputies_.find(name);
-    const bool heard = it != deputies_.end() && now < it->second.quiet_until;
-    at = std::max(at, std::min(until, heard ? it->second.stood_in_at : now));
+    const auto it = forwarders_.find(name);
+    const bool heard = it != forwarders_.end() && now < it->second.quiet_until;
+    at = std::max(at, std::min(until, heard ? it->second.answered_alone_at : now));
   }
   return at;
 }
 
-void ClusterState::excuse(const std::string& zone, double until) {
+void ClusterState::allow_silence(const std::string& zone, double until) {
   for (auto& [id, m] : machines_) {
-    if (m.kind.zone == zone) m.excused_until = until;
+    if (m.kind.zone == zone) m.silence_allowed_until = until;
   }
 }
 
@@ -660,19 +663,20 @@
   std::vector<std::string> out;
   for (const auto& [name, zone] : zones) {
     if (now - zone.heard < 3 * settings_.report_s) {
-      if (dark_until_.erase(name) == 0) continue;
-      excuse(name, now + 2 * settings_.lease_s);  // who is there will be heard by then
+      if (unreachable_until_.erase(name) == 0) continue;
+      allow_silence(name, now + 2 * settings_.lease_s);  // who is there will be heard by then
       changed_ = true;
-    } else if (others_report && zone.workers >= kFewest && !dark_until_.contains(name)) {
+    } else if (others_report && zone.workers >= kFewest && !unreachable_until_.contains(name)) {
       // The machines come back with their zone, and with their images; but not for ever.
-      dark_until_[name] = now + 3 * settings_.cancel_s;
-      excuse(name, dark_until_[name]);
+      unreachable_until_[name] = now + 3 * settings_.cancel_s;
+      allow_silence(name, unreachable_until_[name]);
       out.push_back(name);
       changed_ = true;
     }
   }
   // Then its silent machines are given back, and others are tried there.
-  std::erase_if(dark_until_, [&](const auto& dark) { return dark.second < now; });
+  std::erase_if(unreachable_until_,
+                [&](const auto& unreachable) { return unreachable.second < now; });
   return out;
 }
 
--- a/src/sched/cluster_state.hpp
+++ b/src/sched/cluster_state.hpp
@@ -1,5 +1,5 @@
-// What the leader knows: jobs with their places, machines, teams' use. Pure: no I/O, time passed
-// in.
+// What the leader knows: jobs with their placements, machines, teams' use. Pure: no I/O, time
+// passed in.
 #pragma once
 
 #include <cstdint>
@@ -32,7 +32,7 @@
 };
 
 /// One attempt of one task on one machine, from the decision until it is proven gone.
-struct Place {
+struct Placement {
   std::uint32_t task = 0;
   std::uint64_t attempt = 0;
   std::string machine;
@@ -42,8 +42,8 @@
   bool ended = false;
   /// A write that names it was not answered, and may yet be carried out: until a later write of the
   /// record succeeds, or is found to have been forestalled, its room is not free for others.
-  bool undecided = false;
-  bool dropped = false;  ///< not wanted any more, but undecided
+  bool outcome_unknown = false;
+  bool dropped = false;  ///< not wanted any more, its outcome being unknown
   bool stop = false;     ///< to be stopped, saving if grace_s allows
   double grace_s = 0;
   double stop_since = 0;
@@ -53,11 +53,11 @@
   double running_since = 0;
   double decided_at = 0;
   /// The newest report whose answer carried the start; an absence counts only in a newer report.
-  std::uint64_t carried_session = 0, carried_tick = 0;
-  int unheeded = 0;  ///< reports that came after such an answer and did not show it
+  std::uint64_t start_session = 0, start_tick = 0;
+  int unacknowledged = 0;  ///< reports that came after such an answer and did not show it
   /// A start sent straight to the worker in this session that was never answered: it may still be
   /// executed there. 0: none.
-  std::uint64_t doubtful_session = 0;
+  std::uint64_t unconfirmed_session = 0;
 };
 
 inline constexpr std::int64_t kNoDeadline = INT64_MAX;
@@ -76,7 +76,7 @@
   std::int64_t withdrawn_ms = 0;  ///< 0: not cancelled
   std::uint64_t last_attempt = 0;
   TaskSet done;
-  std::vector<Place> places;
+  std::vector<Placement> placements;
   // Known to this leader only.
   std::uint64_t revision = 0;
   int stored_parts = 0;
@@ -104,21 +104,21 @@
   bool withdrawn() const { return withdrawn_ms != 0; }
   bool complete() const { return done.size() == spec.tasks; }
   std::size_t live() const;
-  Place* find(std::uint32_t task, std::uint64_t attempt);
+  Placement* find(std::uint32_t task, std::uint64_t attempt);
   /// Up to `most` tasks that are neither done nor on any machine.
   std::vector<std::uint32_t> pending(std::size_t most) const;
   std::uint32_t pending_count() const;
 };
 
-/// A live place as its machine knows it: an index over the jobs' places, kept by ClusterState
-/// alone.
-struct Held {
+/// A live placement as its machine knows it: an index over the jobs' placements, kept by
+/// ClusterState alone.
+struct PlacementRef {
   Job* job;
   std::uint32_t task;
   std::uint64_t attempt;
 
-  Place& place() const { return *job->find(task, attempt); }
-  bool operator==(const Held&) const = default;
+  Placement& placement() const { return *job->find(task, attempt); }
+  bool operator==(const PlacementRef&) const = default;
 };
 
 struct MachineKind {
@@ -143,29 +143,29 @@
   std::uint64_t own_session = 0, own_tick = 0;  ///< newest report of its own
   double last_report = 0;
   double last_answered = 0;  ///< when a report was last answered 200
-  /// Until when a deputy, by name, may answer its reports in our stead.
+  /// Until when a forwarder, by name, may answer its reports in our stead.
   std::map<std::string, double> kept_until;
-  double handed_over = 0;  ///< when it was last sent to a deputy
+  double handed_over = 0;  ///< when it was last sent to a forwarder
   std::optional<double> taken_at;
-  bool silent = false;       ///< its lease has certainly run out
-  double excused_until = 0;  ///< its zone is cut off, or was until lately
-  double deaf_until = 0;     ///< what it is told does not reach it; 0: it does
-  int unheeded = 0;          ///< answers after which it still did not show our token
+  bool silent = false;               ///< its lease has certainly run out
+  double silence_allowed_until = 0;  ///< its zone is cut off, or was until lately
+  double unresponsive_until = 0;     ///< what it is told does not reach it; 0: it does
+  int unacknowledged = 0;            ///< answers after which it still did not show our token
   bool quarantined = false;
   bool removing = false;  ///< to be deleted; nothing is placed on it
   double idle_since = 0;
   std::set<std::string> failed_jobs;  ///< since something last worked there
-  int strangers = 0;                  ///< reported tasks without a place, not yet exited
+  int unknown_tasks = 0;              ///< reported tasks without a placement, not yet exited
   std::vector<std::pair<std::string, double>> images;  ///< most recently used last
   wire::Room used;
-  std::vector<Held> tasks;
+  std::vector<PlacementRef> tasks;
   /// Starts in doubt in the present session: what must not be forgotten there.
-  std::set<std::pair<wire::TaskName, std::uint64_t>> doubtful;
+  std::set<std::pair<wire::TaskName, std::uint64_t>> unconfirmed_starts;
 
   /// Since this leader began: a report alone may be a late copy of a machine that is gone.
   bool confirmed() const { return shown_token || rented_here; }
   bool holds_image(const std::string& image) const;
-  bool idle() const { return tasks.empty() && strangers == 0; }
+  bool idle() const { return tasks.empty() && unknown_tasks == 0; }
 };
 
 class ClusterState {
@@ -175,7 +175,7 @@
       : settings_(settings), token_(token), began_(began) {}
 
   // Jobs.
-  /// Puts in place what is stored. What was learnt of the job and its places is kept.
+  /// Takes over what is stored. What was learnt of the job and its placements is kept.
   Job& put_job(Job job, double now);
   void drop_job(const std::string& id);
   /// Its user has cancelled it, at `since` or later; the stored record may come after this. All
@@ -192,15 +192,15 @@
   std::map<std::string, Job>& jobs() { return jobs_; }
 
   // Places.
-  Place& add_place(Job& job, std::uint32_t task, std::uint64_t attempt, const std::string& machine,
-                   double now);
-  void end_place(Job& job, Place& place, double now);
+  Placement& add_placement(Job& job, std::uint32_t task, std::uint64_t attempt,
+                           const std::string& machine, double now);
+  void end_placement(Job& job, Placement& placement, double now);
   /// A write of the record has succeeded that does not name it.
-  void settle_dropped(Job& job, Place& place, double now);
-  static void request_stop(Place& place, double grace_s, double now);
+  void resolve_dropped(Job& job, Placement& placement, double now);
+  static void request_stop(Placement& placement, double grace_s, double now);
   /// Ends everything a machine holds; what it held of gangs is stopped elsewhere too.
   void end_all(Machine& machine, double now);
-  /// Erases ended places that a durable record no longer names.
+  /// Erases ended placements that a durable record no longer names.
   void forget_ended(Job& job, const std::vector<std::pair<std::uint32_t, std::uint64_t>>& which);
 
   // Machines.
@@ -212,33 +212,34 @@
 
   /// `overtaken`: a report that an answer to a direct command has passed on the way.
   enum class Freshness { fresh, overtaken, late_copy };
-  /// Takes a report in. `checkin` is false for the answers of direct commands, from which no
+  /// Takes a report in. `own_report` is false for the answers of direct commands, from which no
   /// absence is concluded. A late copy changes nothing.
-  Freshness apply_report(const wire::Report& report, bool checkin, double now);
+  Freshness apply_report(const wire::Report& report, bool own_report, double now);
   /// What to tell a worker in the answer to this report. Starts only while `may_start`.
   std::vector<wire::Order> orders(const wire::Report& report, bool may_start, double now);
   void note_answered(const std::string& machine, double now);
 
-  /// What a deputy's hello proves: that it answers no worker in our stead before `quiet_until`,
-  /// save for what it did until `stood_in_at` (below 0: never).
-  void note_deputy(const std::string& name, std::uint64_t run, double quiet_until,
-                   double stood_in_at, double now);
-  /// The deputy has heard us, and we it, just now.
-  bool deputy_heard(const std::string& name, double now) const;
+  /// What a forwarder's hello proves: that it answers no worker in our stead before `quiet_until`,
+  /// save for what it did until `answered_alone_at` (below 0: never).
+  void note_forwarder(const std::string& name, std::uint64_t run, double quiet_until,
+                      double answered_alone_at, double now);
+  /// The forwarder has heard us, and we it, just now.
+  bool forwarder_heard(const std::string& name, double now) const;
   /// Something on it is to be stopped, or may still run though it is ended here.
   static bool stopping(const Machine& machine);
   /// The latest time at which a report of it may have been answered by us, in our stead, or by a
   /// former leader.
   double maybe_answered(const Machine& machine, double now) const;
 
-  /// Ends the places of machines whose lease has run out for certain; returns those machines.
+  /// Ends the placements of machines whose lease has run out for certain; returns those machines.
   std::vector<std::string> expire_leases(double now);
 
   /// Looks for zones whose workers have all gone quiet at once while others report; returns those
-  /// that turned dark just now. What is there may well run on, but nothing new is asked of it.
+  /// that turned unreachable just now. What is there may well run on, but nothing new is asked of
+  /// it.
   std::vector<std::string> watch_zones(double now);
-  bool dark(const std::string& zone) const { return dark_until_.contains(zone); }
-  bool any_dark() const { return !dark_until_.empty(); }
+  bool is_unreachable(const std::string& zone) const { return unreachable_until_.contains(zone); }
+  bool any_unreachable() const { return !unreachable_until_.empty(); }
 
   void set_types(std::vector<wire::MachineType> types);
   const std::map<std::string, wire::MachineType>& types() const { return types_; }
@@ -257,20 +258,20 @@
   using Attempts = std::set<std::pair<wire::TaskName, std::uint64_t>>;
   void note_message(Machine& machine, const wire::Report& report, double now);
   Attempts apply_tasks(Machine& machine, const wire::Report& report, double now);
-  void apply_task(Machine& machine, Job& job, Place& place, const wire::TaskReport& report,
+  void apply_task(Machine& machine, Job& job, Placement& placement, const wire::TaskReport& report,
                   bool shows_token, double now);
   void end_absent(Machine& machine, const wire::Report& report, const Attempts& reported,
                   double now);
-  void task_exited(Job& job, Place& place, const wire::TaskReport& report, Machine& machine,
+  void task_exited(Job& job, Placement& placement, const wire::TaskReport& report, Machine& machine,
                    double now);
   void task_failed(Job& job, Machine& machine, double now);
-  void excuse(const std::string& zone, double until);
+  void allow_silence(const std::string& zone, double until);
   void break_gang(Job& job, std::uint64_t attempt, double now);
   void used_image(Machine& machine, const wire::JobSpec& spec);
   void update_needs(Job& job);
   void withdraw_dependents(const Job& cancelled);
-  void attach(Job& job, Place& place);
-  void detach(Job& job, const Place& place, double now);
+  void attach(Job& job, Placement& placement);
+  void detach(Job& job, const Placement& placement, double now);
 
   const base::Settings& settings_;
   std::uint64_t token_;
@@ -279,15 +280,15 @@
   Dependencies dependencies_;
   std::map<std::string, Machine> machines_;
   /// Places on machines that neither list nor report has shown yet, by machine.
-  std::map<std::string, std::vector<Held>> unseen_;
+  std::map<std::string, std::vector<PlacementRef>> unseen_;
   std::map<std::string, wire::Room> team_use_;
   std::map<std::string, wire::MachineType> types_;
-  struct Deputy {
+  struct ReportForwarder {
     std::uint64_t run = 0;
-    double quiet_until = 0, stood_in_at = 0;
+    double quiet_until = 0, answered_alone_at = 0;
   };
-  std::map<std::string, Deputy> deputies_;
-  std::map<std::string, double> dark_until_;
+  std::map<std::string, ReportForwarder> forwarders_;
+  std::map<std::string, double> unreachable_until_;
   bool changed_ = true;
 };
 
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -25,7 +25,7 @@
   return share;
 }
 
-/// A candidate place: a machine there is, or one that boots or would be rented.
+/// A candidate for a task: a machine there is, or one that boots or would be rented.
 struct Slot {
   MachineKind kind;
   Room free;
@@ -43,8 +43,9 @@
 
 // Guard against a pass that holds up reports, users and the renewal of the leader lease: a burst,
 // or the loss of many machines, is dealt with in several passes, the most entitled work first.
-constexpr double kExposed = 0.5;  ///< of a boot: what a replica's place in an exposed zone weighs
-constexpr int kMostPlaced = 400;  ///< tasks a pass
+constexpr double kExposed =
+    0.5;  ///< of a boot: what a replica's placement in an exposed zone weighs
+constexpr int kMostPlaced = 400;          ///< tasks a pass
 constexpr std::size_t kMostRounds = 100;  ///< of all machines, to make room
 
 class Pass {
@@ -53,7 +54,7 @@
       : cluster_(cluster), refused_until_(refused_until), now_(now) {
     std::map<std::string, Room> leaving;  // by machine; few are being stopped
     for (const auto& [id, job] : cluster.jobs()) {
-      for (const auto& p : job.places) {
+      for (const auto& p : job.placements) {
         if (!p.ended && (p.stop || job.withdrawn())) leaving[p.machine] += job.spec.room;
       }
     }
@@ -99,7 +100,7 @@
   struct Victim {
     double loss;
     Job* job;
-    Place* place;
+    Placement* placement;
   };
   /// A machine that could take a task, and what would have to be stopped there for it.
   struct Choice {
@@ -112,7 +113,7 @@
   std::optional<Choice> choose_room(const Job& job, const ZoneCount& zones,
                                     const std::string& only_zone, const std::set<Slot*>& taken);
   std::vector<Victim> victims_on(const Job& job, const Slot& slot) const;
-  double loss_of(const Job& victim, const Place& place) const;
+  double loss_of(const Job& victim, const Placement& placement) const;
   void stop_victims(const Job& job, const Choice& choice);
   std::vector<std::string> gang_zones(const Job& job) const;
   void foresee_losses();
@@ -185,7 +186,7 @@
 ZoneCount Pass::zones_of(const Job& job) const {
   ZoneCount out;
   if (!job.spec.one_zone && !job.spec.spread) return out;
-  for (const auto& p : job.places) {
+  for (const auto& p : job.placements) {
     if (p.ended) continue;
     const Machine* m = cluster_.machine(p.machine);
     // A machine that nothing has shown yet could be anywhere.
@@ -260,7 +261,7 @@
 }
 
 void Pass::take(Job& job, std::uint32_t task, std::uint64_t attempt, Slot& slot) {
-  cluster_.add_place(job, task, attempt, slot.machine->id, now_);
+  cluster_.add_placement(job, task, attempt, slot.machine->id, now_);
   slot.free -= job.spec.room;
   ++result_.placed;
 }
@@ -454,7 +455,7 @@
     Job* victim = held.job;
     if (victim->withdrawn() || !may_preempt(job, *victim)) continue;
     if (victim->spec.shape == Shape::gang && victim->spec.tasks > 1) continue;
-    Place& p = held.place();
+    Placement& p = held.placement();
     if (p.stop || !p.durable) continue;
     victims.push_back({loss_of(*victim, p), victim, &p});
   }
@@ -465,9 +466,9 @@
 }
 
 // Seconds of work. A replica's absence is noticed at once; other work loses what it did not save.
-double Pass::loss_of(const Job& victim, const Place& place) const {
+double Pass::loss_of(const Job& victim, const Placement& placement) const {
   if (victim.spec.shape == Shape::service) return cluster_.settings().cancel_s;
-  const double ran = place.running_since > 0 ? now_ - place.running_since : 0;
+  const double ran = placement.running_since > 0 ? now_ - placement.running_since : 0;
   return victim.spec.checkpoint_s > 0 ? std::min(ran, victim.spec.save_s) : ran;
 }
 
@@ -501,7 +502,7 @@
 void Pass::stop_victims(const Job& job, const Choice& choice) {
   choice.slot->free -= job.spec.room;
   for (const auto& v : choice.victims) {
-    ClusterState::request_stop(*v.place, v.job->spec.checkpoint_s > 0 ? v.job->spec.save_s : 0,
+    ClusterState::request_stop(*v.placement, v.job->spec.checkpoint_s > 0 ? v.job->spec.save_s : 0,
                                now_);
     choice.slot->leaving += v.job->spec.room;
     ++result_.stopped;
@@ -511,15 +512,15 @@
 void Pass::foresee_losses() {
   // What runs in a zone that is cut off will need room elsewhere once it is known to be gone, and
   // machines take their time to boot.
-  if (!cluster_.any_dark()) return;
+  if (!cluster_.any_unreachable()) return;
   for (auto& [id, job] : cluster_.jobs()) {
     if (job.withdrawn()) continue;
     ZoneCount elsewhere;
     std::uint32_t doomed = 0;
-    for (const auto& p : job.places) {
+    for (const auto& p : job.placements) {
       const Machine* m = p.ended ? nullptr : cluster_.machine(p.machine);
       if (m == nullptr) continue;
-      if (cluster_.dark(m->kind.zone)) {
+      if (cluster_.is_unreachable(m->kind.zone)) {
         ++doomed;
       } else {
         ++elsewhere.count[m->kind.zone];
@@ -555,7 +556,7 @@
   for (const auto& [name, type] : cluster_.types()) {
     if (!job.spec.room.fits_in(type.room)) continue;
     for (const auto& zone : type.zones) {
-      if (cluster_.dark(zone)) continue;
+      if (cluster_.is_unreachable(zone)) continue;
       for (const bool spot : {true, false}) {
         const MachineKind kind{name, zone, spot};
         if (!may_rent(job, zones, kind)) continue;
@@ -642,17 +643,18 @@
 
 namespace {
 bool sound(const ClusterState& cluster, const Machine& m) {
-  return !cluster.dark(m.kind.zone) && !m.silent && !m.removing && !m.failed && !m.quarantined &&
-         !m.taken_at;
+  return !cluster.is_unreachable(m.kind.zone) && !m.silent && !m.removing && !m.failed &&
+         !m.quarantined && !m.taken_at;
 }
 }  // namespace
 
 bool usable(const ClusterState& cluster, const Machine& m) {
-  return sound(cluster, m) && m.reported && m.confirmed() && m.strangers == 0 && m.deaf_until == 0;
+  return sound(cluster, m) && m.reported && m.confirmed() && m.unknown_tasks == 0 &&
+         m.unresponsive_until == 0;
 }
 
 bool coming(const ClusterState& cluster, const Machine& m) {
-  return sound(cluster, m) && (!m.reported || (!m.confirmed() && m.deaf_until == 0));
+  return sound(cluster, m) && (!m.reported || (!m.confirmed() && m.unresponsive_until == 0));
 }
 
 std::map<std::string, ZoneWorkers> count_workers(ClusterState& cluster, double now) {
--- a/src/sched/placement.hpp
+++ b/src/sched/placement.hpp
@@ -21,7 +21,7 @@
   return {kind.type, kind.spot};
 }
 
-/// Work that found no place though its team may run it, as machines to be added.
+/// Work that found no room though its team may run it, as machines to be added.
 struct Shortfall {
   /// New machines by kind, beyond those that are booting.
   std::map<MachineKind, int> wanted;
@@ -38,9 +38,9 @@
   Shortfall shortfall;
 };
 
-/// Orders the waiting jobs by guarantee, rank and age and places what fits; then picks what to stop
-/// for work that is entitled to the room; then adds up what is missing. `refused` holds the kinds
-/// that the cloud lately had none of.
+/// Orders the waiting jobs by guarantee, rank and age and places what fits; then picks what to
+/// stop for work that is entitled to the room; then adds up what is missing. `refused` holds the
+/// kinds that the cloud lately had none of.
 PassResult place_waiting(ClusterState& cluster, const std::map<MachineKind, double>& refused_until,
                          double now);
 
--- a/src/sched/scaler.cpp
+++ b/src/sched/scaler.cpp
@@ -93,7 +93,7 @@
     // An ordinary machine that holds nothing but work for spot ones could be given back.
     const MachineKind as_spot{m.kind.type, m.kind.zone, true};
     const bool could_go =
-        !m.kind.spot && std::all_of(m.tasks.begin(), m.tasks.end(), [&](const Held& held) {
+        !m.kind.spot && std::all_of(m.tasks.begin(), m.tasks.end(), [&](const PlacementRef& held) {
           return allows(held.job->spec, as_spot);
         });
     if (could_go) sums[pool_of(as_spot)].asked += m.used;
--- a/tests/cluster_state_test.cpp
+++ b/tests/cluster_state_test.cpp
@@ -1,4 +1,4 @@
-// The rules on when a place is free, and what workers are told.
+// The rules on when a placement is free, and what workers are told.
 #include <gtest/gtest.h>
 
 #include "control/record.hpp"
@@ -23,7 +23,7 @@
     pass();
     written(job);
   }
-  Place& place() { return job.places.at(0); }
+  Placement& placement() { return job.placements.at(0); }
   ClusterState::Freshness checkin(const wire::Report& r, double now = 2) {
     return cluster.apply_report(r, true, now);
   }
@@ -31,9 +31,9 @@
 
 TEST(ClusterState, NothingStartsBeforeItsPlaceIsDurable) {
   Placed s;
-  s.place().durable = false;
+  s.placement().durable = false;
   EXPECT_TRUE(s.cluster.orders(report("n-1", 1, 2), true, 2).empty());
-  s.place().durable = true;
+  s.placement().durable = true;
   ASSERT_EQ(s.cluster.orders(report("n-1", 1, 2), true, 2).size(), 1u);
 }
 
@@ -46,37 +46,37 @@
   Placed s;
   s.checkin(report("n-1", 1, 2));
   s.cluster.orders(report("n-1", 1, 2), true, 2);
-  ClusterState::request_stop(s.place(), 0, 2);
+  ClusterState::request_stop(s.placement(), 0, 2);
   // A copy of the same report proves nothing, nor does a direct answer that crossed the start.
   EXPECT_EQ(s.checkin(report("n-1", 1, 2)), ClusterState::Freshness::late_copy);
   s.cluster.apply_report(report("n-1", 1, 3), false, 2);
-  EXPECT_FALSE(s.place().ended);
+  EXPECT_FALSE(s.placement().ended);
   s.checkin(report("n-1", 1, 4));
-  EXPECT_TRUE(s.place().ended);
+  EXPECT_TRUE(s.placement().ended);
 }
 
 TEST(ClusterState, AReportThatDoesNotShowOurTokenProvesNothing) {
   Placed s;
-  s.place().seen = true;  // a former leader's command may still be under way
+  s.placement().seen = true;  // a former leader's command may still be under way
   s.checkin(report("n-1", 1, 2, {}, kToken - 1));
-  EXPECT_FALSE(s.place().ended);
+  EXPECT_FALSE(s.placement().ended);
   s.checkin(report("n-1", 1, 3, {}, kToken));
-  EXPECT_TRUE(s.place().ended);
+  EXPECT_TRUE(s.placement().ended);
 }
 
 TEST(ClusterState, AStartInDoubtKeepsItsPlaceWhileTheSessionLasts) {
   Placed s;
-  s.place().doubtful_session = 1;
-  ClusterState::request_stop(s.place(), 0, 2);
+  s.placement().unconfirmed_session = 1;
+  ClusterState::request_stop(s.placement(), 0, 2);
   s.checkin(report("n-1", 1, 5));
-  EXPECT_FALSE(s.place().ended);
+  EXPECT_FALSE(s.placement().ended);
   s.checkin(report("n-1", 2, 6));
-  EXPECT_TRUE(s.place().ended);
+  EXPECT_TRUE(s.placement().ended);
 }
 
 TEST(ClusterState, ATaskWhoseStartIsInDoubtIsNeverForgotten) {
   Placed s;
-  s.cluster.machine("n-1")->doubtful.insert({{"j-000001", 0}, 1});
+  s.cluster.machine("n-1")->unconfirmed_starts.insert({{"j-000001", 0}, 1});
   const auto exited = report("n-1", 1, 5, {task("j-000001", 0, 1, TaskState::exited, Cause::done)});
   s.checkin(exited);
   s.written(s.job);
@@ -107,9 +107,9 @@
   };
   says_nothing_of_it(2);
   says_nothing_of_it(3);  // one answer may be lost
-  EXPECT_FALSE(s.place().ended);
+  EXPECT_FALSE(s.placement().ended);
   says_nothing_of_it(4);
-  EXPECT_TRUE(s.place().ended);
+  EXPECT_TRUE(s.placement().ended);
   s.written(s.job);
   EXPECT_EQ(s.pass(5).placed, 0);
   says_nothing_of_it(5 + static_cast<std::uint64_t>(s.settings.lease_s));  // tried once more
@@ -129,13 +129,13 @@
 // A start sent straight to the worker and never answered may be carried out yet.
 TEST(ClusterState, WhatAMachineMayHaveBeenToldDirectlyIsNotGivenUp) {
   Placed s;
-  s.place().doubtful_session = 1;
+  s.placement().unconfirmed_session = 1;
   for (std::uint64_t tick = 2; tick < 9; ++tick) {
     const auto r = report("n-1", 1, tick);
     s.checkin(r, 2);
     s.cluster.orders(r, true, 2);
   }
-  EXPECT_FALSE(s.place().ended);
+  EXPECT_FALSE(s.placement().ended);
 }
 
 // A worker that has not shown our token may be kept by a former leader for as long as that one may
@@ -144,36 +144,36 @@
   Placed s;
   s.cluster.note_answered("n-1", 5);
   EXPECT_TRUE(s.cluster.expire_leases(15).empty());
-  EXPECT_FALSE(s.place().ended);
+  EXPECT_FALSE(s.placement().ended);
   EXPECT_EQ(s.cluster.expire_leases(16).size(), 1u);
-  EXPECT_TRUE(s.place().ended);
+  EXPECT_TRUE(s.placement().ended);
 
   Placed other;
   other.cluster.machine("n-1")->shown_token = false;
   const double last = base::answer_span(other.settings);  // our leadership began at 0
   EXPECT_TRUE(other.cluster.expire_leases(last + other.settings.lease_s).empty());
-  EXPECT_FALSE(other.place().ended);
+  EXPECT_FALSE(other.placement().ended);
   EXPECT_EQ(other.cluster.expire_leases(last + other.settings.lease_s + 1).size(), 1u);
-  EXPECT_TRUE(other.place().ended);
+  EXPECT_TRUE(other.placement().ended);
 }
 
 // Guards against the work of a zone that is cut off during a take-over waiting for its return.
 TEST(ClusterState, AMachineThatNeverReportedToUsIsGivenUpWithTheSameCare) {
   Fleet s({});
   auto job = make_job("j-000001", wire::Shape::service, 1, 1);
-  Place p;
+  Placement p;
   p.attempt = 1, p.machine = "n-1", p.durable = true;
-  job.places.push_back(p);
+  job.placements.push_back(p);
   Job& stored = s.add(job);
   s.cluster.put_machine("n-1", {"g8", "b", false}, 1);  // the list names it
   const double over = base::answer_span(s.settings) + s.settings.lease_s;
   EXPECT_TRUE(s.cluster.expire_leases(over).empty());
   EXPECT_EQ(s.cluster.expire_leases(over + 1).size(), 1u);
-  EXPECT_TRUE(stored.places[0].ended);
+  EXPECT_TRUE(stored.placements[0].ended);
   // Should it come back, whatever it holds is a stranger's.
   s.cluster.apply_report(report("n-1", 2, 1, {task("j-000001", 0, 1, wire::TaskState::running)}),
                          true, over + 2);
-  EXPECT_TRUE(stored.places[0].ended);
+  EXPECT_TRUE(stored.placements[0].ended);
 }
 
 // Guards against timing a lease from the start of the steady clock for a worker that showed our
@@ -192,7 +192,7 @@
   Placed s;
   EXPECT_DOUBLE_EQ(s.cluster.team_use("red").gpus, 4);
   s.cluster.remove_machine("n-1", 9);
-  EXPECT_TRUE(s.place().ended);
+  EXPECT_TRUE(s.placement().ended);
   EXPECT_DOUBLE_EQ(s.cluster.team_use("red").gpus, 0);
 }
 
@@ -210,16 +210,16 @@
 TEST(ClusterState, AReloadedRecordDropsWhatWasNeverWrittenAndKeepsWhatWasLearnt) {
   Placed s;
   s.checkin(report("n-1", 1, 5, {task("j-000001", 0, 1, TaskState::exited, Cause::done)}));
-  // The write of `done` got lost; the stored record still names the place.
+  // The write of `done` got lost; the stored record still names the placement.
   auto stored = make_job("j-000001", wire::Shape::service, 1, 4);
   stored.last_attempt = 1;
-  stored.places.emplace_back();
-  stored.places[0].attempt = 1;
-  stored.places[0].machine = "n-1";
-  stored.places[0].durable = true;
+  stored.placements.emplace_back();
+  stored.placements[0].attempt = 1;
+  stored.placements[0].machine = "n-1";
+  stored.placements[0].durable = true;
   Job& again = s.cluster.put_job(std::move(stored), 6);
   EXPECT_TRUE(again.complete());
-  EXPECT_TRUE(again.places.at(0).ended);
+  EXPECT_TRUE(again.placements.at(0).ended);
   EXPECT_TRUE(again.dirty);
   EXPECT_DOUBLE_EQ(s.cluster.team_use("red").gpus, 0);
 }
@@ -245,7 +245,7 @@
   Job& job = s.add(make_job("j-000001", wire::Shape::array, 2, 8));
   s.pass();
   s.written(job);
-  for (auto& p : job.places) {
+  for (auto& p : job.placements) {
     s.cluster.apply_report(
         report(p.machine, 1, 2,
                {task("j-000001", p.task, p.attempt, TaskState::exited, Cause::error)}),
@@ -261,16 +261,16 @@
   Job& job = s.add(make_job("j-000001", wire::Shape::gang, 2, 8));
   s.pass();
   s.written(job);
-  ASSERT_EQ(job.places.size(), 2u);
-  EXPECT_EQ(job.places[0].attempt, job.places[1].attempt);
+  ASSERT_EQ(job.placements.size(), 2u);
+  EXPECT_EQ(job.placements[0].attempt, job.placements[1].attempt);
   s.cluster.remove_machine("n-1", 3);
-  for (const auto& p : job.places) EXPECT_TRUE(p.ended || p.stop);
+  for (const auto& p : job.placements) EXPECT_TRUE(p.ended || p.stop);
   // The next attempt waits until all of the old one is gone.
   EXPECT_EQ(s.pass(4).placed, 0);
 }
 
-// Guards against starting a task again while a deputy in a zone that is cut off may still prolong
-// its worker's lease.
+// Guards against starting a task again while a forwarder in a zone that is cut off may still
+// prolong its worker's lease.
 TEST(ClusterState, ALeaseIsNotOverWhileADeputyMayProlongIt) {
   Fleet s;
   s.add(make_job("j-000001", wire::Shape::service, 1, 8));
@@ -286,11 +286,11 @@
   Fleet s;
   Machine& m = *s.cluster.machine("n-1");
   m.kept_until["n1"] = 25;
-  s.cluster.note_deputy("n1", 1, 3, -1, 2);  // the first: what it did before is not known
-  s.cluster.note_deputy("n1", 1, 13, -1, 12);
+  s.cluster.note_forwarder("n1", 1, 3, -1, 2);  // the first: what it did before is not known
+  s.cluster.note_forwarder("n1", 1, 13, -1, 12);
   EXPECT_TRUE(s.cluster.expire_leases(12.2).empty());  // perhaps answered at 2
   EXPECT_TRUE(s.cluster.expire_leases(13.5).empty());  // not heard any more
-  s.cluster.note_deputy("n1", 1, 14, -1, 13);
+  s.cluster.note_forwarder("n1", 1, 14, -1, 13);
   EXPECT_EQ(s.cluster.expire_leases(13.5).size(), 1u);
 }
 
@@ -298,10 +298,10 @@
   Fleet s;
   Machine& m = *s.cluster.machine("n-1");
   m.kept_until["n1"] = 25;
-  s.cluster.note_deputy("n1", 1, 3, -1, 2);
-  s.cluster.note_deputy("n1", 2, 15, -1, 14);
+  s.cluster.note_forwarder("n1", 1, 3, -1, 2);
+  s.cluster.note_forwarder("n1", 2, 15, -1, 14);
   EXPECT_TRUE(s.cluster.expire_leases(14.5).empty());
-  s.cluster.note_deputy("n1", 2, 26, -1, 25);
+  s.cluster.note_forwarder("n1", 2, 26, -1, 25);
   EXPECT_EQ(s.cluster.expire_leases(25).size(), 1u);
 }
 
@@ -337,15 +337,15 @@
 TEST(ClusterState, AnUndecidedPlaceKeepsItsRoomUntilAWriteWithoutItSucceeds) {
   Fleet s;
   Job& job = s.add(make_job("j-000001", wire::Shape::array, 1, 4));
-  Place& place = s.cluster.add_place(job, 0, 1, "n-1", 1);
-  place.undecided = true;
+  Placement& placement = s.cluster.add_placement(job, 0, 1, "n-1", 1);
+  placement.outcome_unknown = true;
   s.cluster.remove_machine("n-1", 2);
   EXPECT_EQ(s.cluster.team_use("red").gpus, 4);
   EXPECT_TRUE(job.pending(9).empty());
   EXPECT_TRUE(job.dirty);
   const auto text = control::write_record(job, 8192).front();
   EXPECT_EQ(text.find("n-1"), std::string::npos);
-  s.cluster.settle_dropped(job, job.places.front(), 3);
+  s.cluster.resolve_dropped(job, job.placements.front(), 3);
   EXPECT_EQ(s.cluster.team_use("red").gpus, 0);
   EXPECT_EQ(job.pending(9).size(), 1U);
 }
@@ -353,38 +353,38 @@
 TEST(ClusterState, ADroppedPlaceThatWasStoredAfterAllIsNeverStarted) {
   Fleet s;
   Job& job = s.add(make_job("j-000001", wire::Shape::array, 1, 4));
-  s.cluster.add_place(job, 0, 1, "n-1", 1).undecided = true;
-  s.cluster.end_place(job, job.places.front(), 2);
+  s.cluster.add_placement(job, 0, 1, "n-1", 1).outcome_unknown = true;
+  s.cluster.end_placement(job, job.placements.front(), 2);
   EXPECT_EQ(s.cluster.team_use("red").gpus, 4);
   auto stored = make_job("j-000001", wire::Shape::array, 1, 4);
   stored.revision = 9;
   stored.last_attempt = 1;
-  stored.places = job.places;
-  stored.places.front().durable = true;
+  stored.placements = job.placements;
+  stored.placements.front().durable = true;
   Job& put = s.add(std::move(stored));
-  EXPECT_TRUE(put.places.front().ended);
+  EXPECT_TRUE(put.placements.front().ended);
   EXPECT_TRUE(put.dirty);  // and so is written without it
   EXPECT_EQ(s.cluster.team_use("red").gpus, 0);
   EXPECT_TRUE(s.cluster.orders(report("n-1", 1, 2), true, 3).empty());
 }
 
-// Guards against a stored place being taken for a remembered one on another machine: the record
+// Guards against a stored placement being taken for a remembered one on another machine: the record
 // would name the one and the cluster state the other.
 TEST(ClusterState, APlaceIsTheSameOnlyOnTheSameMachineAndNumbersNeverGoBack) {
   Fleet s({{"n-1", "a"}, {"n-2", "a"}});
   Job& job = s.add(make_job("j-000001", wire::Shape::array, 1, 4));
-  Place& remembered = s.cluster.add_place(job, 0, 5, "n-2", 1);
+  Placement& remembered = s.cluster.add_placement(job, 0, 5, "n-2", 1);
   remembered.seen = true;
   auto stored = make_job("j-000001", wire::Shape::array, 1, 4);
   stored.last_attempt = 4;
-  stored.places.emplace_back();
-  stored.places.front().attempt = 5;
-  stored.places.front().machine = "n-1";
-  stored.places.front().durable = true;
+  stored.placements.emplace_back();
+  stored.placements.front().attempt = 5;
+  stored.placements.front().machine = "n-1";
+  stored.placements.front().durable = true;
   Job& put = s.add(std::move(stored));
-  ASSERT_EQ(put.places.size(), 1U);
-  EXPECT_EQ(put.places.front().machine, "n-1");
-  EXPECT_FALSE(put.places.front().seen);
+  ASSERT_EQ(put.placements.size(), 1U);
+  EXPECT_EQ(put.placements.front().machine, "n-1");
+  EXPECT_FALSE(put.placements.front().seen);
   EXPECT_EQ(put.last_attempt, 5U);
 }
 
@@ -394,11 +394,11 @@
   Fleet s;
   auto stored = make_job("j-000001", wire::Shape::array, 2, 4);
   for (std::uint32_t i = 0; i < 2; ++i) {
-    stored.places.emplace_back();
-    stored.places.back().task = i;
-    stored.places.back().attempt = i + 1;
-    stored.places.back().machine = "n-7";
-    stored.places.back().durable = true;
+    stored.placements.emplace_back();
+    stored.placements.back().task = i;
+    stored.placements.back().attempt = i + 1;
+    stored.placements.back().machine = "n-7";
+    stored.placements.back().durable = true;
   }
   Job& job = s.add(std::move(stored));
   const auto exited = wire::TaskState::exited;
@@ -416,21 +416,22 @@
   EXPECT_EQ(job.live(), 2U);  // nothing was told to this session yet
 }
 
-// Found by the sweep: stopped to make room while its start was in doubt, a place stayed for ever.
+// Found by the sweep: stopped to make room while its start was in doubt, a placement stayed for
+// ever.
 TEST(ClusterState, AStopMeetsAStartInDoubt) {
   Placed s;
   s.checkin(report("n-1", 1, 2));
-  s.place().doubtful_session = 1;
-  s.cluster.machine("n-1")->doubtful.insert({{"j-000001", 0}, s.place().attempt});
-  ClusterState::request_stop(s.place(), 5, 3);
+  s.placement().unconfirmed_session = 1;
+  s.cluster.machine("n-1")->unconfirmed_starts.insert({{"j-000001", 0}, s.placement().attempt});
+  ClusterState::request_stop(s.placement(), 5, 3);
   s.checkin(report("n-1", 1, 3), 3);
-  EXPECT_FALSE(s.place().ended);  // it may still come
+  EXPECT_FALSE(s.placement().ended);  // it may still come
   const auto orders = s.cluster.orders(report("n-1", 1, 3), true, 3);
   ASSERT_EQ(orders.size(), 2U);
   EXPECT_EQ(orders[0].verb, Verb::start);
   EXPECT_EQ(orders[1].verb, Verb::stop);
   EXPECT_TRUE(s.cluster.orders(report("n-1", 1, 3), false, 3).empty());
-  const auto attempt = s.place().attempt;
+  const auto attempt = s.placement().attempt;
   const auto ended =
       report("n-1", 1, 4, {task("j-000001", 0, attempt, TaskState::exited, Cause::stopped)});
   s.checkin(ended, 4);
--- a/tests/dependencies_test.cpp
+++ b/tests/dependencies_test.cpp
@@ -144,7 +144,7 @@
   last.spec.rank = Rank::high;
   s.add(std::move(last));
   EXPECT_EQ(s.pass().placed, 1);  // there is room for one
-  EXPECT_EQ(s.cluster.job("j-000001")->places.size(), 1U);
+  EXPECT_EQ(s.cluster.job("j-000001")->placements.size(), 1U);
 }
 
 TEST(Dependencies, UrgencyIsTheLastDeadlineLessWhatTheStagesTake) {
--- a/tests/fixtures.hpp
+++ b/tests/fixtures.hpp
@@ -92,7 +92,7 @@
   /// What a successful write would do.
   void written(sched::Job& job) {
     std::vector<std::pair<std::uint32_t, std::uint64_t>> ended;
-    for (auto& p : job.places) {
+    for (auto& p : job.placements) {
       if (p.ended) ended.emplace_back(p.task, p.attempt);
       p.durable = true;
     }
--- a/tests/meetings_test.cpp
+++ b/tests/meetings_test.cpp
@@ -97,7 +97,7 @@
   if (refusal != Refusal::ends_after) w.refused_by_state.clear();
   w.run(1);
   if (refusal == Refusal::with_a_moment_of_service) {
-    // Renewals come through before the news do.
+    // Renewals come through before the changes do.
     w.state_down = false;
     w.run(0.6 * control::LeaderLease::lease_life(settings));
     w.state_down = true;
@@ -115,8 +115,8 @@
   EXPECT_EQ(w.state_of(1, "j-000001"), "withdrawn");
 }
 
-// Guards against a leader whose leader lease is confirmed before its news are: it would keep alive,
-// through an outage longer than cancel_s, what was cancelled while it alone was refused.
+// Guards against a leader whose leader lease is confirmed before its changes are: it would keep
+// alive, through an outage longer than cancel_s, what was cancelled while it alone was refused.
 TEST(Meeting, TheGapWhoseRefusalEndsInsideTheOutage) {
   play_gap(long_reports(), Refusal::ends_inside);
   play_gap(long_cancels(), Refusal::ends_inside);
@@ -398,7 +398,7 @@
   }));
 }
 
-// The same news to a leader that stays: it reads the parts anew.
+// The same changes to a leader that stays: it reads the parts anew.
 TEST(Meeting, ALongJobIsCancelledUnderItsLeader) {
   auto settings = small_settings();
   settings.teams = {{"red", 0, 0, 1000, 2000}};
--- a/tests/peer_test.cpp
+++ b/tests/peer_test.cpp
@@ -20,9 +20,10 @@
     buffer += bytes[i];
     ASSERT_EQ(unpack(buffer, out), Unpacked::more);
   }
-  const Frame carried = Carried{9, "{}"}, answer = CarriedAnswer{9, 200, 41, 1500, "{\"a\":1}"};
-  buffer += bytes.back() + pack(carried) + pack(answer);
-  for (const Frame& expected : {Frame(hello), carried, answer}) {
+  const Frame forwarded = ForwardedReport{9, "{}"},
+              answer = ForwardedAnswer{9, 200, 41, 1500, "{\"a\":1}"};
+  buffer += bytes.back() + pack(forwarded) + pack(answer);
+  for (const Frame& expected : {Frame(hello), forwarded, answer}) {
     ASSERT_EQ(unpack(buffer, out), Unpacked::frame);
     EXPECT_EQ(out, expected);
   }
@@ -60,7 +61,7 @@
   return writes;
 }
 
-// Without pacing a link is written to once for each carried report: on the smaller machines the
+// Without pacing a link is written to once for each forwarded report: on the smaller machines the
 // packets of these alone took a third of the leader's share.
 TEST(Peer, FramesThatComeFastLeaveTogether) {
   EXPECT_LE(writes_of(WritePacing(0.1), 0.01, 10), 101);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -17,7 +17,7 @@
   Job& job = s.add(make_job("j-000001", Shape::array, 24, 1));
   EXPECT_EQ(s.pass().placed, 16);
   // What is not proven free still counts.
-  ClusterState::request_stop(job.places[0], 0, 1);
+  ClusterState::request_stop(job.placements[0], 0, 1);
   EXPECT_EQ(s.pass().placed, 0);
   // Nor is room beyond the limit asked of the cloud.
   EXPECT_TRUE(s.pass().shortfall.wanted.empty());
@@ -60,8 +60,8 @@
   Job& service = s.add(make_job("j-000001", Shape::service, 2, 4));
   Job& batch = s.add(make_job("j-000002", Shape::array, 2, 4));
   EXPECT_EQ(s.pass().placed, 4);
-  for (const auto& p : service.places) EXPECT_EQ(p.machine, "n-2");
-  for (const auto& p : batch.places) EXPECT_EQ(p.machine, "n-1");
+  for (const auto& p : service.placements) EXPECT_EQ(p.machine, "n-2");
+  for (const auto& p : batch.placements) EXPECT_EQ(p.machine, "n-1");
 }
 
 // An index is only as good as its upkeep.
@@ -70,9 +70,9 @@
   s.add(make_job("j-000001", Shape::array, 12, 1));
   auto stored = make_job("j-000002", Shape::array, 2, 1);
   for (std::uint32_t i = 0; i < 2; ++i) {
-    Place p;
+    Placement p;
     p.task = i, p.attempt = i + 1, p.machine = "n-9", p.durable = true;
-    stored.places.push_back(p);
+    stored.placements.push_back(p);
   }
   s.add(stored);
   const auto recount = [&] {
@@ -81,8 +81,8 @@
       std::size_t held = 0;
       for (auto& [name, job] : s.cluster.jobs()) {
         held += static_cast<std::size_t>(
-            std::count_if(job.places.begin(), job.places.end(),
-                          [&](const Place& p) { return !p.ended && p.machine == m.id; }));
+            std::count_if(job.placements.begin(), job.placements.end(),
+                          [&](const Placement& p) { return !p.ended && p.machine == m.id; }));
       }
       EXPECT_EQ(m.tasks.size(), held) << id;
       EXPECT_DOUBLE_EQ(m.used.gpus, static_cast<double>(held)) << id;
@@ -93,7 +93,7 @@
   s.cluster.put_machine("n-9", {"g8", "a", false}, 1);  // a record named it before
   recount();
   EXPECT_EQ(s.cluster.machine("n-9")->tasks.size(), 2u);
-  stored.places.pop_back();
+  stored.placements.pop_back();
   s.cluster.put_job(stored, 2);
   recount();
   s.cluster.remove_machine("n-1", 3);
@@ -126,7 +126,7 @@
     r = s.pass();
     looked += r.looked_at;
   }
-  EXPECT_GT(passes, 10);  // 10,400 tasks find a place
+  EXPECT_GT(passes, 10);  // 10,400 tasks find a placement
   EXPECT_LT(looked, 3000 * kMachines);
   for (auto& [id, job] : s.cluster.jobs()) s.written(job);
   add(2000, 400, 18, wire::Rank::best_effort, "blue");
@@ -151,7 +151,7 @@
   s.cluster.machine("n-2")->images.emplace_back("img", 10);
   Job& job = s.add(make_job("j-000001", Shape::service, 1, 1));
   s.pass();
-  EXPECT_EQ(job.places.at(0).machine, "n-2");
+  EXPECT_EQ(job.placements.at(0).machine, "n-2");
 }
 
 TEST(Placement, GuaranteeThenRankThenAge) {
@@ -164,7 +164,7 @@
   s.add(std::move(big));
   s.add(std::move(within));
   s.pass();
-  EXPECT_EQ(s.cluster.job("j-000002")->places.size(), 1u);
+  EXPECT_EQ(s.cluster.job("j-000002")->placements.size(), 1u);
 }
 
 TEST(Placement, LowerRankMakesRoomAndEqualRankDoesNot) {
@@ -214,7 +214,7 @@
   Fleet s({{"n-1", "a"}, {"n-2", "a"}, {"n-3", "a"}});
   s.cluster.machine("n-1")->taken_at = 30;
   s.cluster.machine("n-2")->quarantined = true;
-  s.cluster.machine("n-3")->strangers = 1;
+  s.cluster.machine("n-3")->unknown_tasks = 1;
   s.add(make_job("j-000001", Shape::service, 1, 1));
   EXPECT_EQ(s.pass().placed, 0);
 }
@@ -274,15 +274,15 @@
   spec.spec.one_zone = true;
   Job& gang = s.add(std::move(spec));
   EXPECT_EQ(s.pass().stopped, 4);
-  for (const auto& p : batch.places) EXPECT_EQ(p.stop, p.machine != "n-1");
+  for (const auto& p : batch.placements) EXPECT_EQ(p.stop, p.machine != "n-1");
   EXPECT_EQ(s.pass().stopped, 0);  // what leaves will do
   // The first machine is free: what waits behind the gang does not get it.
-  for (auto& p : batch.places) {
-    if (p.machine == "n-2") s.cluster.end_place(batch, p, 2);
+  for (auto& p : batch.placements) {
+    if (p.machine == "n-2") s.cluster.end_placement(batch, p, 2);
   }
   EXPECT_EQ(s.pass(2).placed, 0);
-  for (auto& p : batch.places) {
-    if (p.machine == "n-3") s.cluster.end_place(batch, p, 3);
+  for (auto& p : batch.placements) {
+    if (p.machine == "n-3") s.cluster.end_placement(batch, p, 3);
   }
   EXPECT_EQ(s.pass(3).placed, 2);
   EXPECT_EQ(gang.live(), 2u);
--- /dev/null
+++ b/tests/report_forwarder_test.cpp
@@ -0,0 +1,135 @@
+// A node that forwards its zone's reports, and when it may answer alone.
+#include "control/report_forwarder.hpp"
+
+#include <gtest/gtest.h>
+
+#include "world.hpp"
+
+namespace cranklock::control {
+namespace {
+
+using testing::report;
+
+struct Carrier {
+  testing::FakeReactor reactor;
+  base::Settings settings = testing::small_settings();
+  ReportForwarder forwarder{reactor, settings};
+  std::vector<peer::ForwardedReport> sent;
+  double state_heard = 0;
+
+  Carrier() {
+    reactor.run_until(100);
+    forwarder.set_send([this](const std::string& to, const peer::Frame& frame) {
+      EXPECT_EQ(to, "n9");
+      sent.push_back(std::get<peer::ForwardedReport>(frame));
+    });
+  }
+  void hear(std::uint64_t token = 7) {
+    peer::Hello hello{"n9", token, true, true};
+    hello.sent_ms = 5;
+    forwarder.heard(hello);
+  }
+  /// The status, once the worker's patience is nearly over at the latest.
+  int forward(std::uint64_t token = 7, int answer_alone_ms = -1) {
+    auto task =
+        forwarder.forward(report("n-1", 1, 1, {}, token), "{}", [this] { return state_heard; });
+    task.start();
+    if (answer_alone_ms >= 0 && !task.done()) {
+      forwarder.answered(
+          {sent.back().id, 200, 7, static_cast<std::uint32_t>(answer_alone_ms), "{}"});
+    }
+    for (int i = 0; i < 40 && !task.done(); ++i) reactor.run_until(reactor.now() + 0.1);
+    EXPECT_TRUE(task.done());
+    return task.take().status;
+  }
+  bool answered_alone() const {
+    peer::Hello hello;
+    forwarder.describe(hello);
+    return hello.answered_alone_ms != peer::kNever;
+  }
+};
+
+TEST(ReportForwarder, CarriesReportsAndLetsNobodyElseBeTimedByThem) {
+  Carrier c;
+  EXPECT_FALSE(c.forwarder.may_forward(report("n-1", 1, 1)));  // no leader is heard
+  c.hear();
+  EXPECT_TRUE(c.forwarder.may_forward(report("n-1", 1, 1)));
+  EXPECT_FALSE(c.forwarder.may_forward(report("n-1", 1, 1, {}, 7, "b")));  // another zone's
+  EXPECT_EQ(c.forward(7, 20'000), 200);
+  EXPECT_FALSE(c.answered_alone());
+}
+
+TEST(ReportForwarder, AnswersAloneOnlyWhenCutOffAndOnlyAsLongAsItWasAllowed) {
+  Carrier c;
+  c.hear();
+  ASSERT_EQ(c.forward(7, 20'000), 200);
+  EXPECT_EQ(c.forward(), 200);  // no answer came, the leader is not heard, nor is the state service
+  EXPECT_TRUE(c.answered_alone());
+  c.reactor.run_until(119.9);
+  EXPECT_EQ(c.forward(), 200);
+  EXPECT_EQ(c.forward(8), 421);  // a worker that has seen a newer token
+  c.reactor.run_until(120.1);
+  EXPECT_EQ(c.forward(), 421);
+}
+
+// Guards against a leader that counts on its forwarders' silence: while it is heard they keep it.
+TEST(ReportForwarder, NeverAnswersAloneWhileTheLeaderIsHeard) {
+  Carrier c;
+  c.hear();
+  ASSERT_EQ(c.forward(7, 20'000), 200);
+  auto task = c.forwarder.forward(report("n-1", 1, 2), "{}", [&] { return 0.0; });
+  task.start();
+  for (int i = 0; i < 40 && !task.done(); ++i) {
+    c.hear();
+    c.reactor.run_until(c.reactor.now() + 0.1);
+  }
+  ASSERT_TRUE(task.done());
+  EXPECT_EQ(task.take().status, 421);
+  EXPECT_FALSE(c.answered_alone());
+}
+
+// Guards against holding workers back from a leader's successor.
+TEST(ReportForwarder, SendsWorkersAwayWhenOnlyTheLeaderIsGone) {
+  Carrier c;
+  c.hear();
+  ASSERT_EQ(c.forward(7, 20'000), 200);
+  c.state_heard = 101;
+  EXPECT_EQ(c.forward(), 421);
+  c.state_heard = 0;
+  c.hear(9);  // a successor: what its predecessor allowed is void
+  c.reactor.run_until(c.reactor.now() + 2);
+  EXPECT_EQ(c.forward(), 421);
+}
+
+// Guards against prolonging what is to be stopped: an answer that forwards a stop allows nothing.
+TEST(ReportForwarder, AnAnswerThatAllowsNothingEndsWhatAnEarlierOneAllowed) {
+  Carrier c;
+  c.hear();
+  ASSERT_EQ(c.forward(7, 20'000), 200);
+  c.hear();
+  ASSERT_EQ(c.forward(7, 0), 200);
+  EXPECT_EQ(c.forward(), 421);
+}
+
+TEST(ReportForwarder, AnswersToAFormerRunAreNotTakenForItsOwn) {
+  Carrier before;
+  before.hear();
+  before.forward(7, 20'000);
+  Carrier c;  // the same node, restarted a little later
+  c.reactor.run_until(100.2);
+  ReportForwarder restarted{c.reactor, c.settings};
+  restarted.set_send([&](const std::string&, const peer::Frame& frame) {
+    c.sent.push_back(std::get<peer::ForwardedReport>(frame));
+  });
+  peer::Hello hello{"n9", 7, true, true};
+  restarted.heard(hello);
+  auto task = restarted.forward(report("n-1", 1, 2), "{}", [] { return 0.0; });
+  task.start();
+  ASSERT_EQ(c.sent.size(), 1u);
+  EXPECT_GT(c.sent[0].id, before.sent[0].id + 10'000);
+  restarted.answered({before.sent[0].id, 200, 7, 20'000, "{}"});
+  EXPECT_FALSE(task.done());
+}
+
+}  // namespace
+}  // namespace cranklock::control
--- a/tests/scaler_test.cpp
+++ b/tests/scaler_test.cpp
@@ -146,8 +146,8 @@
   auto replica = testing::make_job("j-000002", wire::Shape::service, 1, 4, "blue");
   Job& job = fleet.add(std::move(replica));
   Job& first = *fleet.cluster.job("j-000001");
-  fleet.cluster.end_place(first, first.places[0], 1);
-  fleet.cluster.add_place(job, 0, 1, first.places[1].machine, 1);
+  fleet.cluster.end_placement(first, first.placements[0], 1);
+  fleet.cluster.add_placement(job, 0, 1, first.placements[1].machine, 1);
   readings = read_pools(fleet.cluster, {}, 0.9);
   EXPECT_EQ(readings.at({"g8", true}).missing, 0);
 }
--- a/tests/versions_test.cpp
+++ b/tests/versions_test.cpp
@@ -44,10 +44,10 @@
   return wire::read_count(*job, "Teeth").has_value();
 }
 
-/// The places that the older version takes from main value and parts, in which it insists on three
-/// fields each; -1 when it finds a part of another write.
+/// The placements that the older version takes from main value and parts, in which it insists on
+/// three fields each; -1 when it finds a part of another write.
 int older_places(const std::vector<std::string>& texts) {
-  int places = 0;
+  int placements = 0;
   std::uint64_t generation = 0;
   for (std::size_t i = 0; i < texts.size(); ++i) {
     const wire::JsonDocument document(texts[i]);
@@ -56,25 +56,26 @@
     generation = g;
     const wire::Json* list = wire::find(document.root(), "p");
     if (list == nullptr) continue;
-    for (const auto& place : list->GetArray()) {
-      if (place.Size() != 3 || !place[0].IsUint() || !place[1].IsUint64() || !place[2].IsString()) {
+    for (const auto& placement : list->GetArray()) {
+      if (placement.Size() != 3 || !placement[0].IsUint() || !placement[1].IsUint64() ||
+          !placement[2].IsString()) {
         return -1;
       }
-      ++places;
+      ++placements;
     }
   }
-  return places;
+  return placements;
 }
 
 sched::Job long_job(std::uint32_t tasks) {
   sched::Job job = make_job("j-000001", wire::Shape::array, tasks, 1);
   job.revision = 17;
   for (std::uint32_t i = 0; i < tasks; ++i) {
-    sched::Place place;
-    place.task = i;
-    place.attempt = i + 1;
-    place.machine = "n-" + std::to_string(100'000 + i);
-    job.places.push_back(std::move(place));
+    sched::Placement placement;
+    placement.task = i;
+    placement.attempt = i + 1;
+    placement.machine = "n-" + std::to_string(100'000 + i);
+    job.placements.push_back(std::move(placement));
   }
   job.last_attempt = tasks;
   return job;
@@ -87,7 +88,7 @@
   EXPECT_EQ(parts, 1);
   EXPECT_TRUE(job->spec.needs.empty());
   ASSERT_TRUE(control::read_part(kProductionPart, false, *job));
-  EXPECT_EQ(job->places.size(), 2U);
+  EXPECT_EQ(job->placements.size(), 2U);
   EXPECT_EQ(job->done.size(), 1U);
   const auto ending = control::read_ending(R"({"s":"done","n":3})");
   ASSERT_TRUE(ending);
@@ -104,8 +105,9 @@
   const auto texts = write_record(*job, 8192);
   ASSERT_EQ(texts.size(), 1U);
   std::string expected = kProductionRecord;
-  const std::string places = R"([1,2,"n-000007"])";
-  expected.replace(expected.find(places), places.size(), places + R"(,[2,3,"n-000008"])");
+  const std::string placements = R"([1,2,"n-000007"])";
+  expected.replace(expected.find(placements), placements.size(),
+                   placements + R"(,[2,3,"n-000008"])");
   expected.replace(expected.find("\"parts\":1"), 9, "\"parts\":0");
   EXPECT_EQ(texts[0], expected);
   EXPECT_EQ(control::write_ending({wire::JobState::done, 3, 0}), R"({"s":"done","n":3})");
@@ -140,9 +142,9 @@
     const auto most = static_cast<std::uint32_t>(sched::most_live_tasks(settings));
     EXPECT_GT(most, 100U);
     auto job = long_job(most);
-    for (auto& place : job.places) {
-      job.done.add(50'000 + 2 * place.task);
-      place.task = 50'001 + 2 * place.task;
+    for (auto& placement : job.placements) {
+      job.done.add(50'000 + 2 * placement.task);
+      placement.task = 50'001 + 2 * placement.task;
     }
     const auto texts = write_record(job, static_cast<std::size_t>(value_kb * 1024));
     EXPECT_LE(texts.size(), static_cast<std::size_t>(txn_ops)) << value_kb;
@@ -174,18 +176,18 @@
   hello.reaches_state = true;
   hello.run = 2;
   hello.sent_ms = 3;
-  hello.stood_in_ms = 7;
+  hello.answered_alone_ms = 7;
   std::string expected("\x00\x31\x02\x01", 4);
   expected += std::string("\x02n0", 3) + std::string("\0\0\0\0\0\0\0\x05", 8);
   expected += std::string("\x01\x00", 2) + std::string("\0\0\0\0\0\0\0\x02", 8);
   expected += std::string("\0\0\0\0\0\0\0\x03", 8) + std::string(16, '\0');
   expected += std::string("\0\0\0\x07", 4);
   EXPECT_EQ(peer::pack(hello), expected);
-  std::string carried = peer::pack(peer::Carried{9, "ab"});
-  EXPECT_EQ(carried, std::string("\x00\x0c\x02\x02\0\0\0\0\0\0\0\x09\x00\x02"
-                                 "ab",
-                                 16));
-  peer::CarriedAnswer answer{9, 200, 5, 1, "c"};
+  std::string forwarded = peer::pack(peer::ForwardedReport{9, "ab"});
+  EXPECT_EQ(forwarded, std::string("\x00\x0c\x02\x02\0\0\0\0\0\0\0\x09\x00\x02"
+                                   "ab",
+                                   16));
+  peer::ForwardedAnswer answer{9, 200, 5, 1, "c"};
   EXPECT_EQ(peer::pack(answer), std::string("\x00\x19\x02\x03\0\0\0\0\0\0\0\x09\x00\xc8"
                                             "\0\0\0\0\0\0\0\x05\0\0\0\x01\x00\x01"
                                             "c",
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -50,10 +50,10 @@
   job.last_attempt = 3;
   job.done.add(4);
   job.done.add(5);
-  job.places.emplace_back();
-  job.places[0].task = 1;
-  job.places[0].attempt = 3;
-  job.places[0].machine = "n-000001";
+  job.placements.emplace_back();
+  job.placements[0].task = 1;
+  job.placements[0].attempt = 3;
+  job.placements[0].machine = "n-000001";
   const auto texts = control::write_record(job, 8192);
   ASSERT_EQ(texts.size(), 1u);
   int parts = -1;
@@ -63,18 +63,18 @@
   EXPECT_EQ(read->spec.team, "vision");
   EXPECT_EQ(read->created_ms, job.created_ms);
   EXPECT_EQ(read->done.ranges(), job.done.ranges());
-  ASSERT_EQ(read->places.size(), 1u);
-  EXPECT_TRUE(read->places[0].durable);
-  EXPECT_EQ(read->places[0].machine, "n-000001");
+  ASSERT_EQ(read->placements.size(), 1u);
+  EXPECT_TRUE(read->placements[0].durable);
+  EXPECT_EQ(read->placements[0].machine, "n-000001");
 }
 
 TEST(Wire, ALargeRecordIsSplitAndJoined) {
   auto job = testing::make_job("j-000001", Shape::array, 2000, 1);
   for (std::uint32_t i = 0; i < 900; ++i) {
-    job.places.emplace_back();
-    job.places.back().task = 2 * i;
-    job.places.back().attempt = i + 1;
-    job.places.back().machine = "n-000123";
+    job.placements.emplace_back();
+    job.placements.back().task = 2 * i;
+    job.placements.back().attempt = i + 1;
+    job.placements.back().machine = "n-000123";
     job.done.add(2 * i + 1);
   }
   const auto texts = control::write_record(job, 8192);
@@ -87,7 +87,7 @@
   for (int i = 0; i < parts; ++i) {
     ASSERT_TRUE(control::read_part(texts[static_cast<std::size_t>(i) + 1], true, *read));
   }
-  EXPECT_EQ(read->places.size(), 900u);
+  EXPECT_EQ(read->placements.size(), 900u);
   EXPECT_EQ(read->done.size(), 900u);
 }
 
--- a/tests/world.hpp
+++ b/tests/world.hpp
@@ -37,7 +37,7 @@
 
 /// A user submits, asks about twice a second at any node, and may cancel after a while or at the
 /// moment of the end; with `looks`, all nodes are asked, and the job is submitted again, within
-/// milliseconds after each news.
+/// milliseconds after each changes.
 struct UserHabits {
   double cancels_after = -1;
   bool cancels_at_end = false;
