--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -290,8 +290,8 @@
       abstain_until_ = services_.reactor.now() + 2 * services_.settings.lease_s;
       break;
     }
-    const bool doubtful = renewed != Outcome::ok;
-    net::Signal::Wait wait(lost_, doubtful ? life / 10 : life / 4);
+    const bool unconfirmed = renewed != Outcome::ok;
+    net::Signal::Wait wait(lost_, unconfirmed ? life / 10 : life / 4);
     co_await wait;
   }
   serving_ = false;
--- a/src/control/record_reloader.cpp
+++ b/src/control/record_reloader.cpp
@@ -14,8 +14,7 @@
 RecordReloader::RecordReloader(net::Reactor& reactor, const base::Settings& settings,
                                store::Client& store, sched::ClusterState& cluster,
                                std::function<void(Job)> put, net::Signal& changed)
-    : reactor_(reactor),
-      settings_(settings),
+    : settings_(settings),
       store_(store),
       cluster_(cluster),
       put_(std::move(put)),
--- a/src/control/record_reloader.hpp
+++ b/src/control/record_reloader.hpp
@@ -37,7 +37,6 @@
  private:
   net::Task<void> reload_requested(std::string id);
 
-  net::Reactor& reactor_;
   const base::Settings& settings_;
   store::Client& store_;
   sched::ClusterState& cluster_;
--- a/tests/fixtures.hpp
+++ b/tests/fixtures.hpp
@@ -1,4 +1,4 @@
-// Short ways to say what a story is about.
+// Short ways to say what a scenario is about.
 #pragma once
 
 #include "sched/placement.hpp"
--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -1,11 +1,11 @@
-// Pipelines of dependent jobs in whole clusters. The referee of each watches all rules, `too_early`
-// and `orphaned` among them; what a scenario asserts itself is that its trouble came about and that
-// work is served afterwards.
+// Pipelines of dependent jobs in whole clusters. The rule checker of each watches all rules,
+// `too_early` and `orphaned` among them; what a scenario asserts itself is that its trouble came
+// about and that work is served afterwards.
 #include <gtest/gtest.h>
 
 #include <algorithm>
 
-#include "world.hpp"
+#include "test_cluster.hpp"
 
 namespace cranklock::testing {
 namespace {
@@ -30,28 +30,28 @@
 
 /// Runs until it holds; false when that takes too long.
 template <typename Holds>
-bool wait_for(World& w, double most_s, Holds holds) {
+bool wait_for(TestCluster& w, double most_s, Holds holds) {
   for (double t = 0; t < most_s && !holds(); t += 0.25) w.run(0.25);
   return holds();
 }
 
-bool ended(const World& w, int i) {
+bool ended(const TestCluster& w, int i) {
   return w.store.contains("ended/" + name(i));
 }
 
-bool all_nodes_say(World& w, int i, const std::string& state) {
+bool all_nodes_say(TestCluster& w, int i, const std::string& state) {
   for (int node = 0; node < w.nodes(); ++node) {
     if (w.is_up(node) && w.state_of(node, name(i)) != state) return false;
   }
   return true;
 }
 
-int other_than(const World& w, int node) {
+int other_than(const TestCluster& w, int node) {
   return (node + 1) % w.nodes();
 }
 
 /// A diamond: 0 first, 1 and 2 need it, 3 needs both.
-void submit_diamond(World& w) {
+void submit_diamond(TestCluster& w) {
   w.submit(0, stage(0));
   w.submit(1, stage(1, {0}));
   w.submit(2, stage(2, {0}, 3));
@@ -59,7 +59,7 @@
 }
 
 TEST(Pipeline, StagesRunInOrderOneRightAfterTheOther) {
-  World w;
+  TestCluster w;
   w.run(1);
   w.add_worker();
   w.run(3);
@@ -74,7 +74,7 @@
 }
 
 TEST(Pipeline, SubmissionsAreCheckedByAnyNode) {
-  World w;
+  TestCluster w;
   w.run(1);
   w.submit(0, stage(0));
   EXPECT_EQ(w.ask(1, "POST", "/v1/jobs", text(stage(1, {1}))).status, 422);
@@ -98,7 +98,7 @@
 TEST(Pipeline, TheJobsOfAPipelineAreAcceptedAtOnceByOneNode) {
   auto settings = small_settings();
   settings.state_write_rps = 21;
-  World w(5, {}, settings);
+  TestCluster w(5, {}, settings);
   w.limits_writes = true;
   w.run(1);
   w.run(10);
@@ -110,7 +110,7 @@
 }
 
 TEST(Pipeline, WithoutTheStateServiceASubmissionIsNotRefusedForGood) {
-  World w;
+  TestCluster w;
   w.run(1);
   w.submit(0, stage(0));
   w.state_down = true;
@@ -121,7 +121,7 @@
 }
 
 TEST(Pipeline, ACancellationReachesAllStagesAndThoseSubmittedLater) {
-  World w;
+  TestCluster w;
   w.run_s = 1000;
   w.run(1);
   submit_diamond(w);
@@ -136,7 +136,7 @@
 }
 
 TEST(Pipeline, ACancellationThatIsAnsweredWithDoneTakesNothingAlong) {
-  World w;
+  TestCluster w;
   w.run(1);
   submit_diamond(w);
   ASSERT_TRUE(wait_for(w, 60, [&] { return ended(w, 0); }));
@@ -149,7 +149,7 @@
 // No leader has followed yet, and the question comes first: the answer is found in what the job
 // needs, and is stored before it is told, so that no node says less afterwards.
 TEST(Pipeline, AfterAnOutageNoNodeCallsAnOrphanQueued) {
-  World w;
+  TestCluster w;
   w.run_s = 1000;
   w.run(1);
   submit_diamond(w);
@@ -174,27 +174,27 @@
 
 // A leader that the state service alone refuses knows nothing of the cancellation.
 TEST(Pipeline, ANeededJobIsCancelledElsewhereWhileTheLeaderIsRefused) {
-  World w;
+  TestCluster w;
   w.run_s = 6;
   w.run(1);
   submit_diamond(w);
   ASSERT_TRUE(wait_for(w, 40, [&] { return w.running(name(0)) == 1; }));
   const int old = w.leader();
   w.refused_by_state = {old};
-  w.mute_watches = {old};
+  w.hanging_watches = {old};
   w.run(0.2);
   w.cancel(other_than(w, old), name(0));
   w.run(w.base_settings.cancel_s + 1);
   EXPECT_EQ(w.state_of(other_than(w, old), name(3)), "withdrawn");
   w.refused_by_state.clear();
-  w.mute_watches.clear();
+  w.hanging_watches.clear();
   w.run(5);
   EXPECT_TRUE(all_nodes_say(w, 3, "withdrawn"));
   EXPECT_EQ(w.starts[name(1) + "/0"], 0);
 }
 
 TEST(Pipeline, ANewLeaderReadsTheEndingsThatItHasNotSeen) {
-  World w;
+  TestCluster w;
   w.run(1);
   w.add_worker();
   w.run(3);
@@ -214,7 +214,7 @@
 // The ending may be stored though nobody said so, or not stored though it was sent.
 TEST(Pipeline, AnEndingWhoseWriteIsNotAnsweredLetsNothingStartBeforeItIsResolved) {
   for (const bool late : {false, true}) {
-    World w;
+    TestCluster w;
     w.run(1);
     w.add_worker();
     w.run(3);
@@ -234,7 +234,7 @@
 }
 
 TEST(Pipeline, AnOutageBetweenAnEndingAndTheNextStart) {
-  World w;
+  TestCluster w;
   w.run(1);
   w.add_worker();
   w.run(3);
@@ -255,7 +255,7 @@
   settings.txn_ops = 4;
   settings.value_kb = 2;
   constexpr int kFan = 250;
-  World w(3, {}, settings);
+  TestCluster w(3, {}, settings);
   w.limits_writes = true;
   w.limits = {2048, 4, 0};
   w.run_s = 1000;
@@ -293,7 +293,7 @@
   auto settings = small_settings();
   settings.state_write_rps = 60;
   settings.state_rps = 600;
-  World w(3, {}, settings);
+  TestCluster w(3, {}, settings);
   constexpr int kLength = 120;
   w.run_s = 1000;
   w.run(1);
@@ -312,17 +312,17 @@
 // One that is submitted in the very moment in which what it needs is cancelled elsewhere.
 TEST(Pipeline, ASuccessorIsSubmittedAsItsNeedIsCancelled) {
   for (const double apart : {-0.008, -0.004, 0.0, 0.004, 0.008}) {
-    World w;
+    TestCluster w;
     w.run_s = 1000;
     w.run(1);
     w.submit(0, stage(0));
     w.run(3);
     net::Scope scope;
-    const auto asks = [](World& world, double after, int node, std::string path,
+    const auto asks = [](TestCluster& cluster, double after, int node, std::string path,
                          std::string body) -> net::Task<void> {
-      net::Sleep pause(world.reactor, after);
+      net::Sleep pause(cluster.reactor, after);
       co_await pause;
-      auto asking = world.user_asks(node, "POST", std::move(path), std::move(body));
+      auto asking = cluster.user_asks(node, "POST", std::move(path), std::move(body));
       co_await asking;
     };
     scope.spawn(asks(w, 0.01, 1, "/v1/jobs/" + name(0) + "/withdraw", ""));
@@ -342,7 +342,7 @@
   settings.value_kb = 2;
   settings.txn_ops = 4;
   settings.state_write_rps = 21;
-  World w(3, {}, settings);
+  TestCluster w(3, {}, settings);
   w.limits_writes = true;
   w.run(1);
   for (int i = 0; i < 16; ++i) w.add_worker();
@@ -364,7 +364,7 @@
 TEST(Pipeline, LimitsThatFallUnannouncedEndNoLeadership) {
   auto settings = small_settings();
   settings.teams = {{"red", 0, 0, 100, 200}};
-  World w(3, {}, settings);
+  TestCluster w(3, {}, settings);
   w.run(1);
   for (int i = 0; i < 16; ++i) w.add_worker();
   w.run(3);
@@ -382,7 +382,7 @@
 
 // All nodes are replaced one after the other, with a crash and a cut between, while pipelines run.
 TEST(Pipeline, ARollingRestartLosesNothing) {
-  World w(3, {"a", "a", "a"});
+  TestCluster w(3, {"a", "a", "a"});
   w.run_s = 4;
   w.run(1);
   for (int i = 0; i < 3; ++i) w.add_worker();
@@ -409,10 +409,10 @@
     w.cut_from_state.clear();
   }
   EXPECT_TRUE(wait_for(w, 120, [&] {
-    const auto accepted = w.referee.accepted();
+    const auto accepted = w.rules.accepted();
     return static_cast<int>(accepted.size()) == next &&
            std::all_of(accepted.begin(), accepted.end(),
-                       [&](const auto& id) { return !w.referee.ending(id).empty(); });
+                       [&](const auto& id) { return !w.rules.ending(id).empty(); });
   }));
 }
 
--- a/tests/report_forwarder_test.cpp
+++ b/tests/report_forwarder_test.cpp
@@ -3,7 +3,7 @@
 
 #include <gtest/gtest.h>
 
-#include "world.hpp"
+#include "test_cluster.hpp"
 
 namespace cranklock::control {
 namespace {
--- a/tests/referee.cpp
+++ b/tests/rule_checker.cpp
@@ -1,19 +1,19 @@
-#include "referee.hpp"
+#include "rule_checker.hpp"
 
 #include <algorithm>
 
 namespace cranklock::testing {
 
-void Referee::breaks(const std::string& rule, const std::string& how) {
+void RuleChecker::breaks(const std::string& rule, const std::string& how) {
   broken.try_emplace(rule, how);
 }
 
-const wire::JobSpec* Referee::spec(const std::string& job) const {
+const wire::JobSpec* RuleChecker::spec(const std::string& job) const {
   const auto it = jobs_.find(job);
   return it == jobs_.end() || !it->second.described ? nullptr : &it->second.spec;
 }
 
-std::vector<std::string> Referee::accepted() const {
+std::vector<std::string> RuleChecker::accepted() const {
   std::vector<std::string> out;
   for (const auto& [id, job] : jobs_) {
     if (job.told > 0) out.push_back(id);
@@ -21,17 +21,17 @@
   return out;
 }
 
-std::string Referee::ending(const std::string& job) const {
+std::string RuleChecker::ending(const std::string& job) const {
   const auto it = jobs_.find(job);
   return it == jobs_.end() ? "" : it->second.ending;
 }
 
-double Referee::cancelled_at(const std::string& job) const {
+double RuleChecker::cancelled_at(const std::string& job) const {
   const auto it = jobs_.find(job);
   return it == jobs_.end() ? -1 : it->second.cancelled_at;
 }
 
-std::set<std::string> Referee::ancestors(const std::string& job) const {
+std::set<std::string> RuleChecker::ancestors(const std::string& job) const {
   std::set<std::string> out;
   std::vector<std::string> next{job};
   while (!next.empty()) {
@@ -45,7 +45,7 @@
   return out;
 }
 
-double Referee::orphaned_at(const std::string& job) const {
+double RuleChecker::orphaned_at(const std::string& job) const {
   double first = -1;
   for (const auto& needed : ancestors(job)) {
     const double at = cancelled_at(needed);
@@ -54,7 +54,7 @@
   return first;
 }
 
-bool Referee::cancel_asked(const std::string& job) const {
+bool RuleChecker::cancel_asked(const std::string& job) const {
   auto candidates = ancestors(job);
   candidates.insert(job);
   return std::any_of(candidates.begin(), candidates.end(), [&](const std::string& id) {
@@ -63,7 +63,7 @@
   });
 }
 
-void Referee::check_needs_done(const std::string& job, const std::string& task) {
+void RuleChecker::check_needs_done(const std::string& job, const std::string& task) {
   for (const auto& needed : spec(job)->needs) {
     const auto* described = spec(needed);
     const bool done = described != nullptr && jobs_.at(needed).done.size() == described->tasks;
@@ -71,8 +71,8 @@
   }
 }
 
-Referee::Question Referee::ask(const std::string& method, const std::string& path,
-                               const std::string& body) {
+RuleChecker::Question RuleChecker::ask(const std::string& method, const std::string& path,
+                                       const std::string& body) {
   Question q;
   const std::string jobs = "/v1/jobs", cancel = "/withdraw";
   if (method == "POST" && path == jobs) {
@@ -103,7 +103,7 @@
   return q;
 }
 
-void Referee::answered(const Question& q, int status, const std::string& body, double now) {
+void RuleChecker::answered(const Question& q, int status, const std::string& body, double now) {
   if (q.kind == Question::Kind::other) return;
   Job& job = jobs_[q.job];
   if (status == 404 && q.told > 0) breaks("forgotten", q.job + " got 404");
@@ -138,14 +138,14 @@
   job.told = std::max(job.told, over ? 2 : 1);
 }
 
-void Referee::told_to_start(const std::string& id, double now) {
+void RuleChecker::told_to_start(const std::string& id, double now) {
   const double at = cancelled_at(id);
   if (at < 0) return;
   ++late_starts;
   latest_start = std::max(latest_start, now - at);
 }
 
-void Referee::starts(const Seen& task, const std::vector<Seen>& others, double now) {
+void RuleChecker::starts(const Seen& task, const std::vector<Seen>& others, double now) {
   const auto* job = spec(task.job);
   if (job == nullptr) return breaks("invented", task.job + " runs and was never submitted");
   const std::string name = task.job + "/" + std::to_string(task.task);
@@ -168,7 +168,7 @@
   if (job->spread && here > (job->tasks + 1) / 2) breaks("wrong_place", name + ": too many there");
 }
 
-void Referee::look(const std::vector<Seen>& held, double now) {
+void RuleChecker::look(const std::vector<Seen>& held, double now) {
   std::map<std::string, wire::Room> use;
   for (const auto& task : held) {
     const auto it = jobs_.find(task.job);
--- a/tests/referee.hpp
+++ b/tests/rule_checker.hpp
@@ -1,5 +1,5 @@
 // Counts what breaks PROTOCOL's rules: what users are told, and what starts and stays where. Every
-// world has one, so that no story can pass over a broken rule.
+// cluster has one, so that no scenario can pass over a broken rule.
 #pragma once
 
 #include <map>
@@ -21,9 +21,9 @@
   bool has_image = true;  ///< and so is on its machine, as PROTOCOL counts it
 };
 
-class Referee {
+class RuleChecker {
  public:
-  explicit Referee(const base::Settings& settings) : settings_(settings) {}
+  explicit RuleChecker(const base::Settings& settings) : settings_(settings) {}
 
   /// How often each rule was broken, and how, the first time.
   std::map<std::string, std::string> broken;
--- a/tests/referee_test.cpp
+++ b/tests/rule_checker_test.cpp
@@ -1,7 +1,8 @@
-// Proves that the referee of every world notices each broken rule: each of these worlds breaks one.
+// Proves that the rule checker of every cluster notices each broken rule: each of these clusters
+// breaks one.
 #include <gtest/gtest.h>
 
-#include "world.hpp"
+#include "test_cluster.hpp"
 
 namespace cranklock::testing {
 namespace {
@@ -13,9 +14,9 @@
   return make_job(id, wire::Shape::service, tasks, 4).spec;
 }
 
-/// A world with one job that runs on a machine of zone a, and another machine beside it.
-struct Broken : World {
-  explicit Broken(const std::string& rule) : World(3) {
+/// A cluster with one job that runs on a machine of zone a, and another machine beside it.
+struct Broken : TestCluster {
+  explicit Broken(const std::string& rule) : TestCluster(3) {
     expected_broken = {rule};
     run_s = 1000;
     add_worker("a");
@@ -35,14 +36,14 @@
   }
 };
 
-TEST(Referee, NoticesATaskThatStartsWhileItIsElsewhere) {
+TEST(RuleChecker, NoticesATaskThatStartsWhileItIsElsewhere) {
   Broken w("ran_twice");
   w.expected_broken.insert("wrong_place");  // the other machine is in another zone
   w.smuggle(w.beside(), "j-000001/0");
   w.run(0.5);
 }
 
-TEST(Referee, NoticesAStartInAZoneThatTheJobDoesNotAllow) {
+TEST(RuleChecker, NoticesAStartInAZoneThatTheJobDoesNotAllow) {
   Broken w("wrong_place");
   auto s = spec("j-000002");
   s.zone = "a";
@@ -52,7 +53,7 @@
   w.run(0.5);
 }
 
-TEST(Referee, NoticesOneZoneAndApartBroken) {
+TEST(RuleChecker, NoticesOneZoneAndApartBroken) {
   for (const bool one_zone : {true, false}) {
     Broken w("wrong_place");
     auto s = spec("j-000002", 2);
@@ -81,7 +82,7 @@
   }
 }
 
-TEST(Referee, NoticesATeamBeyondItsLimit) {
+TEST(RuleChecker, NoticesATeamBeyondItsLimit) {
   Broken w("quota");
   w.run(1);
   w.submit(0, spec("j-000002", 4));
@@ -89,20 +90,20 @@
   w.run(0.5);
 }
 
-TEST(Referee, NoticesACancelledTaskThatIsStillThere) {
+TEST(RuleChecker, NoticesACancelledTaskThatIsStillThere) {
   Broken w("ran_cancelled");
   w.cancel(1, "j-000001");
   w.run(w.base_settings.cancel_s + 1);
-  w.beside().mute = true;  // or it would be told to stop
+  w.beside().cannot_send = true;  // or it would be told to stop
   w.smuggle(w.beside(), "j-000001/0");
   w.expected_broken.insert("wrong_place");
   w.run(1);
-  EXPECT_EQ(w.referee.late_starts, 0);
-  w.referee.told_to_start("j-000001", w.reactor.now());
-  EXPECT_EQ(w.referee.late_starts, 1);
+  EXPECT_EQ(w.rules.late_starts, 0);
+  w.rules.told_to_start("j-000001", w.reactor.now());
+  EXPECT_EQ(w.rules.late_starts, 1);
 }
 
-TEST(Referee, NoticesAnAcceptedJobThatIsForgottenOrRefused) {
+TEST(RuleChecker, NoticesAnAcceptedJobThatIsForgottenOrRefused) {
   for (const bool asks : {true, false}) {
     Broken w("forgotten");
     w.store.erase("jobs/j-000001");
@@ -114,20 +115,20 @@
   }
 }
 
-TEST(Referee, NoticesAJobThatNobodySubmitted) {
+TEST(RuleChecker, NoticesAJobThatNobodySubmitted) {
   Broken w("invented");
   w.store["ended/j-000777"] = {R"({"s":"done","n":1})", 1, 0};
   EXPECT_EQ(w.ask(1, "GET", "/v1/jobs/j-000777").status, 200);
 }
 
-TEST(Referee, NoticesAJobThatIsCalledDoneTooEarly) {
+TEST(RuleChecker, NoticesAJobThatIsCalledDoneTooEarly) {
   Broken w("not_done");
   w.store.erase("jobs/j-000001");
   w.store["ended/j-000001"] = {R"({"s":"done","n":1})", 1, 0};
   EXPECT_EQ(w.state_of(1, "j-000001"), "done");
 }
 
-TEST(Referee, NoticesAnswersThatGoBack) {
+TEST(RuleChecker, NoticesAnswersThatGoBack) {
   Broken w("went_back");
   const auto record = w.store.at("jobs/j-000001");
   w.cancel(1, "j-000001");
@@ -138,7 +139,7 @@
   EXPECT_EQ(w.state_of(2, "j-000001"), "running");
 }
 
-TEST(Referee, NoticesACancellationThatNobodyAskedFor) {
+TEST(RuleChecker, NoticesACancellationThatNobodyAskedFor) {
   Broken w("went_back");
   w.store.erase("jobs/j-000001");
   w.store["ended/j-000001"] = {R"({"s":"withdrawn","n":0})", 1, 0};
--- a/tests/stories_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -1,10 +1,10 @@
-// Stories of whole controllers in a small world, each with a rule it guards.
+// Scenarios of whole controllers in a small cluster, each with a rule it guards.
 #include <gtest/gtest.h>
 #include <malloc.h>
 
 #include <algorithm>
 
-#include "world.hpp"
+#include "test_cluster.hpp"
 
 namespace cranklock::testing {
 namespace {
@@ -20,8 +20,8 @@
   return w.take();
 }
 
-TEST(Story, AJobIsTakenOnAnyNodeRunsAndStaysDone) {
-  World w;
+TEST(Scenario, AJobIsTakenOnAnyNodeRunsAndStaysDone) {
+  TestCluster w;
   w.run(1);
   const int other = (w.leader() + 1) % 3;
   w.submit(other, spec("j-000001"));
@@ -36,8 +36,8 @@
   EXPECT_EQ(w.ask(other, "POST", "/v1/jobs", R"({"Id":"j-000001"})").status, 200);
 }
 
-TEST(Story, AJobIsCalledDoneOnlyWhenAllItsTasksAre) {
-  World w;
+TEST(Scenario, AJobIsCalledDoneOnlyWhenAllItsTasksAre) {
+  TestCluster w;
   w.run(1);
   w.submit(0, spec("j-000001", 6));  // 24 of the team's 16: in two waves
   bool some = false;
@@ -50,8 +50,8 @@
   EXPECT_EQ(w.state_of(0, "j-000001"), "done");
 }
 
-TEST(Story, BadRequestsGetTheirStatus) {
-  World w;
+TEST(Scenario, BadRequestsGetTheirStatus) {
+  TestCluster w;
   w.run(1);
   EXPECT_EQ(w.ask(0, "POST", "/v1/jobs", "nonsense").status, 400);
   EXPECT_EQ(w.ask(0, "POST", "/v1/jobs", "[1]").status, 400);
@@ -73,8 +73,8 @@
   EXPECT_EQ(w.ask(0, "POST", "/checkin", "{}").status, 400);
 }
 
-TEST(Story, ACrashedLeadersTasksGoOnUnderTheNext) {
-  World w;
+TEST(Scenario, ACrashedLeadersTasksGoOnUnderTheNext) {
+  TestCluster w;
   w.run_s = 20;
   w.run(1);
   w.submit(0, spec("j-000001"));
@@ -91,8 +91,8 @@
   EXPECT_EQ(w.ran_twice, 0);
 }
 
-TEST(Story, EveryNodeKilledAtOnceLosesNoJob) {
-  World w;
+TEST(Scenario, EveryNodeKilledAtOnceLosesNoJob) {
+  TestCluster w;
   w.run(1);
   w.submit(1, spec("j-000001"));
   for (int i = 0; i < 3; ++i) w.crash_node(i);
@@ -103,8 +103,8 @@
   EXPECT_EQ(w.ran_twice, 0);
 }
 
-TEST(Story, ACancellationOnAnyNodeStopsTheTasksInTime) {
-  World w;
+TEST(Scenario, ACancellationOnAnyNodeStopsTheTasksInTime) {
+  TestCluster w;
   w.run_s = 1000;
   w.run(1);
   w.submit(0, spec("j-000001", 2, wire::Shape::service));
@@ -120,8 +120,8 @@
 
 // Without the bound on answering, a leader cut off from the state service would prolong its
 // workers' leases for ever, and a task cancelled elsewhere would outlive cancel_s.
-TEST(Story, ACutOffLeaderCannotKeepACancelledTaskAlive) {
-  World w;
+TEST(Scenario, ACutOffLeaderCannotKeepACancelledTaskAlive) {
+  TestCluster w;
   w.run_s = 1000;
   w.run(1);
   w.submit(0, spec("j-000001", 1, wire::Shape::service));
@@ -138,8 +138,8 @@
   EXPECT_EQ(w.running("j-000001"), 0);
 }
 
-TEST(Story, AStateOutageIsAnsweredAtOnceAndSurvived) {
-  World w;
+TEST(Scenario, AStateOutageIsAnsweredAtOnceAndSurvived) {
+  TestCluster w;
   w.run_s = 10;
   w.run(1);
   w.submit(0, spec("j-000001"));
@@ -159,8 +159,8 @@
   EXPECT_EQ(w.ran_twice, 0);
 }
 
-TEST(Story, AnUnansweredTransactionIsSettledByReading) {
-  World w;
+TEST(Scenario, AnUnansweredTransactionIsSettledByReading) {
+  TestCluster w;
   w.run(1);
   // The acceptance was applied though its answer got lost.
   w.swallow_txn_answers = 1;
@@ -173,8 +173,8 @@
   EXPECT_EQ(w.ran_twice, 0);
 }
 
-TEST(Story, AnUnansweredRentalIsAskedAgainUnderItsName) {
-  World w;
+TEST(Scenario, AnUnansweredRentalIsAskedAgainUnderItsName) {
+  TestCluster w;
   w.swallow_rental_answers = 1;
   w.run(1);
   w.submit(0, spec("j-000001", 1));
@@ -184,8 +184,8 @@
 }
 
 // A name that was answered 200 rents nothing when it is used again, by whichever leader.
-TEST(Story, EveryRentalHasANameOfItsOwnAcrossLeaders) {
-  World w;
+TEST(Scenario, EveryRentalHasANameOfItsOwnAcrossLeaders) {
+  TestCluster w;
   w.run_s = 1000;
   w.run(1);
   w.submit(0, spec("j-000001", 2, wire::Shape::service));
@@ -204,8 +204,8 @@
   EXPECT_GT(w.rentals.size(), before);
 }
 
-TEST(Story, AStartWhoseAnswerIsLostRunsOnceAndIsNotForgotten) {
-  World w;
+TEST(Scenario, AStartWhoseAnswerIsLostRunsOnceAndIsNotForgotten) {
+  TestCluster w;
   w.add_worker();
   w.run(3);
   w.workers["n-1"]->swallow_commands = 1;
@@ -218,8 +218,8 @@
   EXPECT_TRUE(w.workers["n-1"]->tasks.contains("j-000001/0"));
 }
 
-TEST(Story, ASilentMachinesWorkMovesOnlyWhenItsLeaseIsOver) {
-  World w;
+TEST(Scenario, ASilentMachinesWorkMovesOnlyWhenItsLeaseIsOver) {
+  TestCluster w;
   w.run_s = 1000;
   w.add_worker();
   w.add_worker();
@@ -238,8 +238,8 @@
   EXPECT_EQ(w.starts["j-000001/0"], 2);
 }
 
-TEST(Story, AnotherNodeNamesTheLeaderAndNeverItself) {
-  World w;
+TEST(Scenario, AnotherNodeNamesTheLeaderAndNeverItself) {
+  TestCluster w;
   w.run(2);
   const int other = (w.leader() + 1) % 3;
   wire::Report r = report("n-77", 1, 1);
@@ -252,8 +252,8 @@
   w.run(0.1);
 }
 
-TEST(Story, ALeaderThatMeetsAHigherTokenStepsDown) {
-  World w(1);
+TEST(Scenario, ALeaderThatMeetsAHigherTokenStepsDown) {
+  TestCluster w(1);
   w.run(2);
   ASSERT_EQ(w.leader(), 0);
   const std::string body =
@@ -264,14 +264,14 @@
 // A fleet many times as large, with a third of it and the leader lost at once. Guards against
 // deletions that wait for each other, a new leader that makes itself known to a few workers at a
 // time, and hung machines that use up the sockets.
-TEST(Story, ALargeFleetOutlivesTheLossOfAThirdOfItTogetherWithTheLeader) {
+TEST(Scenario, ALargeFleetOutlivesTheLossOfAThirdOfItTogetherWithTheLeader) {
   auto settings = small_settings();
   settings.teams = {{"red", 0, 0, 10'000, 20'000}};
   settings.state_rps = 350;
   settings.state_write_rps = 120;
   settings.cloud_rps = 20;
   settings.fd_limit = 400;
-  World w(3, {}, settings);
+  TestCluster w(3, {}, settings);
   w.run_s = 10'000;
   w.run(1);
   constexpr int kMachines = 1300, kJobs = 60, kTasks = 20;
@@ -315,8 +315,8 @@
 
 // A zone that is cut off works on inside: what runs there outlives its workers' lease, is started
 // nowhere else meanwhile, and goes on when the cut ends.
-TEST(Story, ReplicasInAZoneThatIsCutOffRunOnAndRunOnce) {
-  World w(3, {"a", "a", "b"});
+TEST(Scenario, ReplicasInAZoneThatIsCutOffRunOnAndRunOnce) {
+  TestCluster w(3, {"a", "a", "b"});
   w.run_s = 1000;
   w.run(1);
   ASSERT_NE(w.leader(), 2);
@@ -338,8 +338,8 @@
 
 // Guards against workers sent to and fro between a leader that they can't reach and nodes that can:
 // as long as other workers' reports are carried to it, it does not know that these are lost.
-TEST(Story, WorkersThatCannotReachTheLeaderAreCarriedByWhomTheyReach) {
-  World w(3, {"a", "a", "a"});
+TEST(Scenario, WorkersThatCannotReachTheLeaderAreCarriedByWhomTheyReach) {
+  TestCluster w(3, {"a", "a", "a"});
   w.run_s = 1000;
   w.run(1);
   for (const char* zone : {"a", "b"}) {
@@ -360,12 +360,12 @@
 
 // A small node that leads is charged most for the reports that come straight to it. Those of its
 // own zone are carried by a second node there, until few enough are left.
-TEST(Story, AZonesSecondNodeRelievesALeaderThatReportsCrowd) {
+TEST(Scenario, AZonesSecondNodeRelievesALeaderThatReportsCrowd) {
   auto settings = small_settings();
   constexpr int kWorkers = 30;
   const double most_a_second = 0.1 * settings.core_share / (2 * base::kPacketCost);
   settings.core_share *= kWorkers / 3.0 / most_a_second;  // a third of them would not crowd it
-  World w(3, {"a", "a", "a"}, settings);
+  TestCluster w(3, {"a", "a", "a"}, settings);
   w.run(1);
   for (int i = 0; i < kWorkers; ++i) w.add_worker("a");
   const auto at_leader = [&] {
@@ -383,10 +383,10 @@
 // A parsed body of 60 KB may take half a megabyte: were it kept while the state service is waited
 // for, a few dozen such submissions would end a process of 27 MB. (Sanitizers replace the allocator
 // that is asked here, and then nothing is measured.)
-TEST(Story, SubmissionsThatWaitHoldNoParsedBody) {
+TEST(Scenario, SubmissionsThatWaitHoldNoParsedBody) {
   constexpr int kSubmissions = 20;
   constexpr std::size_t kNumbers = 30'000;
-  World w(1);
+  TestCluster w(1);
   w.run(2);
   const auto before = ::mallinfo2().uordblks;
   net::Scope scope;
@@ -399,8 +399,8 @@
     for (std::size_t n = 1; n < kNumbers; ++n) body += ",0";
     body += "]}";
     sent += body.size();
-    const auto asks = [](World& world, std::string text) -> net::Task<void> {
-      auto asking = world.user_asks(0, "POST", "/v1/jobs", std::move(text));
+    const auto asks = [](TestCluster& cluster, std::string text) -> net::Task<void> {
+      auto asking = cluster.user_asks(0, "POST", "/v1/jobs", std::move(text));
       co_await asking;
     };
     scope.spawn(asks(w, std::move(body)));
@@ -412,8 +412,8 @@
 
 // When the cut lasts, they are gone before they start elsewhere, and nothing that was cancelled
 // meanwhile is left after cancel_s.
-TEST(Story, ACutThatLastsEndsTheTasksInTime) {
-  World w(3, {"a", "a", "b"});
+TEST(Scenario, ACutThatLastsEndsTheTasksInTime) {
+  TestCluster w(3, {"a", "a", "b"});
   w.run_s = 1000;
   w.run(1);
   ASSERT_NE(w.leader(), 2);
--- a/tests/sweep_test.cpp
+++ b/tests/sweep_test.cpp
@@ -1,9 +1,9 @@
-// A sweep of short worlds in which troubles overlap at random, the same ones every time. The
-// referee of each watches all rules; afterwards every job must be served.
+// A sweep of short clusters in which troubles overlap at random, the same ones every time. The
+// rule checker of each watches all rules; afterwards every job must be served.
 #include <gtest/gtest.h>
 #include <spdlog/spdlog.h>
 
-#include "world.hpp"
+#include "test_cluster.hpp"
 
 namespace cranklock::testing {
 namespace {
@@ -48,8 +48,8 @@
     troubles.push_back({w.reactor.now() + for_s, std::move(end)});
   }
 
-  World::Worker* any_worker() {
-    std::vector<World::Worker*> there;
+  TestCluster::Worker* any_worker() {
+    std::vector<TestCluster::Worker*> there;
     for (auto& [id, worker] : w.workers) {
       if (!worker->gone) there.push_back(worker.get());
     }
@@ -60,7 +60,7 @@
   void start_trouble() {
     const double span = 1 + roll() * 1.2 * w.base_settings.lease_s;
     const int node = roll() < 0.6 && w.leader() >= 0 ? w.leader() : pick(3);
-    World::Worker* worker = any_worker();
+    TestCluster::Worker* worker = any_worker();
     switch (pick(16)) {
       case 0:
         w.state_down = true;
@@ -109,12 +109,12 @@
         return begin(span, [this, worker] { w.wake(*worker); });
       case 11:
         if (worker == nullptr) return;
-        worker->deaf = true;
-        return begin(span, [worker] { worker->deaf = false; });
+        worker->cannot_receive = true;
+        return begin(span, [worker] { worker->cannot_receive = false; });
       case 12:
         if (worker == nullptr) return;
-        worker->mute = true;
-        return begin(span, [worker] { worker->mute = false; });
+        worker->cannot_send = true;
+        return begin(span, [worker] { worker->cannot_send = false; });
       case 13:
         if (worker == nullptr) return;
         worker->commands_late_s = 1 + 6 * roll();
@@ -147,8 +147,8 @@
   /// Up to three jobs that were accepted before; never services, which users don't name.
   void add_needs(wire::JobSpec& job) {
     std::vector<std::string> candidates;
-    for (const auto& id : w.referee.accepted()) {
-      if (w.referee.spec(id)->shape == Shape::array) candidates.push_back(id);
+    for (const auto& id : w.rules.accepted()) {
+      if (w.rules.spec(id)->shape == Shape::array) candidates.push_back(id);
     }
     for (int i = pick(3); i >= 0 && !candidates.empty(); --i) {
       // Mostly the latest, so that chains come about.
@@ -194,26 +194,26 @@
     const double served = pipelines ? 1.5 * kServed : kServed;
     const auto over = [this] {
       int n = 0;
-      for (const auto& id : w.referee.accepted()) n += w.referee.ending(id).empty() ? 0 : 1;
+      for (const auto& id : w.rules.accepted()) n += w.rules.ending(id).empty() ? 0 : 1;
       return n;
     };
     for (double t = 0; t < served && over() < jobs; ++t) w.run(1);
     std::string waiting;
-    for (const auto& id : w.referee.accepted()) {
-      if (w.referee.ending(id).empty()) waiting += "\n" + w.store["jobs/" + id].data;
+    for (const auto& id : w.rules.accepted()) {
+      if (w.rules.ending(id).empty()) waiting += "\n" + w.store["jobs/" + id].data;
     }
     EXPECT_EQ(over(), jobs) << "not served:" << waiting;
   }
 
   bool pipelines = false;
   std::mt19937 dice;
-  World w;
+  TestCluster w;
   int jobs = 0;
 };
 
 class Overlap : public ::testing::TestWithParam<unsigned> {
  protected:
-  // Only what is wrong is worth reading of so many worlds, unless one is looked at by itself.
+  // Only what is wrong is worth reading of so many clusters, unless one is looked at by itself.
   void SetUp() override {
     const bool alone = ::testing::UnitTest::GetInstance()->test_to_run_count() == 1;
     spdlog::set_level(alone ? spdlog::level::debug : spdlog::level::err);
--- a/tests/world.cpp
+++ b/tests/test_cluster.cpp
@@ -1,4 +1,4 @@
-#include "world.hpp"
+#include "test_cluster.hpp"
 
 #include <gtest/gtest.h>
 
@@ -19,11 +19,11 @@
 namespace {
 
 struct NodeTransport : net::Transport {
-  World& world;
+  TestCluster& cluster;
   int node;
-  NodeTransport(World& w, int n) : world(w), node(n) {}
+  NodeTransport(TestCluster& w, int n) : cluster(w), node(n) {}
   net::Task<Reply> call(std::string address, Request request, double timeout_s) override {
-    return world.call(node, std::move(address), std::move(request), timeout_s);
+    return cluster.call(node, std::move(address), std::move(request), timeout_s);
   }
 };
 
@@ -33,7 +33,7 @@
 
 }  // namespace
 
-struct World::Host {
+struct TestCluster::Host {
   base::Settings settings;
   NodeTransport transport;
   store::Client store;
@@ -41,7 +41,7 @@
   control::Node node;
   net::Scope scope;  // last: its routines end first
 
-  Host(World& w, int i, base::Settings s)
+  Host(TestCluster& w, int i, base::Settings s)
       : settings(std::move(s)),
         transport(w, i),
         store(w.reactor, transport, settings),
@@ -53,14 +53,14 @@
   }
 };
 
-struct World::Exchange {
+struct TestCluster::Exchange {
   explicit Exchange(net::Reactor& reactor) : answered(reactor) {}
   net::Signal answered;
   std::optional<Response> response;
 };
 
-World::World(int nodes, std::vector<std::string> zones, base::Settings settings)
-    : base_settings(std::move(settings)), referee(base_settings), zones_(std::move(zones)) {
+TestCluster::TestCluster(int nodes, std::vector<std::string> zones, base::Settings settings)
+    : base_settings(std::move(settings)), rules(base_settings), zones_(std::move(zones)) {
   base_settings.cloud = "cloud";
   base_settings.state = "state";
   base_settings.list_lag_s = 2;
@@ -73,18 +73,18 @@
   scope_.spawn(watch_over());
 }
 
-World::~World() {
-  for (const auto& [rule, how] : referee.broken) {
+TestCluster::~TestCluster() {
+  for (const auto& [rule, how] : rules.broken) {
     EXPECT_TRUE(expected_broken.contains(rule)) << rule << ": " << how;
   }
   for (const auto& rule : expected_broken) {
-    EXPECT_TRUE(referee.broken.contains(rule)) << rule << " was not noticed";
+    EXPECT_TRUE(rules.broken.contains(rule)) << rule << " was not noticed";
   }
   hosts_.clear();
   scope_.clear();
 }
 
-void World::start_node(int i) {
+void TestCluster::start_node(int i) {
   auto settings = base_settings;
   settings.name = "n" + std::to_string(i);
   settings.zone = zone_of(i);
@@ -97,15 +97,15 @@
   host->scope.spawn(link(i));
 }
 
-std::string World::zone_of(int node) const {
+std::string TestCluster::zone_of(int node) const {
   return zones_.empty() ? "a" : zones_[static_cast<std::size_t>(node)];
 }
 
-bool World::apart(const std::string& zone, const std::string& other) const {
+bool TestCluster::apart(const std::string& zone, const std::string& other) const {
   return zone != other && (cut_zones.contains(zone) || cut_zones.contains(other));
 }
 
-net::Task<void> World::link(int node) {
+net::Task<void> TestCluster::link(int node) {
   for (;;) {
     const auto hello = hosts_[static_cast<std::size_t>(node)]->node.hello();
     for (int other = 0; other < static_cast<int>(hosts_.size()); ++other) {
@@ -116,7 +116,7 @@
   }
 }
 
-net::Task<void> World::deliver(int from, int to, peer::Frame frame) {
+net::Task<void> TestCluster::deliver(int from, int to, peer::Frame frame) {
   Sleep there(reactor, 0.003);
   co_await there;
   const auto& host = hosts_[static_cast<std::size_t>(to)];
@@ -126,27 +126,27 @@
   }
 }
 
-void World::crash_node(int i) {
+void TestCluster::crash_node(int i) {
   hosts_[static_cast<std::size_t>(i)].reset();
 }
 
-int World::leader() const {
+int TestCluster::leader() const {
   for (std::size_t i = 0; i < hosts_.size(); ++i) {
     if (hosts_[i] && hosts_[i]->node.leads()) return static_cast<int>(i);
   }
   return -1;
 }
 
-Response World::ask(int node, const std::string& method, const std::string& path,
-                    const std::string& body) {
-  const auto question = referee.ask(method, path, body);
+Response TestCluster::ask(int node, const std::string& method, const std::string& path,
+                          const std::string& body) {
+  const auto question = rules.ask(method, path, body);
   auto task = hosts_[static_cast<std::size_t>(node)]->node.handle({method, path, "", body, true});
   task.start();
   for (int i = 0; i < 1000 && !task.done(); ++i) run(0.01);
   EXPECT_TRUE(task.done()) << "an answer was held back";
   if (!task.done()) return {};
   auto response = task.take();
-  referee.answered(question, response.status, response.body, reactor.now());
+  rules.answered(question, response.status, response.body, reactor.now());
   return response;
 }
 
@@ -158,24 +158,24 @@
 }
 }  // namespace
 
-void World::submit(int node, const wire::JobSpec& spec) {
+void TestCluster::submit(int node, const wire::JobSpec& spec) {
   const auto response = ask(node, "POST", "/v1/jobs", text_of(spec));
   ASSERT_EQ(response.status, 201) << response.body;
 }
 
-void World::cancel(int node, const std::string& id) {
+void TestCluster::cancel(int node, const std::string& id) {
   ASSERT_EQ(ask(node, "POST", "/v1/jobs/" + id + "/withdraw").status, 200);
-  ASSERT_EQ(referee.ending(id), "withdrawn");
+  ASSERT_EQ(rules.ending(id), "withdrawn");
 }
 
-std::string World::state_of(int node, const std::string& id) {
+std::string TestCluster::state_of(int node, const std::string& id) {
   const auto response = ask(node, "GET", "/v1/jobs/" + id);
   if (response.status != 200) return std::to_string(response.status);
   const JsonDocument document(response.body);
   return wire::read_text(document.root(), "Stance").value_or("?");
 }
 
-void World::add_worker(const std::string& zone) {
+void TestCluster::add_worker(const std::string& zone) {
   auto w = std::make_unique<Worker>();
   w->id = "n-" + std::to_string(++rented);
   w->address = "worker:" + w->id;
@@ -186,7 +186,7 @@
   scope_.spawn(work(ref));
 }
 
-int World::running(const std::string& job) const {
+int TestCluster::running(const std::string& job) const {
   int n = 0;
   for (const auto& [id, w] : workers) {
     for (const auto& [name, t] : w->tasks) {
@@ -196,7 +196,7 @@
   return n;
 }
 
-int World::held(const std::string& job) const {
+int TestCluster::held(const std::string& job) const {
   int n = 0;
   for (const auto& [id, w] : workers) {
     if (w->gone || lease_over(*w)) continue;
@@ -209,16 +209,16 @@
 
 // ---- users ----
 
-net::Task<std::optional<Response>> World::user_asks(int node, std::string method, std::string path,
-                                                    std::string body) {
-  const auto question = referee.ask(method, path, body);
+net::Task<std::optional<Response>> TestCluster::user_asks(int node, std::string method,
+                                                          std::string path, std::string body) {
+  const auto question = rules.ask(method, path, body);
   auto asking = exchange(node, {method, path, "", body, true}, 5);
   auto response = co_await asking;
-  if (response) referee.answered(question, response->status, response->body, reactor.now());
+  if (response) rules.answered(question, response->status, response->body, reactor.now());
   co_return response;
 }
 
-net::Task<void> World::look_once(int node, wire::JobSpec spec, bool submits) {
+net::Task<void> TestCluster::look_once(int node, wire::JobSpec spec, bool submits) {
   Sleep moment(reactor, 0.01 * chance());
   co_await moment;
   auto asking =
@@ -227,7 +227,7 @@
   co_await asking;
 }
 
-net::Task<void> World::look_closely(wire::JobSpec spec) {
+net::Task<void> TestCluster::look_closely(wire::JobSpec spec) {
   for (int node = 0; node < nodes(); ++node) {
     scope_.spawn(look_once(node, spec, false));
     scope_.spawn(look_once(node, spec, true));
@@ -235,11 +235,11 @@
   co_return;
 }
 
-void World::add_user(const wire::JobSpec& spec, UserHabits habits) {
+void TestCluster::add_user(const wire::JobSpec& spec, UserHabits habits) {
   scope_.spawn(use(spec, habits));
 }
 
-net::Task<void> World::use(wire::JobSpec spec, UserHabits habits) {
+net::Task<void> TestCluster::use(wire::JobSpec spec, UserHabits habits) {
   const double began = reactor.now();
   const auto path = "/v1/jobs/" + spec.id;
   std::string known;
@@ -278,14 +278,15 @@
   }
 }
 
-net::Task<void> World::serve(int node, Request request, std::shared_ptr<Exchange> exchange) {
+net::Task<void> TestCluster::serve(int node, Request request, std::shared_ptr<Exchange> exchange) {
   auto handling = hosts_[static_cast<std::size_t>(node)]->node.handle(std::move(request));
   auto response = co_await handling;
   exchange->response = std::move(response);
   exchange->answered.set();
 }
 
-net::Task<std::optional<Response>> World::exchange(int node, Request request, double timeout_s) {
+net::Task<std::optional<Response>> TestCluster::exchange(int node, Request request,
+                                                         double timeout_s) {
   Sleep there(reactor, 0.001);
   co_await there;
   const auto& host = hosts_[static_cast<std::size_t>(node)];
@@ -299,7 +300,8 @@
 
 // ---- what passes between ----
 
-net::Task<Reply> World::call(int node, std::string address, Request request, double timeout_s) {
+net::Task<Reply> TestCluster::call(int node, std::string address, Request request,
+                                   double timeout_s) {
   Sleep there(reactor, 0.003);
   co_await there;
   Reply lost;  // unknown
@@ -323,7 +325,7 @@
   co_return reply;
 }
 
-net::Task<Reply> World::call_state(int node, Request request, double timeout_s) {
+net::Task<Reply> TestCluster::call_state(int node, Request request, double timeout_s) {
   Reply lost;  // unknown
   const bool watch = request.path == "/follow";
   const double until = reactor.now() + timeout_s;
@@ -349,7 +351,7 @@
       co_await wait;
       co_return lost;
     }
-    if (watch && (unserved(node) || mute_watches.contains(node))) {
+    if (watch && (unserved(node) || hanging_watches.contains(node))) {
       if (reactor.now() >= until) co_return lost;
       Sleep wait(reactor, 0.02);
       co_await wait;
@@ -373,7 +375,7 @@
   }
 }
 
-net::Task<Reply> World::call_cloud(Request request, double timeout_s) {
+net::Task<Reply> TestCluster::call_cloud(Request request, double timeout_s) {
   if (cloud_down) {
     co_return Reply{Reply::Kind::answered, answer(503, R"({"error":"trouble"})")};
   }
@@ -387,8 +389,8 @@
   co_return Reply{Reply::Kind::answered, response};
 }
 
-net::Task<Reply> World::call_worker(int node, std::string address, Request request,
-                                    double timeout_s) {
+net::Task<Reply> TestCluster::call_worker(int node, std::string address, Request request,
+                                          double timeout_s) {
   struct UnderWay {
     int& count;
     ~UnderWay() { --count; }
@@ -397,7 +399,7 @@
   most_calls_under_way = std::max(most_calls_under_way, calls_under_way);
   for (auto& [id, w] : workers) {
     if (w->address != address) continue;
-    if (w->gone || w->deaf || cut_from_workers.contains(node)) break;
+    if (w->gone || w->cannot_receive || cut_from_workers.contains(node)) break;
     if (apart(zone_of(node), w->zone)) break;
     if (w->commands_late_s > 0) {
       scope_.spawn(arrive_late(*w, request, w->commands_late_s));
@@ -421,16 +423,16 @@
 
 // ---- the state service ----
 
-void World::put(const std::string& key, const std::string& data, std::uint64_t lease) {
+void TestCluster::put(const std::string& key, const std::string& data, std::uint64_t lease) {
   store[key] = {data, revision, lease};
   events_.push_back({key, data, revision});
 }
 
-void World::erase(const std::string& key) {
+void TestCluster::erase(const std::string& key) {
   if (store.erase(key) > 0) events_.push_back({key, "", revision});
 }
 
-void World::expire() {
+void TestCluster::expire() {
   if (state_down) return;
   for (auto it = leases_.begin(); it != leases_.end();) {
     if (it->second.second > reactor.now()) {
@@ -447,7 +449,7 @@
   }
 }
 
-Response World::state(const Request& r) {
+Response TestCluster::state(const Request& r) {
   expire();
   const auto field = [&](const char* name) { return net::query_field(r.query, name); };
   JsonWriter w;
@@ -499,7 +501,7 @@
   return transaction(r);
 }
 
-bool World::too_large(const Json& changes) const {
+bool TestCluster::too_large(const Json& changes) const {
   if (limits.txn_changes > 0 && changes.Size() > limits.txn_changes) return true;
   for (const auto& change : changes.GetArray()) {
     if (limits.value_bytes == 0 || change.HasMember("Remove")) continue;
@@ -508,7 +510,7 @@
   return false;
 }
 
-Response World::transaction(const Request& r) {
+Response TestCluster::transaction(const Request& r) {
   JsonWriter w;
   const JsonDocument document(r.body);
   if (too_large(document.root()["Then"])) {
@@ -558,7 +560,7 @@
 
 // ---- the cloud ----
 
-Response World::cloud(const Request& r) {
+Response TestCluster::cloud(const Request& r) {
   JsonWriter w;
   if (r.path == "/machine_types") {
     wire::write_machine_types(w, {machine_type()});
@@ -603,23 +605,23 @@
 
 // ---- workers ----
 
-bool World::lease_over(const Worker& w) const {
+bool TestCluster::lease_over(const Worker& w) const {
   return reactor.now() - w.answered_sent > base_settings.lease_s;
 }
 
-double World::run_time(const std::string& task) const {
+double TestCluster::run_time(const std::string& task) const {
   const auto it = run_s_of.find(task);
   return it == run_s_of.end() ? run_s : it->second;
 }
 
-void World::end_lease(Worker& w) {
+void TestCluster::end_lease(Worker& w) {
   if (!lease_over(w)) return;
   ++w.session;
   w.tasks.clear();
   w.answered_sent = reactor.now();
 }
 
-std::vector<Seen> World::everything() const {
+std::vector<Seen> TestCluster::everything() const {
   std::vector<Seen> out;
   for (const auto& [id, w] : workers) {
     // What hangs beyond its lease kills its tasks before it does anything else.
@@ -634,12 +636,12 @@
   return out;
 }
 
-void World::progress(Worker& w) {
+void TestCluster::progress(Worker& w) {
   for (auto& [name, t] : w.tasks) {
     if (t.state == TaskState::fetching && reactor.now() - t.since > 0.5) {
       std::vector<Seen> others;
       const auto task = *wire::parse_task(name);
-      if (referee.is_completed(task.job, task.index)) {  // its result was kept
+      if (rules.is_completed(task.job, task.index)) {  // its result was kept
         t = {t.attempt, TaskState::exited, Cause::done, reactor.now()};
         continue;
       }
@@ -649,20 +651,20 @@
           others.push_back(std::move(seen));
         }
       }
-      referee.starts({task.job, w.id, task.index, {"g8", w.zone, false}, true}, others,
-                     reactor.now());
+      rules.starts({task.job, w.id, task.index, {"g8", w.zone, false}, true}, others,
+                   reactor.now());
       t = {t.attempt, TaskState::running, Cause::none, reactor.now()};
       ++starts[name];
     }
     if (t.state == TaskState::running && reactor.now() - t.since > run_time(name)) {
       t = {t.attempt, TaskState::exited, Cause::done, reactor.now()};
       const auto task = *wire::parse_task(name);
-      referee.completed(task.job, task.index);
+      rules.completed(task.job, task.index);
     }
   }
 }
 
-void World::wake(Worker& w) {
+void TestCluster::wake(Worker& w) {
   if (w.gone) return;
   w.hangs = false;
   end_lease(w);
@@ -671,7 +673,7 @@
   for (const auto& request : held_back) commands(w, request);
 }
 
-net::Task<void> World::arrive_late(Worker& w, Request request, double after) {
+net::Task<void> TestCluster::arrive_late(Worker& w, Request request, double after) {
   Sleep pause(reactor, after);
   co_await pause;
   if (w.hangs) {
@@ -681,7 +683,7 @@
   }
 }
 
-net::Task<void> World::apply_late(Request request, double after) {
+net::Task<void> TestCluster::apply_late(Request request, double after) {
   Sleep pause(reactor, after);
   co_await pause;
   while (state_down) {
@@ -691,15 +693,15 @@
   state(request);
 }
 
-net::Task<void> World::report_late(int node, std::string body, double after) {
+net::Task<void> TestCluster::report_late(int node, std::string body, double after) {
   Sleep pause(reactor, after);
   co_await pause;
   auto sending = exchange(node, {"POST", "/checkin", "", std::move(body), true}, 4);
   co_await sending;  // whom the answer was meant for has long had another
 }
 
-// What goes on by itself: leases of workers and of the state service, and the referee's look.
-net::Task<void> World::watch_over() {
+// What goes on by itself: leases of workers and of the state service, and the rule checker's look.
+net::Task<void> TestCluster::watch_over() {
   constexpr double kEvery = 0.25;
   for (;;) {
     Sleep pause(reactor, kEvery);
@@ -712,7 +714,7 @@
       end_lease(*w);
       progress(*w);
     }
-    referee.look(everything(), reactor.now());
+    rules.look(everything(), reactor.now());
     if (leader() == last_leader_) continue;
     last_leader_ = leader();
     if (last_leader_ < 0) continue;
@@ -723,14 +725,14 @@
   }
 }
 
-void World::execute(Worker& w, const Json& orders) {
+void TestCluster::execute(Worker& w, const Json& orders) {
   for (const auto& o : orders.GetArray()) {
     const std::string verb = o["Verb"].GetString(), name = o["Tooth"].GetString();
     const auto attempt = o["Crank"].GetUint64();
     const auto it = w.tasks.find(name);
     const bool held = it != w.tasks.end() && it->second.attempt == attempt;
     if (verb == "start" && !held) {
-      referee.told_to_start(wire::parse_task(name)->job, reactor.now());
+      rules.told_to_start(wire::parse_task(name)->job, reactor.now());
       w.tasks[name] = {attempt, TaskState::fetching, Cause::none, reactor.now()};
     } else if (verb == "kill" && held && it->second.state != TaskState::exited) {
       it->second = {attempt, TaskState::exited, Cause::stopped, reactor.now()};
@@ -740,7 +742,7 @@
   }
 }
 
-std::string World::report_of(Worker& w) {
+std::string TestCluster::report_of(Worker& w) {
   JsonWriter j;
   j.begin().key("Rig").text(w.id).key("Address").text(w.address).key("Frame").text("g8");
   j.key("Yard").text(w.zone).key("Loaners").flag(false).key("Shift").count(w.session);
@@ -758,7 +760,7 @@
   return j.take();
 }
 
-Response World::commands(Worker& w, const Request& r) {
+Response TestCluster::commands(Worker& w, const Request& r) {
   progress(w);
   const JsonDocument document(r.body);
   const auto token = document.root()["KeyTurn"].GetUint64();
@@ -770,7 +772,7 @@
   return answer(200, report_of(w));
 }
 
-net::Task<void> World::work(Worker& w) {
+net::Task<void> TestCluster::work(Worker& w) {
   for (;;) {
     Sleep pause(reactor, base_settings.report_s);
     co_await pause;
@@ -780,7 +782,7 @@
     end_lease(w);
     const double sent = reactor.now();
     const int target = w.target, next = (target + 1) % nodes();
-    if (w.mute || !is_up(target) || cut_from_workers.contains(target)) {
+    if (w.cannot_send || !is_up(target) || cut_from_workers.contains(target)) {
       w.target = next;
       continue;
     }
@@ -799,7 +801,7 @@
     const auto session = w.session;
     auto asking = exchange(target, {"POST", "/checkin", "", body, true}, 4);
     const auto response = co_await asking;
-    if (w.deaf) {
+    if (w.cannot_receive) {
       Sleep patience(reactor, std::max(sent + 4 - reactor.now(), 0.0));
       co_await patience;
       w.target = next;
--- a/tests/world.hpp
+++ b/tests/test_cluster.hpp
@@ -1,5 +1,5 @@
-// A small world in simulated time: state service, cloud, workers and controllers in one process,
-// with no sockets. It plays PROTOCOL's troubles, and its referee counts what breaks the rules.
+// A small cluster in simulated time: state service, cloud, workers and controllers in one process,
+// with no sockets. It plays PROTOCOL's troubles, and its rule checker counts what breaks the rules.
 #pragma once
 
 #include <map>
@@ -12,7 +12,7 @@
 
 #include "control/node.hpp"
 #include "fixtures.hpp"
-#include "referee.hpp"
+#include "rule_checker.hpp"
 
 namespace cranklock::testing {
 
@@ -37,20 +37,20 @@
 
 /// A user submits, asks about twice a second at any node, and may cancel after a while or at the
 /// moment of the end; with `looks`, all nodes are asked, and the job is submitted again, within
-/// milliseconds after each changes.
+/// milliseconds after each change of state.
 struct UserHabits {
   double cancels_after = -1;
   bool cancels_at_end = false;
   bool looks = false;
 };
 
-class World {
+class TestCluster {
  public:
   /// Nodes are told apart by zones only when these are given, one each; then they are linked too.
-  explicit World(int nodes = 3, std::vector<std::string> zones = {},
-                 base::Settings settings = small_settings());
+  explicit TestCluster(int nodes = 3, std::vector<std::string> zones = {},
+                       base::Settings settings = small_settings());
   /// Fails the test if a rule was broken that it did not expect.
-  ~World();
+  ~TestCluster();
 
   void run(double seconds) { reactor.run_until(reactor.now() + seconds); }
   void start_node(int i);
@@ -59,7 +59,7 @@
   int leader() const;
   int nodes() const { return static_cast<int>(hosts_.size()); }
   bool is_up(int node) const { return hosts_[static_cast<std::size_t>(node)] != nullptr; }
-  /// A user's request to one node; runs the world until it is answered.
+  /// A user's request to one node; runs the cluster until it is answered.
   net::Response ask(int node, const std::string& method, const std::string& path,
                     const std::string& body = "");
   /// Submits to a node and expects to be accepted.
@@ -76,8 +76,8 @@
 
   FakeReactor reactor;
   base::Settings base_settings;
-  Referee referee;
-  std::set<std::string> expected_broken;  ///< rules that this world is made to break
+  RuleChecker rules;
+  std::set<std::string> expected_broken;  ///< rules that this cluster is made to break
   std::mt19937 random{1};
 
   // The state service.
@@ -90,7 +90,7 @@
   bool state_down = false;
   double state_slow_s = 0;
   std::set<int> refused_by_state;  ///< 503 for these alone; what they watch hangs
-  std::set<int> mute_watches;      ///< nodes whose watches hang while all else is served
+  std::set<int> hanging_watches;   ///< nodes whose watches hang while all else is served
   std::set<int> cut_from_state;    ///< nodes whose requests get no answer and are not executed
   std::set<int> cut_from_peers;
   std::set<int> cut_from_workers;
@@ -129,11 +129,11 @@
     std::uint64_t session = 1, tick = 0, token = 0;
     double answered_sent = 0, began = 0;
     int target = 0;
-    bool gone = false;         ///< deleted
-    bool hangs = false;        ///< neither reports nor executes
-    bool deaf = false;         ///< reports arrive, answers and commands don't
-    bool mute = false;         ///< reaches no node, and executes commands
-    int swallow_commands = 0;  ///< so many are executed, and not answered
+    bool gone = false;            ///< deleted
+    bool hangs = false;           ///< neither reports nor executes
+    bool cannot_receive = false;  ///< reports arrive, answers and commands don't
+    bool cannot_send = false;     ///< reaches no node, and executes commands
+    int swallow_commands = 0;     ///< so many are executed, and not answered
     /// Commands arrive so much later, and are answered to nobody; what comes while it hangs is
     /// executed when it goes on.
     double commands_late_s = 0;
@@ -157,7 +157,7 @@
   /// A request to a node's public address that outlives the node; nothing if it is not answered.
   net::Task<std::optional<net::Response>> exchange(int node, net::Request request,
                                                    double timeout_s);
-  /// The same for a user, with the referee listening.
+  /// The same for a user, with the rule checker listening.
   net::Task<std::optional<net::Response>> user_asks(int node, std::string method, std::string path,
                                                     std::string body);
   double chance() { return std::uniform_real_distribution<>(0, 1)(random); }
--- a/tests/meetings_test.cpp
+++ b/tests/two_troubles_test.cpp
@@ -1,10 +1,10 @@
-// Stories of two troubles that meet. The referee of each world watches all rules; what a story
-// asserts itself is that the trouble came about and that work is served afterwards.
+// Scenarios of two troubles that meet. The rule checker of each cluster watches all rules; what a
+// scenario asserts itself is that the trouble came about and that work is served afterwards.
 #include <gtest/gtest.h>
 
 #include <algorithm>
 
-#include "world.hpp"
+#include "test_cluster.hpp"
 
 namespace cranklock::testing {
 namespace {
@@ -37,7 +37,7 @@
   return figures(1, 10, 40);
 }
 
-std::vector<std::string> holders(const World& w, const std::string& job) {
+std::vector<std::string> holders(const TestCluster& w, const std::string& job) {
   std::vector<std::string> out;
   for (const auto& [id, worker] : w.workers) {
     for (const auto& [task, t] : worker->tasks) {
@@ -49,13 +49,13 @@
 
 /// Runs until it holds; false when that takes too long.
 template <typename Holds>
-bool wait_for(World& w, double most_s, Holds holds) {
+bool wait_for(TestCluster& w, double most_s, Holds holds) {
   for (double t = 0; t < most_s && !holds(); t += 0.25) w.run(0.25);
   return holds();
 }
 
 /// Crashes the leader, and starts it again after a while.
-void change_leader(World& w, double back_s = 8) {
+void change_leader(TestCluster& w, double back_s = 8) {
   const int old = w.leader();
   ASSERT_GE(old, 0);
   w.crash_node(old);
@@ -64,13 +64,13 @@
   w.run(0.2);
 }
 
-int other_than(const World& w, int node) {
+int other_than(const TestCluster& w, int node) {
   return (node + 1) % w.nodes();
 }
 
-bool all_over(World& w) {
-  for (const auto& id : w.referee.accepted()) {
-    if (w.referee.ending(id).empty()) return false;
+bool all_over(TestCluster& w) {
+  for (const auto& id : w.rules.accepted()) {
+    if (w.rules.ending(id).empty()) return false;
   }
   return true;
 }
@@ -80,7 +80,7 @@
 enum class Refusal { ends_inside, ends_after, with_a_moment_of_service };
 
 void play_gap(const base::Settings& settings, Refusal refusal) {
-  World w(3, {"a", "a", "a"}, settings);
+  TestCluster w(3, {"a", "a", "a"}, settings);
   w.run_s = 10'000;
   w.run(1);
   w.submit(0, spec("j-000001"));
@@ -88,7 +88,7 @@
   w.run(10);
   const int leader = w.leader();
   w.refused_by_state = {leader};
-  w.mute_watches = {leader};
+  w.hanging_watches = {leader};
   w.run(0.5);
   w.cancel(other_than(w, leader), "j-000001");
   w.run(0.5);
@@ -106,7 +106,7 @@
   EXPECT_EQ(w.held("j-000001"), 0);
   w.run(5);
   w.state_down = false;
-  w.mute_watches.clear();
+  w.hanging_watches.clear();
   w.run(5);
   w.refused_by_state.clear();
   w.run(0.5);  // a node that was refused notices
@@ -117,21 +117,21 @@
 
 // Guards against a leader whose leader lease is confirmed before its changes are: it would keep
 // alive, through an outage longer than cancel_s, what was cancelled while it alone was refused.
-TEST(Meeting, TheGapWhoseRefusalEndsInsideTheOutage) {
+TEST(TwoTroubles, TheGapWhoseRefusalEndsInsideTheOutage) {
   play_gap(long_reports(), Refusal::ends_inside);
   play_gap(long_cancels(), Refusal::ends_inside);
 }
-TEST(Meeting, TheGapWhoseRefusalOutlastsTheOutage) {
+TEST(TwoTroubles, TheGapWhoseRefusalOutlastsTheOutage) {
   play_gap(long_reports(), Refusal::ends_after);
   play_gap(long_cancels(), Refusal::ends_after);
 }
-TEST(Meeting, TheGapWithAMomentOfServiceInBetween) {
+TEST(TwoTroubles, TheGapWithAMomentOfServiceInBetween) {
   play_gap(long_reports(), Refusal::with_a_moment_of_service);
   play_gap(long_cancels(), Refusal::with_a_moment_of_service);
 }
 
 // The bound itself, on the figures of both deployments and with every clock as far off as may be.
-TEST(Meeting, NoLeaseThatMayStillBeProlongedOutlastsACancellation) {
+TEST(TwoTroubles, NoLeaseThatMayStillBeProlongedOutlastsACancellation) {
   for (const auto& s : {long_reports(), long_cancels(), figures(5, 29, 49), figures(4, 22, 52)}) {
     control::LeaderLease lease(s, 7, 100);
     EXPECT_FALSE(lease.may_answer(101));  // leading alone is not knowledge
@@ -156,8 +156,8 @@
 // ---- cancellations ----
 
 // Guards against stops that wait until a transaction of the leader's is settled.
-TEST(Meeting, ACancellationIsActedOnWhileAWriteIsUnsettled) {
-  World w;
+TEST(TwoTroubles, ACancellationIsActedOnWhileAWriteIsUnsettled) {
+  TestCluster w;
   w.run_s = 1000;
   w.run(1);
   w.submit(0, spec("j-000001"));
@@ -172,8 +172,8 @@
   EXPECT_EQ(w.held("j-000001"), 0);
 }
 
-TEST(Meeting, JobsAreCancelledWhileTheirWorkChangesHands) {
-  World w(3, {"a", "a", "a"});
+TEST(TwoTroubles, JobsAreCancelledWhileTheirWorkChangesHands) {
+  TestCluster w(3, {"a", "a", "a"});
   w.run_s = 1000;
   w.run(1);
   for (int round = 0; round < 3; ++round) {
@@ -194,9 +194,9 @@
 }
 
 /// A long lease, and a machine that hangs at the moment at which its job is cancelled.
-struct HungWithCancelled : World {
+struct HungWithCancelled : TestCluster {
   std::string on;
-  HungWithCancelled() : World(3, {"a", "a", "a"}, figures(3, 44, 49)) {
+  HungWithCancelled() : TestCluster(3, {"a", "a", "a"}, figures(3, 44, 49)) {
     run_s = 1000;
     run(1);
     submit(0, spec("j-000001", 1));
@@ -210,7 +210,7 @@
 
 // Guards against a deletion that every change of leader puts off: the machine goes on before its
 // lease ends, with a task that was cancelled long ago.
-TEST(Meeting, LeadersChangeWhileAHungMachineHoldsACancelledTask) {
+TEST(TwoTroubles, LeadersChangeWhileAHungMachineHoldsACancelledTask) {
   HungWithCancelled w;
   const double at = w.reactor.now();
   while (w.reactor.now() - at < w.base_settings.cancel_s * 0.85) {
@@ -222,7 +222,7 @@
 }
 
 // Guards against a deletion that waits for a leader in an outage of the state service.
-TEST(Meeting, AHungMachineWithACancelledTaskIsDeletedInAStateOutageToo) {
+TEST(TwoTroubles, AHungMachineWithACancelledTaskIsDeletedInAStateOutageToo) {
   HungWithCancelled w;
   w.run(1);
   w.state_down = true;
@@ -234,19 +234,19 @@
 }
 
 // A start that is held up on its way comes after the cancellation, in the same session.
-TEST(Meeting, AStartHeldUpUntilAfterTheCancellationIsEndedInTime) {
+TEST(TwoTroubles, AStartHeldUpUntilAfterTheCancellationIsEndedInTime) {
   for (const bool leader_ends : {false, true}) {
-    World w(3, {"a", "a", "a"});
+    TestCluster w(3, {"a", "a", "a"});
     w.run_s = 1000;
     w.add_worker();
     w.run(3);
     auto& worker = *w.workers.at("n-1");
     worker.commands_late_s = 8;
-    worker.mute = true;
+    worker.cannot_send = true;
     w.submit(0, spec("j-000001", 1));
     w.run(1);
     w.cancel(1, "j-000001");
-    worker.mute = false;
+    worker.cannot_send = false;
     if (leader_ends) change_leader(w, 1);
     worker.commands_late_s = 0;
     w.run(w.base_settings.cancel_s - 2);
@@ -256,9 +256,9 @@
 }
 
 // The same, where the machine hangs with the command in hand and then goes on within its lease.
-TEST(Meeting, ACommandThatAHungMachineExecutesLateIsUndoneInTime) {
+TEST(TwoTroubles, ACommandThatAHungMachineExecutesLateIsUndoneInTime) {
   for (const bool leader_ends : {false, true}) {
-    World w(3, {"a", "a", "a"}, figures(3, 29, 49));
+    TestCluster w(3, {"a", "a", "a"}, figures(3, 29, 49));
     w.run_s = 1000;
     w.add_worker();
     w.run(8);
@@ -281,9 +281,9 @@
 
 // Guards against an attempt number that is given to two machines: the record names one, the cluster
 // state the other, and the task runs on both.
-TEST(Meeting, APlacementIsCarriedOutLateAfterANewerOne) {
+TEST(TwoTroubles, APlacementIsCarriedOutLateAfterANewerOne) {
   for (unsigned seed = 1; seed <= 20; ++seed) {
-    World w;
+    TestCluster w;
     w.random.seed(seed);
     w.run(1);
     w.add_worker("a");
@@ -297,9 +297,9 @@
   }
 }
 
-TEST(Meeting, TransactionsAreCarriedOutAtOnceAndOnlyTheirAnswersAreLost) {
+TEST(TwoTroubles, TransactionsAreCarriedOutAtOnceAndOnlyTheirAnswersAreLost) {
   for (unsigned seed = 1; seed <= 10; ++seed) {
-    World w;
+    TestCluster w;
     w.random.seed(seed);
     w.run(1);
     w.lost_txns = 0.5;
@@ -314,8 +314,8 @@
 
 // Guards against room that is given away while a write that takes it may still be carried out: a
 // team would be beyond its limit as soon as it is.
-TEST(Meeting, AnUnansweredPlacementKeepsItsRoomUntilItIsDecided) {
-  World w;
+TEST(TwoTroubles, AnUnansweredPlacementKeepsItsRoomUntilItIsDecided) {
+  TestCluster w;
   w.run_s = 1000;
   for (int i = 0; i < 5; ++i) w.add_worker();
   w.run(3);
@@ -337,11 +337,11 @@
 }
 
 // Guards against ends told late, and against a budget of writes that one-task jobs use up.
-TEST(Meeting, OneTaskJobsComeFourASecondAndAQuarterIsCancelled) {
+TEST(TwoTroubles, OneTaskJobsComeFourASecondAndAQuarterIsCancelled) {
   auto settings = small_settings();
   settings.teams = {{"red", 0, 0, 200, 400}};
   settings.state_write_rps = 30;
-  World w(5, {}, settings);
+  TestCluster w(5, {}, settings);
   w.limits_writes = true;
   w.run_s = 4;
   w.run(1);
@@ -363,17 +363,17 @@
   EXPECT_LT(latest, 3) << "a job is called done so late";
   EXPECT_TRUE(wait_for(w, 30, [&] { return all_over(w); }));
   EXPECT_EQ(w.refused_writes, 0);
-  EXPECT_EQ(w.referee.accepted().size(), static_cast<std::size_t>(jobs));
+  EXPECT_EQ(w.rules.accepted().size(), static_cast<std::size_t>(jobs));
 }
 
 // Guards against a cancelled job whose parts no leader can read: nobody would ever lead again.
-TEST(Meeting, AJobOfThousandsOfScatteredTasksIsCancelledAndTheLeaderEnds) {
+TEST(TwoTroubles, AJobOfThousandsOfScatteredTasksIsCancelledAndTheLeaderEnds) {
   auto settings = small_settings();
   settings.teams = {{"red", 0, 0, 1000, 2000}};
   settings.state_write_rps = 400;
   settings.value_kb = 2;
   settings.txn_ops = 48;
-  World w(3, {"a", "a", "a"}, settings);
+  TestCluster w(3, {"a", "a", "a"}, settings);
   w.run(1);
   for (int i = 0; i < 40; ++i) w.add_worker();
   w.run(3);
@@ -399,13 +399,13 @@
 }
 
 // The same changes to a leader that stays: it reads the parts anew.
-TEST(Meeting, ALongJobIsCancelledUnderItsLeader) {
+TEST(TwoTroubles, ALongJobIsCancelledUnderItsLeader) {
   auto settings = small_settings();
   settings.teams = {{"red", 0, 0, 1000, 2000}};
   settings.state_write_rps = 400;
   settings.value_kb = 2;
   settings.txn_ops = 48;
-  World w(3, {}, settings);
+  TestCluster w(3, {}, settings);
   w.run_s = 60;
   w.run(1);
   for (int i = 0; i < 40; ++i) w.add_worker();
@@ -421,8 +421,8 @@
 
 // ---- changes of leader ----
 
-TEST(Meeting, ControllersHandOverAndBackAllEndAndOneReturnsWithinASecond) {
-  World w(3, {"a", "a", "a"});
+TEST(TwoTroubles, ControllersHandOverAndBackAllEndAndOneReturnsWithinASecond) {
+  TestCluster w(3, {"a", "a", "a"});
   w.run_s = 8;
   w.run(1);
   for (int i = 0; i < 5; ++i) w.add_user(spec(name(i), 2, Shape::array, 2), {-1, i == 2, true});
@@ -445,9 +445,9 @@
   EXPECT_TRUE(wait_for(w, 90, [&] { return all_over(w); }));
 }
 
-TEST(Meeting, LeadersChangeTenTimesInTwoMinutesAlsoInsideAnOutage) {
+TEST(TwoTroubles, LeadersChangeTenTimesInTwoMinutesAlsoInsideAnOutage) {
   for (const bool outage : {false, true}) {
-    World w(3, {"a", "a", "a"});
+    TestCluster w(3, {"a", "a", "a"});
     w.run_s = 30;
     w.run(1);
     for (int i = 0; i < 4; ++i) {
@@ -466,8 +466,8 @@
   }
 }
 
-TEST(Meeting, JobsOfFewTasksThatEndFarApartKeepWhatIsDone) {
-  World w(3, {"a", "a", "a"});
+TEST(TwoTroubles, JobsOfFewTasksThatEndFarApartKeepWhatIsDone) {
+  TestCluster w(3, {"a", "a", "a"});
   w.run(1);
   w.run_s_of = {{"j-000001/0", 3}, {"j-000001/1", 25}, {"j-000001/2", 50}};
   w.submit(0, spec("j-000001", 3, Shape::array, 4));
@@ -480,8 +480,8 @@
   for (int i = 0; i < 3; ++i) EXPECT_EQ(w.starts["j-000001/" + std::to_string(i)], 1);
 }
 
-TEST(Meeting, AllControllersAreAwayForLongerThanALease) {
-  World w(3, {"a", "a", "a"});
+TEST(TwoTroubles, AllControllersAreAwayForLongerThanALease) {
+  TestCluster w(3, {"a", "a", "a"});
   w.run_s = 40;
   w.run(1);
   w.submit(0, spec("j-000001"));
@@ -496,9 +496,9 @@
   EXPECT_EQ(w.held("j-000002"), 0);
 }
 
-TEST(Meeting, TheLeaderEndsWhileMachinesWithLongTasksAreCutOffOrDeaf) {
-  for (const bool deaf : {false, true}) {
-    World w(3, {"a", "a", "a"});
+TEST(TwoTroubles, TheLeaderEndsWhileMachinesWithLongTasksAreCutOffOrDeaf) {
+  for (const bool cannot_receive : {false, true}) {
+    TestCluster w(3, {"a", "a", "a"});
     w.run_s = 100;
     w.run(1);
     w.submit(0, spec("j-000001", 2));
@@ -507,13 +507,13 @@
         wait_for(w, 20, [&] { return w.running("j-000001") + w.running("j-000002") == 4; }));
     const auto on = holders(w, "j-000001").at(0);
     auto& worker = *w.workers.at(on);
-    (deaf ? worker.deaf : worker.hangs) = true;
+    (cannot_receive ? worker.cannot_receive : worker.hangs) = true;
     w.run(1);
     change_leader(w, 4);
     w.cancel(0, "j-000002");
     w.run(w.base_settings.lease_s * 0.3);
-    worker.deaf = false;
-    if (!deaf) w.wake(worker);
+    worker.cannot_receive = false;
+    if (!cannot_receive) w.wake(worker);
     EXPECT_TRUE(wait_for(w, 90, [&] { return w.running("j-000001") == 2; }));
   }
 }
@@ -522,9 +522,9 @@
 
 // Guards against what a report from before the leadership would say of machines that are gone, or
 // of an earlier session or attempt.
-TEST(Meeting, OldReportsReachEveryControllerJustAsANewLeaderBegins) {
+TEST(TwoTroubles, OldReportsReachEveryControllerJustAsANewLeaderBegins) {
   for (const double kept_s : {0.0, 3.0}) {
-    World w(3, {"a", "a", "a"});
+    TestCluster w(3, {"a", "a", "a"});
     w.run_s = 1000;
     w.keeps_reports = true;
     w.kept_s = kept_s;
@@ -535,9 +535,9 @@
     w.run(8);
     for (int round = 0; round < 3; ++round) {
       // Sessions end, and the same attempts begin again in the next.
-      for (auto& [id, worker] : w.workers) worker->mute = worker->mute || round == 1;
+      for (auto& [id, worker] : w.workers) worker->cannot_send = worker->cannot_send || round == 1;
       w.run(round == 1 ? w.base_settings.lease_s + 2 : 1);
-      for (auto& [id, worker] : w.workers) worker->mute = false;
+      for (auto& [id, worker] : w.workers) worker->cannot_send = false;
       w.run(4);
       change_leader(w, 5);
       w.submit(0, spec(name(round), 1, Shape::service, 2, "blue"));
@@ -547,8 +547,8 @@
   }
 }
 
-TEST(Meeting, NothingIsPlacedOnAMachineThatOnlyAnOldReportShows) {
-  World w(3, {"a", "a", "a"});
+TEST(TwoTroubles, NothingIsPlacedOnAMachineThatOnlyAnOldReportShows) {
+  TestCluster w(3, {"a", "a", "a"});
   w.run_s = 1000;
   w.add_worker("a");
   w.keeps_reports = true;
@@ -559,45 +559,45 @@
   EXPECT_TRUE(wait_for(w, 12, [&] { return w.running("j-000001") == 2; }));
 }
 
-TEST(Meeting, OldReportsArriveAfterNewerOnesAndFromEarlierSessions) {
+TEST(TwoTroubles, OldReportsArriveAfterNewerOnesAndFromEarlierSessions) {
   for (unsigned seed = 1; seed <= 5; ++seed) {
-    World w(3, {"a", "a", "a"});
+    TestCluster w(3, {"a", "a", "a"});
     w.random.seed(seed);
     w.late_reports = 0.5;
     w.run_s = 12;
     w.run(1);
     for (int i = 0; i < 4; ++i) w.add_user(spec(name(i), 2, Shape::array, 4), {-1, i == 0, false});
     w.run(10);
-    for (auto& [id, worker] : w.workers) worker->mute = true;
+    for (auto& [id, worker] : w.workers) worker->cannot_send = true;
     w.run(w.base_settings.lease_s + 1);
-    for (auto& [id, worker] : w.workers) worker->mute = false;
+    for (auto& [id, worker] : w.workers) worker->cannot_send = false;
     w.run(6);
     change_leader(w, 3);
     EXPECT_TRUE(wait_for(w, 120, [&] { return all_over(w); })) << "seed " << seed;
   }
 }
 
-TEST(Meeting, WorkersReachNoControllerWhileCommandsReachThem) {
-  World w(3, {"a", "a", "a"});
+TEST(TwoTroubles, WorkersReachNoControllerWhileCommandsReachThem) {
+  TestCluster w(3, {"a", "a", "a"});
   w.run_s = 1000;
   w.run(1);
   w.submit(0, spec("j-000001"));
   w.submit(0, spec("j-000002"));
   ASSERT_TRUE(wait_for(w, 20, [&] { return w.running("j-000001") + w.running("j-000002") == 4; }));
-  for (auto& [id, worker] : w.workers) worker->mute = true;
+  for (auto& [id, worker] : w.workers) worker->cannot_send = true;
   w.cancel(1, "j-000001");
   w.run(1);
   EXPECT_EQ(w.held("j-000001"), 0);  // told directly
   w.run(w.base_settings.lease_s + 5);
-  for (auto& [id, worker] : w.workers) worker->mute = false;
+  for (auto& [id, worker] : w.workers) worker->cannot_send = false;
   EXPECT_TRUE(wait_for(w, 60, [&] { return w.running("j-000002") == 2; }));
 }
 
 // ---- limits and zones ----
 
-TEST(Meeting, EveryTeamIsAtItsLimitWhileJobsOnLostMachinesAreCancelledAndTheLeaderChanges) {
+TEST(TwoTroubles, EveryTeamIsAtItsLimitWhileJobsOnLostMachinesAreCancelledAndTheLeaderChanges) {
   for (const bool hang : {true, false}) {
-    World w(3, {"a", "a", "b"});
+    TestCluster w(3, {"a", "a", "b"});
     w.run_s = 1000;
     w.run(1);
     int next = 0;
@@ -614,7 +614,8 @@
     // Cancelled on machines that can't be asked; their room is waited for.
     std::vector<std::string> lost = holders(w, name(0));
     for (const auto& id : holders(w, name(2))) lost.push_back(id);
-    for (const auto& id : lost) (hang ? w.workers.at(id)->hangs : w.workers.at(id)->deaf) = true;
+    for (const auto& id : lost)
+      (hang ? w.workers.at(id)->hangs : w.workers.at(id)->cannot_receive) = true;
     w.cancel(0, name(0));
     w.cancel(1, name(2));
     w.run(2);
@@ -623,16 +624,16 @@
     if (w.leader() >= 0) change_leader(w, 1);
     w.run(4);
     for (const auto& id : lost) {
-      w.workers.at(id)->deaf = false;
+      w.workers.at(id)->cannot_receive = false;
       if (hang) w.wake(*w.workers.at(id));
     }
     EXPECT_TRUE(wait_for(w, 90, [&] { return w.running(name(4)) + w.running(name(5)) == 4; }));
   }
 }
 
-TEST(Meeting, NewMachinesGetWorkAtOnceWhileWritesLagAndTheLeaderEnds) {
+TEST(TwoTroubles, NewMachinesGetWorkAtOnceWhileWritesLagAndTheLeaderEnds) {
   for (unsigned seed = 1; seed <= 8; ++seed) {
-    World w(3, {"a", "a", "a"});
+    TestCluster w(3, {"a", "a", "a"});
     w.random.seed(seed);
     w.unlisted_s = 8;
     w.run_s = 15;
@@ -650,9 +651,9 @@
   }
 }
 
-TEST(Meeting, JobsBoundToOneZoneLoseMachinesThatComeBack) {
+TEST(TwoTroubles, JobsBoundToOneZoneLoseMachinesThatComeBack) {
   for (const auto shape : {Shape::array, Shape::service}) {
-    World w(3, {"a", "a", "a"});
+    TestCluster w(3, {"a", "a", "a"});
     w.run_s = shape == Shape::array ? 60 : 1000;
     w.run(1);
     for (const char* zone : {"a", "b"}) w.add_worker(zone);
@@ -683,9 +684,9 @@
 
 // ---- cuts ----
 
-TEST(Meeting, ALeaderWithoutStateServiceAndPeersIsStillReachedByWorkersAndUsers) {
+TEST(TwoTroubles, ALeaderWithoutStateServiceAndPeersIsStillReachedByWorkersAndUsers) {
   for (const auto& settings : {long_reports(), long_cancels()}) {
-    World w(3, {"a", "a", "a"}, settings);
+    TestCluster w(3, {"a", "a", "a"}, settings);
     w.run_s = 1000;
     w.run(1);
     for (int i = 0; i < 3; ++i) w.submit(i, spec(name(i), 1));
@@ -713,8 +714,8 @@
   }
 }
 
-TEST(Meeting, AZoneWithWorkersAndAControllerIsCutOffForLongerThanALease) {
-  World w(3, {"a", "a", "b"});
+TEST(TwoTroubles, AZoneWithWorkersAndAControllerIsCutOffForLongerThanALease) {
+  TestCluster w(3, {"a", "a", "b"});
   w.run_s = 1000;
   w.run(1);
   for (int i = 0; i < 2; ++i) {
@@ -733,9 +734,9 @@
   EXPECT_TRUE(wait_for(w, 90, [&] { return w.running(name(1)) == 2; }));
 }
 
-TEST(Meeting, TheStateServiceIsSlowOrRefusesTheLeaderAndThenEverybodyWhileUsersCancelAndAsk) {
+TEST(TwoTroubles, TheStateServiceIsSlowOrRefusesTheLeaderAndThenEverybodyWhileUsersCancelAndAsk) {
   for (const bool slow : {true, false}) {
-    World w(3, {"a", "a", "a"}, long_reports());
+    TestCluster w(3, {"a", "a", "a"}, long_reports());
     w.run_s = 200;
     w.run(1);
     for (int i = 0; i < 6; ++i) {
@@ -756,10 +757,10 @@
 
 // ---- users ----
 
-TEST(Meeting, UsersAskAtAllNodesAndRepeatWithinMillisecondsAfterEachNews) {
+TEST(TwoTroubles, UsersAskAtAllNodesAndRepeatWithinMillisecondsAfterEachNews) {
   for (const double lost : {0.0, 0.4}) {
     for (const double late : {0.0, 0.3}) {
-      World w;
+      TestCluster w;
       w.random.seed(7);
       w.run(1);
       w.lost_txns = lost;
@@ -779,8 +780,8 @@
 
 // Guards against a refusal for good by a node that learns the machine types while it looks the job
 // up.
-TEST(Meeting, ASubmissionMeetsANodeThatHasJustStarted) {
-  World w;
+TEST(TwoTroubles, ASubmissionMeetsANodeThatHasJustStarted) {
+  TestCluster w;
   w.run(2);
   const int node = other_than(w, w.leader());
   w.crash_node(node);
@@ -794,10 +795,10 @@
   w.submit(node, spec("j-000001"));
 }
 
-TEST(Meeting, ACancellationMeetsTheEndOfTheLastTask) {
+TEST(TwoTroubles, ACancellationMeetsTheEndOfTheLastTask) {
   int done = 0, cancelled = 0;
   for (int moment = 0; moment < 16; ++moment) {
-    World w;
+    TestCluster w;
     w.run(1);
     w.submit(0, spec("j-000001", 1, Shape::array));
     ASSERT_TRUE(wait_for(w, 20, [&] { return w.running("j-000001") == 1; }));
@@ -805,20 +806,20 @@
     const auto other = other_than(w, w.leader());
     EXPECT_EQ(w.ask(other, "POST", "/v1/jobs/j-000001/withdraw").status, 200);
     for (int node = 0; node < 3; ++node) {
-      EXPECT_EQ(w.state_of(node, "j-000001"), w.referee.ending("j-000001"));
+      EXPECT_EQ(w.state_of(node, "j-000001"), w.rules.ending("j-000001"));
     }
     w.run(5);
     for (int node = 0; node < 3; ++node) {
-      EXPECT_EQ(w.state_of(node, "j-000001"), w.referee.ending("j-000001"));
+      EXPECT_EQ(w.state_of(node, "j-000001"), w.rules.ending("j-000001"));
     }
-    (w.referee.ending("j-000001") == "done" ? done : cancelled) += 1;
+    (w.rules.ending("j-000001") == "done" ? done : cancelled) += 1;
   }
   EXPECT_GT(done, 0);
   EXPECT_GT(cancelled, 0);
 }
 
-TEST(Meeting, ThereIsMoreWorkThanRoomUrgentAndNotOverSlowLinks) {
-  World w(3, {"a", "a", "a"});
+TEST(TwoTroubles, ThereIsMoreWorkThanRoomUrgentAndNotOverSlowLinks) {
+  TestCluster w(3, {"a", "a", "a"});
   w.state_slow_s = 0.4;
   w.run_s = 12;
   w.run(1);
@@ -834,7 +835,7 @@
   EXPECT_TRUE(wait_for(w, 25, [&] { return w.running("j-000001") == 2; }));
   EXPECT_TRUE(wait_for(w, 200, [&] {
     int over = 0;
-    for (int i = 0; i < 10; ++i) over += w.referee.ending(name(i)) == "done" ? 1 : 0;
+    for (int i = 0; i < 10; ++i) over += w.rules.ending(name(i)) == "done" ? 1 : 0;
     return over == 10;
   }));
 }
