--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -172,6 +172,25 @@
   EXPECT_TRUE(wait_for(w, 40, [&] { return ended(w, 1) && ended(w, 2) && ended(w, 3); }));
 }
 
+// One node trusts for a while that what a job needs is not cancelled, another finds that it is: what
+// the second says, the first must not take back.
+TEST(Pipeline, WhatOneNodeFindsCancelledNoOtherCallsQueued) {
+  TestCluster w;
+  w.run_s = 1000;
+  w.run(1);
+  const int trusting = other_than(w, w.leader()), finding = other_than(w, trusting);
+  w.submit(trusting, stage(0));
+  w.submit(trusting, stage(1, {0}));
+  w.submit(trusting, stage(3, {1}));
+  w.run(2);
+  ASSERT_EQ(w.state_of(trusting, name(3)), "queued");
+  w.crash_node(w.leader());
+  w.cancel(finding, name(0));
+  ASSERT_EQ(w.state_of(finding, name(3)), "withdrawn");
+  EXPECT_EQ(w.state_of(trusting, name(3)), "withdrawn");
+  EXPECT_EQ(w.leader(), -1);
+}
+
 // A leader that the state service alone refuses knows nothing of the cancellation.
 TEST(Pipeline, ANeededJobIsCancelledElsewhereWhileTheLeaderIsRefused) {
   TestCluster w;
