Tests of parts left by an ending, limits that fall unannounced and users of a busy leader

Each fails when its guard is taken out: the bound on parts removed at once, the lowering of limits after a 400, the overdraft.

--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -126,11 +126,12 @@
   w.run(5);
   w.cancel(other_than(w, w.leader()), name(0));
   w.run(1.5);  // dozens of endings are still to be written
-  for (int i = 100; i < 104; ++i) {
+  for (int times = 0; times < 3; ++times) {
     const double began = w.reactor.now();
-    w.submit(w.leader(), stage(i));
+    constexpr int kInARow = 4;
+    for (int i = 0; i < kInARow; ++i) w.submit(w.leader(), stage(100 + kInARow * times + i));
     EXPECT_LT(w.reactor.now() - began, 0.1);
-    w.run(0.2);
+    w.run(0.7);
   }
   EXPECT_FALSE(ended(w, 39));
 }
@@ -405,6 +406,31 @@
   w.start_node(old);
 }
 
+// Stored in more parts than a transaction may now change: it is written again when enough of its
+// tasks are over, and the parts that its ending leaves go later.
+TEST(Pipeline, ARecordStoredUnderLargerLimitsEndsUnderSmallOnes) {
+  auto settings = small_settings();
+  settings.teams = {{"red", 0, 0, 100, 200}};
+  settings.value_kb = 1;
+  TestCluster w(3, {}, settings);
+  w.run(1);
+  for (int i = 0; i < 25; ++i) w.add_worker();
+  w.run(3);
+  for (int i = 0; i < 190; ++i) w.run_s_of[name(0) + "/" + std::to_string(i)] = 15 + i % 20;
+  w.submit(0, stage(0, {}, 190));
+  w.submit(1, stage(1, {0}));
+  ASSERT_TRUE(wait_for(w, 20, [&] { return w.store.contains("parts/" + name(0) + "/2"); }));
+  for (int node = 0; node < w.nodes(); ++node) w.crash_node(node);
+  w.base_settings.txn_ops = 3;
+  w.limits = {1024, 3, 0};
+  for (int node = 0; node < w.nodes(); ++node) w.start_node(node);
+  ASSERT_TRUE(wait_for(w, 120, [&] { return ended(w, 1); }));
+  w.run(2);
+  for (const auto& [key, value] : w.store) EXPECT_FALSE(key.starts_with("parts/")) << key;
+  EXPECT_EQ(w.refused_as_too_large, 0);
+  EXPECT_EQ(w.starts[name(0) + "/7"], 1);
+}
+
 // No coming limits were announced: a write that is refused as too large is cut down, not repeated.
 TEST(Pipeline, LimitsThatFallUnannouncedEndNoLeadership) {
   auto settings = small_settings();
@@ -413,6 +439,7 @@
   w.run(1);
   for (int i = 0; i < 16; ++i) w.add_worker();
   w.run(3);
+  for (int i = 0; i < 100; ++i) w.run_s_of[name(0) + "/" + std::to_string(i)] = 5 + i % 20;
   w.submit(0, stage(0, {}, 100));
   w.submit(1, stage(1, {0}));
   ASSERT_TRUE(wait_for(w, 20, [&] { return w.running(name(0)) > 0; }));
@@ -420,6 +447,7 @@
   w.limits = {1500, 4, 0};
   ASSERT_TRUE(wait_for(w, 120, [&] { return ended(w, 1); }));
   EXPECT_EQ(w.leader(), leader);
+  EXPECT_GE(w.refused_as_too_large, 1);
   EXPECT_LE(w.refused_as_too_large, 6);
 }
 
