--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -453,6 +453,41 @@
 
 // ---- the upgrade ----
 
+// Without dependent jobs the version in production differs in what it stores by the limits alone
+// that it keeps to. Here it leads first, then a newer node, then again it, while a long array runs.
+TEST(Pipeline, LeadersOfBothVersionsTakeOverFromEachOther) {
+  auto settings = small_settings();
+  settings.teams = {{"red", 0, 0, 100, 200}};
+  settings.value_kb = 2;
+  settings.txn_ops = 4;
+  TestCluster w(3, {}, settings);
+  for (int node = 0; node < w.nodes(); ++node) w.crash_node(node);
+  w.known_limits = {{0, {30, 8, 12}}};
+  w.start_node(0);
+  w.run(3);
+  for (int i = 0; i < 24; ++i) w.add_worker();
+  w.run(3);
+  constexpr int kTasks = 180;
+  for (int i = 0; i < kTasks; ++i) {
+    w.run_s_of[name(0) + "/" + std::to_string(i)] = 10 + i % 50;
+  }
+  w.submit(0, stage(0, {}, kTasks));
+  ASSERT_TRUE(wait_for(w, 20, [&] { return w.running(name(0)) == kTasks; }));
+  EXPECT_FALSE(w.store.contains("parts/" + name(0) + "/0"));  // one value of 8 KiB holds it
+  w.start_node(1);
+  w.run(2);
+  w.crash_node(0);
+  ASSERT_TRUE(wait_for(w, 20, [&] { return w.leader() == 1; }));
+  // Written again in small values as soon as it fits; then the older version has it back.
+  ASSERT_TRUE(wait_for(w, 40, [&] { return w.store.contains("parts/" + name(0) + "/0"); }));
+  w.start_node(0);
+  w.run(2);
+  w.crash_node(1);
+  ASSERT_TRUE(wait_for(w, 20, [&] { return w.leader() == 0; }));
+  ASSERT_TRUE(wait_for(w, 90, [&] { return ended(w, 0); }));
+  for (int i = 0; i < kTasks; ++i) EXPECT_EQ(w.starts[name(0) + "/" + std::to_string(i)], 1) << i;
+}
+
 // All nodes are replaced one after the other, with a crash and a cut between, while pipelines run.
 TEST(Pipeline, ARollingRestartLosesNothing) {
   TestCluster w(3, {"a", "a", "a"});
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -88,6 +88,11 @@
   auto settings = base_settings;
   settings.name = "n" + std::to_string(i);
   settings.zone = zone_of(i);
+  if (const auto known = known_limits.find(i); known != known_limits.end()) {
+    settings.state_write_rps = known->second.write_rps;
+    settings.value_kb = known->second.value_kb;
+    settings.txn_ops = known->second.txn_ops;
+  }
   auto& host = hosts_[static_cast<std::size_t>(i)];
   host = std::make_unique<Host>(*this, i, std::move(settings));
   if (zones_.empty()) return;
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -76,6 +76,12 @@
 
   FakeReactor reactor;
   base::Settings base_settings;
+  /// Limits of the state service as single nodes know them, where they differ from base_settings.
+  struct KnownLimits {
+    double write_rps = 0, value_kb = 0;
+    int txn_ops = 0;
+  };
+  std::map<int, KnownLimits> known_limits;
   RuleChecker rules;
   std::set<std::string> expected_broken;  ///< rules that this cluster is made to break
   std::mt19937 random{1};
