--- a/tests/scaler_test.cpp
+++ b/tests/scaler_test.cpp
@@ -19,7 +19,7 @@
   return s;
 }
 
-struct Story {
+struct PoolScenario {
   base::ScalerSettings settings = design();
   Pool pool{settings};
   double now = 0;
@@ -38,14 +38,14 @@
 };
 
 TEST(Scaler, GrowsOnlyWhenTheWholeUpWindowWasHigh) {
-  Story s;
+  PoolScenario s;
   EXPECT_EQ(s.step(0.95, 10), 0);
   EXPECT_EQ(s.step(0.95, 10), 0);
   EXPECT_EQ(s.step(0.95, 10), 2);
 }
 
 TEST(Scaler, OneLowReadingInTheWindowHoldsGrowthBack) {
-  Story s;
+  PoolScenario s;
   s.step(0.95, 10);
   s.step(0.8, 10);
   EXPECT_EQ(s.step(0.95, 10), 0);
@@ -54,7 +54,7 @@
 }
 
 TEST(Scaler, EveryGrowthWaitsItsCooldownRefusedOrNot) {
-  Story s;
+  PoolScenario s;
   s.steps(3, 1.5, 10);
   // The caller stamps also when the cloud refused: nothing for a cooldown of 20 s.
   EXPECT_EQ(s.steps(4, 1.5, 10), 0);
@@ -62,7 +62,7 @@
 }
 
 TEST(Scaler, ShrinksSlowlyAndNeverBelowTheFloor) {
-  Story s;
+  PoolScenario s;
   s.settings.least_machines = 3;
   EXPECT_EQ(s.steps(12, 0.1, 10, 0), 0);
   EXPECT_EQ(s.step(0.1, 10, 0), -2);
@@ -75,7 +75,7 @@
 // another kept the score between Low and High.
 TEST(Scaler, WorkThatWantsMachinesForAWholeDownWindowCountsAsAboveHigh) {
   for (const double score : {0.1, 0.7}) {
-    Story s;
+    PoolScenario s;
     EXPECT_EQ(s.steps(12, score, 10, 1), 0);
     EXPECT_EQ(s.step(score, 10, 1), 1);
     EXPECT_EQ(s.steps(4, score, 11, 1), 0);  // the cooldown holds for it too
@@ -86,7 +86,7 @@
 }
 
 TEST(Scaler, StepsAndPoolsAreCapped) {
-  Story s;
+  PoolScenario s;
   s.settings.most_step = 7;
   s.settings.most_machines = 12;
   EXPECT_EQ(s.steps(3, 5, 2, 40), 7);
@@ -106,7 +106,7 @@
 }
 
 TEST(Scaler, ANewLeaderRebuildsItsPictureFirst) {
-  Story s;
+  PoolScenario s;
   for (int i = 0; i < 5; ++i) EXPECT_EQ(s.step(2, 10, 2, false), 0);
   EXPECT_EQ(s.step(2, 10, 2, true), 2);
 }
