--- a/src/peer/frames.hpp
+++ b/src/peer/frames.hpp
@@ -7,12 +7,11 @@
 #include <string_view>
 #include <variant>
 
+#include "peer/packing.hpp"
+
 namespace cranklock::peer {
 
 inline constexpr std::uint8_t kVersion = 2;
-inline constexpr std::size_t kMostName = 64;
-inline constexpr std::size_t kHeader = 4;  ///< u16 length of what follows it, u8 version, u8 kind
-inline constexpr std::size_t kMostText = 60'000;
 inline constexpr std::uint32_t kNever = 0xffffffff;
 
 /// Who is there, and what it reaches.
