--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <cstdlib>
 #include <iostream>
+#include <optional>
 
 #include "base/settings.hpp"
 #include "cloud/client.hpp"
@@ -15,6 +16,7 @@
 #include "net/reactor.hpp"
 #include "net/server.hpp"
 #include "peer/links.hpp"
+#include "regions/links.hpp"
 #include "store/client.hpp"
 
 namespace {
@@ -81,6 +83,20 @@
     spdlog::error("{} can't be listened on", settings.peer_listen);
     return 1;
   }
+  std::optional<regions::Links> region_links;
+  if (settings.operators.regions.enabled()) {
+    region_links.emplace(
+        reactor, settings, [&] { return node.leading_token(); },
+        [&](const std::string& region, const regions::RegionFrame& frame) {
+          node.heard_region(region, frame);
+        });
+    if (!region_links->listen()) {
+      spdlog::error("{} can't be listened on",
+                    settings.operators.regions.listen_address(settings.name));
+      return 1;
+    }
+    node.set_region_network(&*region_links);
+  }
   // Orderly end where the platform asks for one: the scope cancels every routine.
   ev_signal on_term, on_int;
   const auto stop = [](struct ev_loop* loop, ev_signal*, int) { ev_break(loop, EVBREAK_ALL); };
@@ -96,6 +112,7 @@
   routines.spawn(node.run());
   routines.spawn(links.accept());
   for (const auto& other : settings.others) routines.spawn(links.keep_link(other));
+  if (region_links) region_links->start(routines);
   spdlog::info("{} listens on {}", settings.name, settings.listen);
   reactor.run();
   spdlog::info("{} ends", settings.name);
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -171,9 +171,14 @@
       {"machines", {{"boot_patience", {real(o.boot_patience), 1.0}}}}};
   for (const auto& element : root.children()) {
     if (element.type() != pugi::node_element) continue;
+    if (std::string(element.name()) == "regions") {
+      if (o.regions.enabled()) throw SettingsError(path + ": regions: expected the element once");
+      o.regions = read_region_settings(element, path);
+      continue;
+    }
     const auto section = known.find(element.name());
     if (section == known.end()) {
-      throw SettingsError(path + ": " + element.name() + ": expected scaler or machines");
+      throw SettingsError(path + ": " + element.name() + ": expected scaler, machines or regions");
     }
     for (const auto& attribute : element.attributes()) {
       const std::string here = std::string(element.name()) + "/" + attribute.name();
@@ -201,10 +206,36 @@
 
 }  // namespace
 
+namespace {
+/// What regions ask of the platform's settings: the controller is listed, and the names of teams
+/// can be parts of keys and frames.
+void check_regions(const Settings& settings, const std::string& xml_path) {
+  const RegionSettings& regions = settings.operators.regions;
+  if (!regions.enabled()) return;
+  if (regions.listen_address(settings.name).empty()) {
+    throw SettingsError(xml_path + ": region " + regions.self + ": expected the controller " +
+                        settings.name);
+  }
+  constexpr int kLeastChanges = 4;  // the largest step of a transfer: two counters, share, transfer
+  if (settings.txn_ops < kLeastChanges) {
+    throw SettingsError(xml_path + ": regions: expected a state service with txn_ops of at least " +
+                        std::to_string(kLeastChanges));
+  }
+  constexpr std::size_t kMostTeamName = 64;
+  for (const auto& team : settings.teams) {
+    if (team.name.size() > kMostTeamName || team.name.find_first_of(" /") != std::string::npos) {
+      throw SettingsError(xml_path + ": regions: expected team names of at most 64 bytes without " +
+                          "spaces and slashes, not " + team.name);
+    }
+  }
+}
+}  // namespace
+
 Settings load_settings(const std::string& toml_path, const std::string& xml_path) {
   Settings s;
   read_toml(toml_path, s);
   if (!xml_path.empty()) read_xml(xml_path, s.operators);
+  check_regions(s, xml_path);
   return s;
 }
 
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -6,6 +6,8 @@
 #include <string>
 #include <vector>
 
+#include "base/region_settings.hpp"
+
 namespace cranklock::base {
 
 /// Names the file, the field and what was expected.
@@ -45,6 +47,7 @@
 struct OperatorSettings {
   ScalerSettings scaler;
   double boot_patience = 3.0;  ///< times ReadyS after which a boot is given up
+  RegionSettings regions;
 };
 
 struct Settings {
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -41,7 +41,7 @@
 
 peer::Hello Node::hello() const {
   const double now = services_.reactor.now();
-  peer::Hello hello{services_.settings.name, leads() ? leader_lease_->token() : 0, reaches_state(),
+  peer::Hello hello{services_.settings.name, leading_token(), reaches_state(),
                     now - workers_heard_ < 2 * services_.settings.report_s};
   hello.run = run_;
   hello.sent_ms = static_cast<std::uint64_t>(now * 1000);
@@ -61,6 +61,10 @@
   forwarder_.answered(std::get<peer::ForwardedAnswer>(frame));
 }
 
+void Node::heard_region(const std::string& region, const regions::RegionFrame& frame) {
+  if (leads()) term_->heard_region(region, frame);
+}
+
 void Node::heard_forwarded_report(const std::string& from, const peer::ForwardedReport& forwarded) {
   peer::ForwardedAnswer answer{forwarded.id, 503, 0, 0, ""};
   const auto report = wire::parse_report(forwarded.report);
@@ -266,7 +270,7 @@
   leader_ = services_.settings.name;
   services_.store.set_leading(true);
   leader_lease_ = std::make_unique<LeaderLease>(services_.settings, taken.token, taken.sent);
-  term_ = std::make_unique<Term>(services_, *leader_lease_, lost_);
+  term_ = std::make_unique<Term>(services_, *leader_lease_, lost_, region_network_);
   auto loading = term_->load();
   bool keeps = co_await loading;
   if (keeps) {
@@ -274,6 +278,8 @@
     term_->start(duties_);
     spdlog::info("serving with token {}: {} jobs", taken.token, term_->cluster().jobs().size());
   }
+  // Leaves the leadership to a node that may have it.
+  if (term_->is_unfit()) abstain_until_ = services_.reactor.now() + 2 * services_.settings.lease_s;
   while (keeps && !term_->is_lost()) {
     const double sent = services_.reactor.now();
     auto renewing = services_.store.renew_lease(taken.lease, life / 3);
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -33,6 +33,12 @@
   void heard(const std::string& from, peer::Frame frame);
   /// How frames reach the other nodes; without it each node serves only its own workers.
   void set_send(ReportForwarder::Send send);
+  /// How leaders of other regions are reached, where the settings name regions.
+  void set_region_network(regions::RegionNetwork* network) { region_network_ = network; }
+  /// Takes what the leader of another region says; ignored while this node does not lead.
+  void heard_region(const std::string& region, const regions::RegionFrame& frame);
+  /// 0: this node does not lead.
+  std::uint64_t leading_token() const { return leads() ? leader_lease_->token() : 0; }
   static double hello_every(const base::Settings& settings) { return settings.report_s / 3; }
   bool leads() const { return term_ != nullptr && serving_; }
   Term* term() { return term_.get(); }
@@ -62,6 +68,7 @@
   Users users_;
   ReportForwarder forwarder_;
   ReportForwarder::Send send_;
+  regions::RegionNetwork* region_network_ = nullptr;
   net::Signal lost_;
   peer::Roster roster_;
   std::unique_ptr<LeaderLease> leader_lease_;
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -6,6 +6,8 @@
 
 #include "control/record.hpp"
 #include "control/report_forwarder.hpp"
+#include "regions/demand.hpp"
+#include "regions/records.hpp"
 
 namespace cranklock::control {
 
@@ -16,7 +18,8 @@
 using sched::Machine;
 using store::Outcome;
 
-Term::Term(Services services, LeaderLease& lease, net::Signal& lost)
+Term::Term(Services services, LeaderLease& lease, net::Signal& lost,
+           regions::RegionNetwork* regions)
     : services_(services),
       leader_lease_(lease),
       lost_(lost),
@@ -30,7 +33,13 @@
           services.reactor, services.settings, services.store, cluster_,
           [this](Job job) { put_job(std::move(job)); }, work_),
       writer_(services.reactor, services.settings, services.store, cluster_, reloader_,
-              lease.token()) {}
+              lease.token()) {
+  if (regions == nullptr) return;
+  shares_ = std::make_unique<regions::ShareService>(
+      services.reactor, services.settings, services.store, *regions,
+      wire::Condition{kLeaderKey, lease.token()}, share_duties());
+  cluster_.set_team_shares(&shares_->book());
+}
 
 void Term::lose(const char* why) {
   if (is_lost_) return;
@@ -45,9 +54,43 @@
   return now() > last_heard_ + span;
 }
 
+// ---- shares of team limits ----
+
+regions::ShareService::Term Term::share_duties() {
+  return {[this] { return regions::waiting_demands(cluster_, now()); },
+          [this](const std::string& team) { return regions::used_share(cluster_, team); },
+          [this] {
+            cluster_.mark_changed();
+            work_.set();
+          },
+          [this] { lose("the leader's key has changed"); }};
+}
+
+void Term::heard_region(const std::string& region, const regions::RegionFrame& frame) {
+  if (shares_ && !is_lost_) shares_->heard(region, frame);
+}
+
+// Guards against a node whose operator's file names no regions, as after a roll-back: it would use
+// the whole of each limit, which other regions hold parts of.
+Task<bool> Term::load_shares() {
+  if (shares_) {
+    auto loading = shares_->load();
+    co_return co_await loading;
+  }
+  auto reading = services_.store.read(regions::kFounderKey, kStoreTimeout);
+  const auto found = co_await reading;
+  is_unfit_ = found.outcome == Outcome::ok;
+  if (is_unfit_) {
+    spdlog::error("limits are shared with other regions, and the settings name none: not leading");
+  }
+  co_return found.outcome == Outcome::failed;
+}
+
 // ---- take-over ----
 
 Task<bool> Term::load() {
+  auto loading_shares = load_shares();
+  if (!co_await loading_shares) co_return false;
   auto reading_types = services_.store.read(kTypesKey, kStoreTimeout);
   const auto types = co_await reading_types;
   if (types.outcome == Outcome::ok) {
@@ -124,6 +167,7 @@
   scope.spawn(supervise_machines());
   scope.spawn(delete_machines());
   scope.spawn(announce_token());
+  if (shares_) shares_->start(scope);
 }
 
 // ---- reports ----
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -19,6 +19,7 @@
 #include "net/reactor.hpp"
 #include "net/task.hpp"
 #include "peer/frames.hpp"
+#include "regions/share_service.hpp"
 #include "sched/cluster_state.hpp"
 #include "sched/scaler.hpp"
 #include "store/client.hpp"
@@ -37,7 +38,9 @@
 class Term {
  public:
   /// `lost` is set when a higher token or a failed condition shows that the leadership is gone.
-  Term(Services services, LeaderLease& lease, net::Signal& lost);
+  /// `regions` reaches the leaders of other regions; nullptr where the settings name none.
+  Term(Services services, LeaderLease& lease, net::Signal& lost,
+       regions::RegionNetwork* regions = nullptr);
 
   /// Reads pools, machine types and live jobs; false when the state service did not let it.
   net::Task<bool> load();
@@ -49,9 +52,15 @@
   peer::ForwardedAnswer handle_forwarded_report(const wire::Report& report,
                                                 const std::string& forwarder, std::uint64_t id);
   void heard(const peer::Hello& hello);
+  /// The same of another region's leader.
+  void heard_region(const std::string& region, const regions::RegionFrame& frame);
+  /// Nullptr where the settings name no regions.
+  const regions::ShareService* shares() const { return shares_.get(); }
   /// Whether the worker may be sent to report to this node of its own zone.
   bool may_hand_over(const std::string& machine, const std::string& forwarder);
   bool is_lost() const { return is_lost_; }
+  /// This node's settings don't let it lead, and loading again will not change that.
+  bool is_unfit() const { return is_unfit_; }
   void lose(const char* why);
   /// Nothing was heard of any worker for so long that this node may be cut off from them.
   bool hears_no_worker() const;
@@ -88,12 +97,16 @@
   double cancel_due(const sched::Job& job) const;
   void check_machine(sched::Machine& machine,
                      const std::map<std::string, sched::ZoneWorkers>& zones, double now);
+  /// Whether shares of other regions bind this node, and it knows them.
+  net::Task<bool> load_shares();
+  regions::ShareService::Term share_duties();
   double now() const { return services_.reactor.now(); }
 
   Services services_;
   LeaderLease& leader_lease_;
   net::Signal& lost_;
   bool is_lost_ = false;
+  bool is_unfit_ = false;
   sched::ClusterState cluster_;
   net::Signal work_;
   net::Signal deletions_;
@@ -123,6 +136,7 @@
   EndingReader endings_;
   RecordReloader reloader_;
   RecordWriter writer_;
+  std::unique_ptr<regions::ShareService> shares_;
   double next_pass_at_ = 0;  ///< no placement pass before
   /// Since the last pass a job has come, or one that others need has ended.
   bool pass_awaited_ = false;
--- a/src/control/term_decide.cpp
+++ b/src/control/term_decide.cpp
@@ -37,9 +37,10 @@
     const bool overdue = now() - last_pass > services_.settings.report_s;
     if (!cluster_.types().empty() && (cluster_.take_changed() || overdue)) {
       last_pass = now();
-      pass_awaited_ = false;
+      const bool job_came = std::exchange(pass_awaited_, false);
       auto result = sched::place_waiting(cluster_, refused_until_, last_pass);
       if (result.cut_short) cluster_.mark_changed();
+      if (shares_ && job_came) shares_->look_again();
       if (shortfall_.wanted.empty() && !result.shortfall.wanted.empty()) {
         const auto& [kind, count] = *result.shortfall.wanted.begin();
         spdlog::info("work finds no room: {} more {} wanted in {}{}", count, kind.type, kind.zone,
--- /dev/null
+++ b/src/regions/demand.cpp
@@ -0,0 +1,45 @@
+#include "regions/demand.hpp"
+
+#include <algorithm>
+
+#include "sched/placement.hpp"
+
+namespace cranklock::regions {
+namespace {
+
+/// Tasks that could be placed at once; the record of a job bounds how many are placed at a time.
+std::size_t placeable_tasks(const sched::Job& job, std::size_t most_live) {
+  const std::size_t live = job.live();
+  const std::size_t waiting = job.pending_count();
+  if (job.spec.shape != wire::Shape::gang) {
+    return live < most_live ? std::min(waiting, most_live - live) : 0;
+  }
+  // A gang is placed whole, when nothing is left of its last attempt.
+  return live == 0 && waiting <= most_live ? waiting : 0;
+}
+
+}  // namespace
+
+std::map<std::string, TeamDemand> waiting_demands(sched::ClusterState& cluster, double now) {
+  std::map<std::string, TeamDemand> demands;
+  const std::size_t most_live = sched::most_live_tasks(cluster.settings());
+  for (const auto& [id, job] : cluster.jobs()) {
+    const bool waits =
+        !job.withdrawn() && !job.complete() && job.needs_met && job.backoff_until <= now;
+    const std::size_t tasks = waits ? placeable_tasks(job, most_live) : 0;
+    if (tasks == 0) continue;
+    const auto [entry, first] = demands.try_emplace(job.spec.team);
+    TeamDemand& demand = entry->second;
+    demand.waiting += used_amounts(job.spec.room * static_cast<double>(tasks));
+    demand.waiting_since_ms =
+        first ? job.ready_ms : std::min(demand.waiting_since_ms, job.ready_ms);
+  }
+  for (auto& [team, demand] : demands) demand.used = used_share(cluster, team);
+  return demands;
+}
+
+Amounts used_share(const sched::ClusterState& cluster, const std::string& team) {
+  return used_amounts(cluster.team_use(team));
+}
+
+}  // namespace cranklock::regions
--- /dev/null
+++ b/src/regions/links.cpp
@@ -0,0 +1,220 @@
+#include "regions/links.hpp"
+
+#include <spdlog/spdlog.h>
+
+namespace cranklock::regions {
+
+using net::Fd;
+using net::Task;
+
+namespace {
+
+/// Hellos after which a silent connection is given up, and what it said counts no more.
+constexpr double kPatience = 3;
+/// Frames that wait for one link; more are dropped and come again.
+constexpr std::size_t kMostWaiting = 1024;
+
+}  // namespace
+
+Links::Links(net::EvReactor& reactor, const base::Settings& settings,
+             std::function<std::uint64_t()> token, Heard heard)
+    : reactor_(reactor), settings_(settings), token_(std::move(token)), heard_(std::move(heard)) {
+  const auto& regions = settings.operators.regions;
+  for (const auto& region : regions.regions) {
+    if (region.name == regions.self) continue;
+    for (const auto& controller : region.controllers) {
+      links_.push_back(std::make_unique<Link>(reactor, region.name, controller));
+    }
+  }
+}
+
+bool Links::listen() {
+  listener_ = net::listen_on(settings_.operators.regions.listen_address(settings_.name));
+  return listener_.valid();
+}
+
+void Links::start(net::Scope& scope) {
+  scope.spawn(accept());
+  for (auto& link : links_) scope.spawn(keep(*link));
+}
+
+RegionHello Links::hello() const {
+  const auto& regions = settings_.operators.regions;
+  return {regions.self, settings_.name, regions.founder, token_()};
+}
+
+bool Links::accepts(const RegionHello& hello) const {
+  const auto& regions = settings_.operators.regions;
+  if (hello.region == regions.self || regions.find(hello.region) == nullptr) {
+    spdlog::error("a connection of the unknown region {} was refused", hello.region);
+    return false;
+  }
+  if (hello.founder != regions.founder) {
+    spdlog::error("region {} was refused: it names {} as the founder, not {}", hello.region,
+                  hello.founder, regions.founder);
+    return false;
+  }
+  return true;
+}
+
+Task<std::optional<std::vector<RegionFrame>>> Links::receive(int fd, std::string& buffer) {
+  char bytes[4096];
+  const double until = reactor_.now() + kPatience * hello_every(settings_);
+  auto reading = net::read_some(reactor_, fd, bytes, sizeof bytes, until);
+  const auto count = co_await reading;
+  if (count <= 0) co_return std::nullopt;
+  buffer.append(bytes, static_cast<std::size_t>(count));
+  std::vector<RegionFrame> frames;
+  for (;;) {
+    RegionFrame frame;
+    const FrameResult result = unpack(buffer, frame);
+    if (result == FrameResult::more) co_return frames;
+    if (result != FrameResult::frame) {
+      spdlog::error("a connection between regions was closed: {}", describe(result));
+      co_return std::nullopt;
+    }
+    frames.push_back(std::move(frame));
+  }
+}
+
+// ---- connections of others ----
+
+Task<void> Links::accept() {
+  // A leader that restarts leaves its old connection behind until that goes quiet.
+  const std::size_t most = 4 * (links_.size() + 1);
+  for (;;) {
+    constexpr double kWait = 3600;  // woken by connections, not by the time
+    net::Ready ready(reactor_, listener_.get(), false, kWait);
+    if (!co_await ready) continue;
+    for (Fd fd = net::accept_from(listener_.get()); fd.valid();
+         fd = net::accept_from(listener_.get())) {
+      if (readers_.size() < most) readers_.spawn(serve(std::move(fd)));
+    }
+  }
+}
+
+Task<void> Links::serve(Fd fd) {
+  std::string buffer, region;  // whose connection it is, as its first hello says
+  for (;;) {
+    auto receiving = receive(fd.get(), buffer);
+    const auto frames = co_await receiving;
+    if (!frames) co_return;
+    bool answer = false;
+    for (const auto& frame : *frames) {
+      if (const auto* hello = std::get_if<RegionHello>(&frame)) {
+        if (!accepts(*hello)) co_return;
+        region = hello->region;
+        answer = true;
+      } else if (region.empty()) {
+        spdlog::error("a connection between regions was closed: it began without a hello");
+        co_return;
+      } else {
+        heard_(region, frame);
+      }
+    }
+    if (!answer) continue;
+    const std::string bytes = pack(hello());
+    auto writing =
+        net::write_all(reactor_, fd.get(), bytes, reactor_.now() + hello_every(settings_));
+    if (!co_await writing) co_return;
+  }
+}
+
+// ---- own connections ----
+
+Task<void> Links::connect(Link& link) {
+  auto connecting =
+      net::connect_to(reactor_, link.controller.address, reactor_.now() + hello_every(settings_));
+  Fd fd = co_await connecting;
+  if (!fd.valid()) co_return;
+  link.fd = std::make_shared<Fd>(std::move(fd));
+  link.next_hello = 0;
+  link.frames.clear();
+  readers_.spawn(read_hellos(link, link.fd));
+}
+
+Task<void> Links::read_hellos(Link& link, SharedFd fd) {
+  std::string buffer;
+  for (;;) {
+    auto receiving = receive(fd->get(), buffer);
+    const auto frames = co_await receiving;
+    if (link.fd != fd) co_return;  // another connection has taken its place
+    if (!frames) break;
+    for (const auto& frame : *frames) {
+      const auto* hello = std::get_if<RegionHello>(&frame);
+      if (hello == nullptr || hello->region != link.region) continue;
+      link.token = hello->token;
+      link.heard_at = reactor_.now();
+    }
+  }
+  close(link);
+}
+
+void Links::close(Link& link) {
+  if (link.fd) ::shutdown(link.fd->get(), SHUT_RDWR);  // ends its reader
+  link.fd.reset();
+  link.token = 0;
+  link.frames.clear();
+}
+
+std::string Links::take_due(Link& link) {
+  std::string out;
+  if (reactor_.now() >= link.next_hello) {
+    out = pack(hello());
+    link.next_hello = reactor_.now() + hello_every(settings_);
+  }
+  for (; !link.frames.empty(); link.frames.pop_front()) out += link.frames.front();
+  return out;
+}
+
+Task<void> Links::keep(Link& link) {
+  for (;;) {
+    if (token_() == 0) {
+      close(link);
+    } else if (!link.fd) {
+      auto connecting = connect(link);
+      co_await connecting;
+    }
+    if (const SharedFd fd = link.fd) {
+      const std::string bytes = take_due(link);
+      auto writing =
+          net::write_all(reactor_, fd->get(), bytes, reactor_.now() + hello_every(settings_));
+      if (!co_await writing) close(link);
+    }
+    const double pause = link.fd ? link.next_hello - reactor_.now() : hello_every(settings_);
+    constexpr double kLeastPause = 0.001;  // the resolution of timers
+    net::Signal::Wait wait(link.filled, std::max(pause, kLeastPause));
+    co_await wait;
+  }
+}
+
+// ---- sending ----
+
+std::optional<std::size_t> Links::leader_link(const std::string& region) const {
+  std::optional<std::size_t> best;
+  const double since = reactor_.now() - kPatience * hello_every(settings_);
+  for (std::size_t i = 0; i < links_.size(); ++i) {
+    const Link& link = *links_[i];
+    const bool leads = link.fd && link.token > 0 && link.heard_at > since;
+    if (link.region != region || !leads) continue;
+    if (!best || link.token > links_[*best]->token) best = i;
+  }
+  return best;
+}
+
+std::vector<std::string> Links::reachable() const {
+  std::vector<std::string> out;
+  for (const auto& region : settings_.operators.regions.regions) {
+    if (leader_link(region.name)) out.push_back(region.name);
+  }
+  return out;
+}
+
+void Links::send(const std::string& region, const RegionFrame& frame) {
+  const auto index = leader_link(region);
+  if (!index || links_[*index]->frames.size() >= kMostWaiting) return;
+  links_[*index]->frames.push_back(pack(frame));
+  links_[*index]->filled.set();
+}
+
+}  // namespace cranklock::regions
--- a/src/sched/cluster_state.hpp
+++ b/src/sched/cluster_state.hpp
@@ -12,6 +12,7 @@
 
 #include "base/settings.hpp"
 #include "sched/dependencies.hpp"
+#include "sched/team_shares.hpp"
 #include "wire/messages.hpp"
 
 namespace cranklock::sched {
@@ -246,6 +247,15 @@
   const wire::MachineType* type(const std::string& name) const;
 
   const wire::Room& team_use(const std::string& team) const;
+  /// What teams may use here when that is less than the settings say; nullptr: all of it. It has to
+  /// outlive the cluster state.
+  void set_team_shares(const TeamShares* shares) { team_shares_ = shares; }
+  wire::Room guarantee_of(const base::Team& team) const {
+    return team_shares_ != nullptr ? team_shares_->guarantee(team) : whole_guarantee(team);
+  }
+  wire::Room limit_of(const base::Team& team) const {
+    return team_shares_ != nullptr ? team_shares_->limit(team) : whole_limit(team);
+  }
   const base::Settings& settings() const { return settings_; }
   std::uint64_t token() const { return token_; }
   double lease_bound() const;
@@ -282,6 +292,7 @@
   /// Places on machines that neither list nor report has shown yet, by machine.
   std::map<std::string, std::vector<PlacementRef>> unseen_;
   std::map<std::string, wire::Room> team_use_;
+  const TeamShares* team_shares_ = nullptr;
   std::map<std::string, wire::MachineType> types_;
   struct ReportForwarder {
     std::uint64_t run = 0;
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -25,6 +25,13 @@
   return share;
 }
 
+/// Whether so much of the team's work, its earliest first, is within its guarantee here.
+bool within_guarantee(const ClusterState& cluster, const base::Team& team, const Room& sum) {
+  const Room guarantee = cluster.guarantee_of(team);
+  return (team.gpus > 0 || team.cpus > 0) && (team.gpus <= 0 || sum.gpus <= guarantee.gpus) &&
+         (team.cpus <= 0 || sum.cpus <= guarantee.cpus);
+}
+
 /// A candidate for a task: a machine there is, or one that boots or would be rented.
 struct Slot {
   MachineKind kind;
@@ -165,9 +172,7 @@
     Room& sum = earlier[job->spec.team];
     sum += job->spec.room * job->spec.tasks;
     const auto* team = cluster_.settings().team(job->spec.team);
-    job->guaranteed = team != nullptr && (team->gpus > 0 || team->cpus > 0) &&
-                      (team->gpus <= 0 || sum.gpus <= team->gpus) &&
-                      (team->cpus <= 0 || sum.cpus <= team->cpus);
+    job->guaranteed = team != nullptr && within_guarantee(cluster_, *team, sum);
     if (job->live() > 0) running_[job->urgency.rank][job->guaranteed ? 1 : 0] = true;
     if (job->backoff_until > now_ || job->pending_count() == 0) continue;
     waiting.push_back(job);
@@ -636,9 +641,10 @@
   const auto* t = cluster.settings().team(team);
   if (t == nullptr) return false;
   const Room sum = cluster.team_use(team) + more;
+  const Room limit = cluster.limit_of(*t);
   constexpr double kSlack = 1e-6;
-  return (t->gpus_max <= 0 || sum.gpus <= t->gpus_max + kSlack) &&
-         (t->cpus_max <= 0 || sum.cpus <= t->cpus_max + kSlack);
+  return (t->gpus_max <= 0 || sum.gpus <= limit.gpus + kSlack) &&
+         (t->cpus_max <= 0 || sum.cpus <= limit.cpus + kSlack);
 }
 
 namespace {
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -125,5 +125,46 @@
             std::string::npos);
 }
 
+const std::string kRegions =
+    "<cranklock><regions self='east' founder='west'>"
+    "<region name='east' share='0.25'><controller member='n0' address='127.0.0.1:5'/></region>"
+    "<region name='west' share='0.75'><controller member='n0' address='127.0.0.1:6'/></region>"
+    "</regions></cranklock>";
+
+TEST(Settings, RegionsAreReadFromXml) {
+  const File toml("regions.toml", kToml), xml("regions.xml", kRegions);
+  const auto regions = load_settings(toml.path(), xml.path()).operators.regions;
+  ASSERT_TRUE(regions.enabled());
+  EXPECT_EQ(regions.self, "east");
+  EXPECT_EQ(regions.founder, "west");
+  ASSERT_EQ(regions.regions.size(), 2U);
+  EXPECT_DOUBLE_EQ(regions.find("west")->first_share, 0.75);
+  EXPECT_EQ(regions.listen_address("n0"), "127.0.0.1:5");
+  EXPECT_EQ(regions.listen_address("n1"), "");
+  EXPECT_FALSE(load_settings(toml.path(), "").operators.regions.enabled());
+}
+
+TEST(Settings, WhatIsWrongWithRegionsIsNamed) {
+  const auto says = [](const std::string& from, const std::string& to, const std::string& what) {
+    const std::string said = complaint(kToml, with(kRegions, from, to));
+    EXPECT_NE(said.find(what), std::string::npos) << said;
+  };
+  says("name='west'", "name='east'", "region/name: expected each region once: east");
+  says("share='0.75'", "share='0.76'", "region/share: expected shares that add up to at most 1");
+  says("share='0.75'", "share='-1'", "region west/share: expected a number from 0 to 1");
+  says("self='east'", "self='north'", "regions/self: expected one of the regions");
+  says("founder='west'", "founder='north'", "regions/founder: expected one of the regions");
+  says("founder='west'", "founder=''", "regions/founder: expected 1 to 64 letters");
+  says("address='127.0.0.1:6'", "adress='127.0.0.1:6'", "region west/controller/adress");
+  says("address='127.0.0.1:6'", "address='west'", "region west/controller/address: expected host");
+  says("<controller member='n0' address='127.0.0.1:6'/>", "", "region west: expected at least one");
+  says("member='n0' address='127.0.0.1:5'", "member='n7' address='127.0.0.1:5'",
+       "region east: expected the controller n0");
+  says("</regions>", "</regions><regions self='east' founder='west'/>",
+       "regions: expected the element once");
+  EXPECT_NE(complaint(with(kToml, "txn_ops = 12", "txn_ops = 3"), kRegions).find("at least 4"),
+            std::string::npos);
+}
+
 }  // namespace
 }  // namespace cranklock::base
--- /dev/null
+++ b/tests/share_book_test.cpp
@@ -0,0 +1,335 @@
+// Transfers of shares between regions, step by step: each way in which one can be interrupted.
+#include <gtest/gtest.h>
+
+#include "share_simulation.hpp"
+
+namespace cranklock::testing {
+namespace {
+
+using regions::Amounts;
+using regions::Resource;
+
+constexpr const char* kTeam = "team-0";
+
+/// Two regions with half of 12 GPUs each, all founded and received.
+struct TwoRegions : ShareSimulation {
+  TwoRegions() : ShareSimulation({{"a", 0.5, {}}, {"b", 0.5, {}}}, 1) { settle(2); }
+  Work& work(const std::string& region) { return regions.at(region).work[kTeam]; }
+  std::int64_t held(const std::string& region) const { return held_gpus(region, kTeam); }
+  void wait_for(const std::string& region, std::int64_t gpus, std::int64_t since_ms = 1) {
+    work(region).waiting = gpus;
+    work(region).since_ms = since_ms;
+  }
+  /// All that `from` has said arrives.
+  void exchange(const std::string& from) {
+    speak(from);
+    while (!messages.empty()) deliver(0);
+  }
+};
+
+TEST(ShareBook, TheFounderGivesEachRegionItsFirstShareAndNoMoreThanIsUnused) {
+  ShareSimulation simulation({{"a", 0.5, {}}, {"b", 0.5, {}}}, 3);
+  simulation.regions.at("a").work["team-1"].used = 8;  // was there before the regions were
+  EXPECT_EQ(simulation.held_gpus("a", "team-1"), 0);
+  while (simulation.write("a")) {
+  }
+  EXPECT_EQ(simulation.held_gpus("a", kTeam), 6);
+  EXPECT_EQ(simulation.held_gpus("a", "team-1"), 8);
+  EXPECT_EQ(simulation.held_gpus("b", kTeam), 0) << "nothing has arrived";
+  simulation.settle(3);
+  EXPECT_EQ(simulation.held_gpus("b", kTeam), 6);
+  EXPECT_EQ(simulation.held_gpus("b", "team-1"), 4);
+}
+
+TEST(ShareBook, WhatIsAskedForComesAsHalfOfWhatIsUnusedAtATime) {
+  TwoRegions two;
+  two.wait_for("b", 10);
+  two.exchange("b");
+  EXPECT_TRUE(two.write("a"));
+  EXPECT_EQ(two.held("a"), 3);
+  two.exchange("a");
+  two.write("b");
+  EXPECT_EQ(two.held("b"), 9);
+  two.settle(4);
+  EXPECT_EQ(two.work("b").used, 10);
+  EXPECT_EQ(two.held("a"), 2);
+}
+
+TEST(ShareBook, NothingInUseIsGiven) {
+  TwoRegions two;
+  two.work("a").used = 6;
+  two.wait_for("b", 10);
+  two.settle(10);
+  EXPECT_EQ(two.held("a"), 6);
+  EXPECT_EQ(two.work("b").used, 6);
+  two.work("a").used = 2;  // proven free
+  two.settle(10);
+  EXPECT_EQ(two.work("b").used, 10);
+}
+
+// A leader may end between any two steps of either side, and the next one has only what is stored.
+TEST(ShareBook, ALeaderEndsBetweenEachTwoSteps) {
+  for (const std::string ending : {"a", "b"}) {
+    for (int last = 0; last <= 8; ++last) {
+      for (const Fate fate : {Fate::answered, Fate::applied_mute, Fate::lost}) {
+        TwoRegions two;
+        two.wait_for("b", 9);
+        int step = 0;
+        const auto next = [&](const std::function<void(Fate)>& action) {
+          action(step == last ? fate : Fate::answered);
+          if (step++ == last) two.change_leader(ending);
+          two.check();
+        };
+        next([&](Fate) { two.exchange("b"); });    // the request
+        next([&](Fate f) { two.write("a", f); });  // taken off, and written down
+        next([&](Fate) { two.exchange("a"); });    // the transfer
+        next([&](Fate f) { two.write("b", f); });  // added
+        next([&](Fate) { two.exchange("b"); });    // the receipt
+        next([&](Fate f) { two.write("a", f); });  // forgotten
+        next([&](Fate) { two.exchange("a"); });
+        next([&](Fate f) { two.write("b", f); });
+        two.settle(10);
+        EXPECT_EQ(two.work("b").used, 9) << ending << " after step " << last;
+        EXPECT_EQ(two.held("a") + two.held("b"), 12);
+      }
+    }
+  }
+}
+
+TEST(ShareBook, ATransferWhoseReceiptIsLostIsSentAgainByALaterLeaderAndAddedOnce) {
+  TwoRegions two;
+  two.wait_for("b", 9);
+  two.exchange("b");
+  two.write("a");
+  two.exchange("a");
+  two.write("b");
+  EXPECT_EQ(two.held("b"), 9);
+  two.cut = {{"b", "a"}};
+  two.exchange("b");  // the receipt does not arrive
+  two.change_leader("a");
+  two.change_leader("b");
+  two.exchange("a");  // once more, from what is stored
+  while (two.write("b")) {
+  }
+  EXPECT_EQ(two.held("b"), 9);
+  two.check();
+}
+
+TEST(ShareBook, AnOldCopyAfterItsReceiptWasForgottenAddsNothing) {
+  TwoRegions two;
+  two.wait_for("b", 9);
+  two.exchange("b");
+  two.write("a");
+  two.speak("a");
+  const auto copies = two.messages;
+  two.settle(10);
+  EXPECT_TRUE(two.regions.at("a").store.under(regions::kOutPrefix).empty()) << "forgotten";
+  const auto before = two.held("b");
+  two.change_leader("b");
+  two.messages = copies;
+  while (!two.messages.empty()) two.deliver(0);
+  while (two.write("b")) {
+  }
+  EXPECT_EQ(two.held("b"), before);
+  two.check();
+}
+
+TEST(ShareBook, ADeposedLeadersLateTransactionChangesNothing) {
+  TwoRegions two;
+  two.wait_for("b", 9);
+  two.exchange("b");
+  two.write("a", Fate::late);
+  EXPECT_EQ(two.held("a"), 3) << "what may be given is not used";
+  two.change_leader("a");
+  EXPECT_EQ(two.held("a"), 6);
+  two.work("a").used = 6;
+  two.apply_late("a", 0);
+  two.check();
+  two.settle(5);
+  EXPECT_EQ(two.held("a"), 6);
+}
+
+// The leader stays the same: its own late transaction must not come on top of a second one.
+TEST(ShareBook, AnUnansweredGiftCountsAsGivenUntilItIsDecided) {
+  for (const Fate first : {Fate::late, Fate::applied_mute, Fate::lost}) {
+    TwoRegions two;
+    two.wait_for("b", 9);
+    two.exchange("b");
+    two.write("a", first);
+    two.write("a", Fate::refused);  // the guard, which says nothing of what went before
+    EXPECT_EQ(two.held("a"), 3);
+    two.place("a");
+    two.write("a");  // the guard
+    two.write("a");  // read again where it failed
+    two.check();
+    two.work("a").waiting = 6;
+    two.place("a");
+    two.apply_late("a", 0);
+    two.check();
+    two.settle(10);
+    EXPECT_EQ(two.held("a") + two.held("b"), 12);
+  }
+}
+
+TEST(ShareBook, AnUnansweredReceptionIsNotUsedUntilItIsDecided) {
+  for (const Fate first : {Fate::late, Fate::applied_mute, Fate::lost}) {
+    TwoRegions two;
+    two.wait_for("b", 9);
+    two.exchange("b");
+    two.write("a");
+    two.exchange("a");
+    two.write("b", first);
+    EXPECT_EQ(two.held("b"), 6);
+    two.write("b");
+    two.apply_late("b", 0);
+    two.settle(10);
+    EXPECT_EQ(two.work("b").used, 9);
+    two.check();
+  }
+}
+
+TEST(ShareBook, ACutInOneDirectionKeepsShareUnderWayAndNothingIsLost) {
+  TwoRegions two;
+  two.wait_for("b", 9);
+  two.cut = {{"a", "b"}};  // requests arrive, transfers don't
+  for (int i = 0; i < 5; ++i) {
+    two.exchange("b");
+    two.write("a");
+    two.exchange("a");
+    two.write("b");
+  }
+  EXPECT_EQ(two.held("a"), 3) << "asked again, nothing more is sent while one is on its way";
+  EXPECT_EQ(two.held("b"), 6);
+  two.check();
+  two.settle(10);
+  EXPECT_EQ(two.work("b").used, 9);
+}
+
+TEST(ShareBook, AStateServiceThatIsDownInOneRegionHoldsUpOnlyWhatItWouldWrite) {
+  TwoRegions two;
+  two.wait_for("b", 9);
+  two.regions.at("b").state_down = true;
+  two.exchange("b");
+  two.write("a");
+  two.exchange("a");
+  two.write("b");
+  EXPECT_EQ(two.held("b"), 6);
+  two.work("a").used = 3;  // the giver goes on
+  two.check();
+  two.settle(10);
+  EXPECT_EQ(two.work("b").used, 9);
+}
+
+TEST(ShareBook, BothAskEachOtherAtOnceAndTheLongerWaitGoesFirst) {
+  TwoRegions two;
+  // Neither gang of 10 fits in 6; together the halves would be of use to nobody.
+  two.wait_for("a", 10, 5);
+  two.wait_for("b", 10, 3);
+  for (int round = 0; round < 10; ++round) {
+    two.speak("a");
+    two.speak("b");
+    while (!two.messages.empty()) two.deliver(0);
+    while (two.write("a") || two.write("b")) two.check();
+  }
+  EXPECT_GE(two.held("b"), 10);
+  EXPECT_EQ(two.held("a") + two.held("b"), 12);
+}
+
+TEST(ShareBook, ApartEachRegionLivesOnWhatItHolds) {
+  TwoRegions two;
+  two.cut = {{"a", "b"}, {"b", "a"}};
+  two.wait_for("a", 9);
+  two.wait_for("b", 3);
+  for (int round = 0; round < 5; ++round) {
+    for (const std::string region : {"a", "b"}) {
+      two.exchange(region);
+      two.write(region);
+      two.place(region);
+      two.check();
+    }
+  }
+  EXPECT_EQ(two.work("a").used, 6);
+  EXPECT_EQ(two.work("b").used, 3);
+  two.settle(10);
+  EXPECT_EQ(two.work("a").used, 9);
+}
+
+TEST(ShareBook, ANewRegionBeginsWithNothingAndAsksForItsFirstShare) {
+  TwoRegions two;
+  // The same stores, and a file that names a third region; its own state service is empty.
+  for (auto& [name, region] : two.regions) {
+    region.settings.operators.regions.regions.push_back({"c", 0, {}});
+  }
+  auto& added = two.regions["c"];
+  added.settings = two.regions.at("a").settings;
+  added.settings.operators.regions.self = "c";
+  for (const std::string region : {"a", "b", "c"}) two.change_leader(region);
+  EXPECT_EQ(two.held("c"), 0);
+  two.wait_for("c", 4);
+  two.settle(10);
+  EXPECT_EQ(two.work("c").used, 4);
+  EXPECT_EQ(two.held("a") + two.held("b") + two.held("c"), 12);
+}
+
+TEST(ShareBook, SharesMadeByAnotherFounderStayUsableAndAreNotMoved) {
+  TwoRegions two;
+  two.regions.at("a").settings.operators.regions.founder = "b";
+  two.change_leader("a");
+  EXPECT_TRUE(two.regions.at("a").book->founder_differs());
+  EXPECT_EQ(two.held("a"), 6);
+  two.wait_for("b", 9);
+  two.exchange("b");
+  EXPECT_FALSE(two.write("a"));
+  EXPECT_EQ(two.held("a"), 6);
+}
+
+TEST(ShareBook, AMalformedRecordIsNotLoadedAndChangesNothing) {
+  TwoRegions two;
+  auto& region = two.regions.at("a");
+  auto items = region.store.under(regions::kRegionsPrefix);
+  for (const std::string bad :
+       {R"({"amounts":[1,2,3]})", R"({"amounts":[0,0,-1,4]})", "{}", "nonsense"}) {
+    items.push_back({regions::share_key("team-9"), bad, 99});
+    EXPECT_FALSE(region.book->load(items)) << bad;
+    items.pop_back();
+  }
+  EXPECT_EQ(two.held("a"), 6);
+  EXPECT_TRUE(region.book->load(items));
+}
+
+TEST(ShareBook, WhatNobodyCanHaveMeantIsIgnored) {
+  TwoRegions two;
+  auto& book = *two.regions.at("a").book;
+  book.note_receipt("b", {1000});
+  book.note_receipt("nowhere", {1});
+  book.note_transfer("nowhere", {1, kTeam, Amounts({0, 0, 0, 1000})});
+  book.note_transfer("b", {500, kTeam, Amounts({0, 0, 0, 1000})});  // far beyond the next one
+  book.note_request("nowhere", {kTeam, Amounts({0, 0, 0, 1000}), 1});
+  book.note_request("b", {"no-team", Amounts({0, 0, 0, 1000}), 1});
+  EXPECT_FALSE(two.write("a"));
+  EXPECT_EQ(two.held("a"), 6);
+}
+
+TEST(ShareBook, ShareOfATeamThatTheSettingsDoNotNameIsKept) {
+  TwoRegions two;
+  two.regions.at("b").settings.teams.clear();  // its file came first
+  two.change_leader("b");
+  two.exchange("a");
+  const Amounts amounts({0, 0, 0, 2000});
+  two.regions.at("b").book->note_transfer("a", {2, "team-new", amounts});
+  EXPECT_TRUE(two.write("b"));
+  EXPECT_EQ(two.regions.at("b").book->held("team-new"), amounts);
+}
+
+TEST(ShareBook, ALowerLimitOfTheSettingsHoldsWhateverWasFounded) {
+  TwoRegions two;
+  base::Team team = *two.regions.at("a").settings.team(kTeam);
+  const auto& book = *two.regions.at("a").book;
+  EXPECT_DOUBLE_EQ(book.limit(team).gpus, 6);
+  EXPECT_DOUBLE_EQ(book.guarantee(team).gpus, 3);
+  team.gpus_max = 4;
+  EXPECT_DOUBLE_EQ(book.limit(team).gpus, 4);
+}
+
+}  // namespace
+}  // namespace cranklock::testing
--- /dev/null
+++ b/tests/share_simulation.cpp
@@ -0,0 +1,246 @@
+#include "share_simulation.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+#include "fixtures.hpp"
+
+namespace cranklock::testing {
+
+using regions::Amounts;
+using regions::Resource;
+using regions::ShareBook;
+
+store::TxnResult KeyStore::apply(const ShareBook::Transaction& transaction) {
+  store::TxnResult result;
+  for (const auto& condition : transaction.conditions) {
+    if (revision_of(condition.key) != condition.revision) result.failed.push_back(condition.key);
+  }
+  result.outcome = result.failed.empty() ? store::Outcome::ok : store::Outcome::failed;
+  result.revision = revision_;
+  if (!result.failed.empty()) return result;
+  result.revision = ++revision_;
+  for (const auto& change : transaction.changes) {
+    if (change.data.empty()) {
+      values_.erase(change.key);
+    } else {
+      values_[change.key] = {change.data, revision_};
+    }
+  }
+  return result;
+}
+
+std::vector<wire::StoredValue> KeyStore::under(const std::string& prefix) const {
+  std::vector<wire::StoredValue> out;
+  for (const auto& [key, value] : values_) {
+    if (key.starts_with(prefix)) out.push_back({key, value.data, value.revision});
+  }
+  return out;
+}
+
+std::uint64_t KeyStore::revision_of(const std::string& key) const {
+  const auto found = values_.find(key);
+  return found == values_.end() ? 0 : found->second.revision;
+}
+
+ShareSimulation::ShareSimulation(std::vector<base::Region> all, int team_count, double limit)
+    : limit_gpus(limit) {
+  base::Settings settings = small_settings();
+  settings.teams.clear();
+  for (int i = 0; i < team_count; ++i) {
+    teams.push_back("team-" + std::to_string(i));
+    settings.teams.push_back({teams.back(), 0, 0, limit / 2, limit});
+  }
+  settings.operators.regions.founder = all.front().name;
+  settings.operators.regions.regions = all;
+  for (const auto& region : all) {
+    Region& made = regions[region.name];
+    made.settings = settings;
+    made.settings.operators.regions.self = region.name;
+    change_leader(region.name);
+  }
+}
+
+void ShareSimulation::change_leader(const std::string& name) {
+  Region& region = regions.at(name);
+  const auto taken =
+      region.store.apply({{}, {{kLeaderKey, "{}", 0}}});  // the former leader's lease has ended
+  region.book =
+      std::make_unique<ShareBook>(region.settings, wire::Condition{kLeaderKey, taken.revision});
+  ASSERT_TRUE(region.book->load(region.store.under(regions::kRegionsPrefix)));
+}
+
+regions::TeamDemand ShareSimulation::demand(const Region& region, const std::string& team) const {
+  const auto found = region.work.find(team);
+  if (found == region.work.end()) return {};
+  const Work& work = found->second;
+  const auto gpus = [](std::int64_t count) {
+    return regions::used_amounts({0, static_cast<double>(count), 0});
+  };
+  return {gpus(work.used), gpus(work.waiting), work.since_ms};
+}
+
+bool ShareSimulation::write(const std::string& name, Fate fate) {
+  Region& region = regions.at(name);
+  ShareBook& book = *region.book;
+  if (region.state_down) fate = Fate::refused;
+  if (book.reload_needed()) {
+    if (fate != Fate::answered) return true;
+    EXPECT_TRUE(book.load(region.store.under(regions::kRegionsPrefix)));
+    return true;
+  }
+  constexpr std::size_t kMostChanges = 8;
+  const auto transaction = book.next_transaction(
+      [&](const std::string& team) { return demand(region, team); }, kMostChanges);
+  if (!transaction) return false;
+  EXPECT_LE(transaction->changes.size(), kMostChanges);
+  store::TxnResult result;  // unknown
+  if (fate == Fate::answered) result = region.store.apply(*transaction);
+  if (fate == Fate::applied_mute) region.store.apply(*transaction);
+  if (fate == Fate::late) region.late.push_back(*transaction);
+  if (fate == Fate::refused) result.outcome = store::Outcome::refused;
+  book.finish_transaction(result);
+  return true;
+}
+
+void ShareSimulation::apply_late(const std::string& name, std::size_t index) {
+  Region& region = regions.at(name);
+  if (region.late.empty()) return;
+  const auto chosen = region.late.begin() + static_cast<std::ptrdiff_t>(index % region.late.size());
+  region.store.apply(*chosen);
+  region.late.erase(chosen);
+}
+
+bool ShareSimulation::is_cut(const std::string& from, const std::string& to) const {
+  return std::find(cut.begin(), cut.end(), std::pair(from, to)) != cut.end();
+}
+
+Amounts ShareSimulation::missing(const std::string& name, const std::string& team) const {
+  const Region& region = regions.at(name);
+  return regions::missing_share(region.book->held(team), demand(region, team),
+                                regions::whole_amounts(*region.settings.team(team)));
+}
+
+void ShareSimulation::speak(const std::string& name) {
+  Region& region = regions.at(name);
+  const auto say = [&](const std::string& to, const regions::RegionFrame& frame) {
+    ++frames_sent;
+    if (!is_cut(name, to)) messages.push_back({name, to, frame});
+  };
+  const auto receipts = region.book->take_receipts();
+  for (const auto& [other, ignored] : regions) {
+    if (other == name) continue;
+    for (const auto& transfer : region.book->unacknowledged(other)) say(other, transfer);
+    if (const auto receipt = receipts.find(other); receipt != receipts.end()) {
+      say(other, receipt->second);
+    }
+    for (const auto& team : teams) {
+      const Amounts wanted = missing(name, team);
+      if (!wanted.is_zero()) {
+        say(other, regions::ShareRequest{team, wanted, region.work.at(team).since_ms});
+      }
+    }
+  }
+}
+
+void ShareSimulation::deliver(std::size_t index, bool keep) {
+  if (messages.empty()) return;
+  index %= messages.size();
+  const Message message = messages[index];
+  if (!keep) drop(index);
+  ShareBook& book = *regions.at(message.to).book;
+  if (const auto* request = std::get_if<regions::ShareRequest>(&message.frame)) {
+    book.note_request(message.from, *request);
+  } else if (const auto* transfer = std::get_if<regions::ShareTransfer>(&message.frame)) {
+    book.note_transfer(message.from, *transfer);
+  } else if (const auto* receipt = std::get_if<regions::ShareReceipt>(&message.frame)) {
+    book.note_receipt(message.from, *receipt);
+  }
+}
+
+void ShareSimulation::drop(std::size_t index) {
+  if (messages.empty()) return;
+  messages.erase(messages.begin() + static_cast<std::ptrdiff_t>(index % messages.size()));
+}
+
+void ShareSimulation::place(const std::string& name) {
+  Region& region = regions.at(name);
+  for (auto& [team, work] : region.work) {
+    const std::int64_t free = held_gpus(name, team) - work.used;
+    const std::int64_t started = std::clamp<std::int64_t>(free, 0, work.waiting);
+    work.used += started;
+    work.waiting -= started;
+  }
+}
+
+void ShareSimulation::settle(int rounds) {
+  cut.clear();
+  for (int round = 0; round < rounds; ++round) {
+    for (auto& [name, region] : regions) {
+      region.state_down = false;
+      place(name);
+      speak(name);
+    }
+    while (!messages.empty()) deliver(0);
+    for (const auto& [name, region] : regions) {
+      while (write(name)) check();
+      place(name);
+    }
+    check();
+  }
+}
+
+std::int64_t ShareSimulation::held_gpus(const std::string& region, const std::string& team) const {
+  return regions.at(region).book->held(team)[Resource::gpus] / Amounts::kUnit;
+}
+
+Amounts ShareSimulation::sum(const std::string& team) const {
+  Amounts total;
+  for (const auto& [name, region] : regions) {
+    for (const auto& item : region.store.under(regions::kRegionsPrefix)) {
+      if (item.key == regions::share_key(team)) total += *regions::read_share(item.data);
+      if (!item.key.starts_with(regions::kOutPrefix)) continue;
+      const auto transfer = *regions::read_transfer(item.data);
+      const std::string rest = item.key.substr(std::string(regions::kOutPrefix).size());
+      const std::string to = rest.substr(0, rest.find('/'));
+      const auto& receiver = regions.at(to).store.values();
+      const auto counter = receiver.find(regions::received_key(name));
+      const std::uint64_t received =
+          counter == receiver.end() ? 0 : *regions::read_counter(counter->second.data);
+      if (transfer.team == team && transfer.sequence > received) total += transfer.amounts;
+    }
+  }
+  return total;
+}
+
+std::int64_t ShareSimulation::sum_gpus(const std::string& team) const {
+  return sum(team)[Resource::gpus] / Amounts::kUnit;
+}
+
+void ShareSimulation::check_team(const std::string& team) const {
+  const auto& founder = regions.begin()->second.settings.operators.regions.founder;
+  const bool founded = regions.at(founder).store.revision_of(regions::share_key(team)) > 0;
+  const Amounts whole =
+      founded ? regions::whole_amounts(*regions.at(founder).settings.team(team)) : Amounts{};
+  EXPECT_EQ(sum(team).values(), whole.values()) << team;
+  std::int64_t used = 0;
+  for (const auto& [name, region] : regions) {
+    const auto& values = region.store.values();
+    const auto stored = values.find(regions::share_key(team));
+    const Amounts share =
+        stored == values.end() ? Amounts{} : *regions::read_share(stored->second.data);
+    EXPECT_FALSE((share - region.book->held(team)).any_negative()) << name << " counts on more";
+    const auto work = region.work.find(team);
+    if (work == region.work.end()) continue;
+    used += work->second.used;
+    EXPECT_LE(work->second.used * Amounts::kUnit, share[Resource::gpus]) << name << ", " << team;
+  }
+  EXPECT_LE(static_cast<double>(used), limit_gpus) << team;
+}
+
+void ShareSimulation::check() const {
+  for (const auto& team : teams) check_team(team);
+}
+
+}  // namespace cranklock::testing
--- /dev/null
+++ b/tests/sharing_rule_test.cpp
@@ -0,0 +1,162 @@
+// What is asked for and given, when it is asked for, what waits, and the frames between regions.
+#include <gtest/gtest.h>
+
+#include "fixtures.hpp"
+#include "peer/packing.hpp"
+#include "regions/demand.hpp"
+#include "regions/frames.hpp"
+#include "regions/request_schedule.hpp"
+#include "regions/sharing_rule.hpp"
+
+namespace cranklock::regions {
+namespace {
+
+Amounts gpus(std::int64_t guaranteed, std::int64_t limit) {
+  return Amounts({0, 0, guaranteed * Amounts::kUnit, limit * Amounts::kUnit});
+}
+const Amounts kWhole = gpus(6, 12);
+
+TEST(SharingRule, OnlyWaitingWorkLacksShareAndNeverMoreThanTheWhole) {
+  EXPECT_TRUE(missing_share(gpus(0, 0), {gpus(3, 3), {}, 0}, kWhole).is_zero());
+  EXPECT_EQ(missing_share(gpus(2, 4), {gpus(3, 3), gpus(2, 2), 0}, kWhole), gpus(3, 1));
+  EXPECT_EQ(missing_share(gpus(2, 4), {gpus(3, 3), gpus(50, 50), 0}, kWhole), gpus(4, 8));
+  const Amounts with_cpus({8000, 8000, 1000, 1000});
+  EXPECT_EQ(missing_share(gpus(0, 0), {{}, with_cpus, 0}, kWhole), gpus(1, 1))
+      << "a resource that is not looked at is not wanted";
+}
+
+TEST(SharingRule, SpareIsWhatIsNeitherUsedNorWaitedFor) {
+  const Claim own{"a", 5}, younger{"b", 9}, older{"b", 1};
+  const TeamDemand demand{gpus(2, 2), gpus(3, 3), 5};
+  EXPECT_EQ(spare_share(gpus(6, 12), demand, kWhole, own, younger), gpus(1, 7));
+  EXPECT_EQ(spare_share(gpus(6, 12), demand, kWhole, own, older), gpus(1, 7));
+  EXPECT_EQ(spare_share(gpus(3, 4), demand, kWhole, own, younger), gpus(0, 0));
+  EXPECT_EQ(spare_share(gpus(3, 4), demand, kWhole, own, older), gpus(1, 2))
+      << "too little for its own work is of use to work that has waited longer";
+  EXPECT_EQ(spare_share(gpus(3, 5), demand, kWhole, own, older), gpus(1, 0))
+      << "a missing guarantee keeps nothing from running";
+}
+
+TEST(SharingRule, GivesWhatIsAskedUpToHalfInWholeUnits) {
+  EXPECT_EQ(granted_share(gpus(0, 8), gpus(0, 3)), gpus(0, 3));
+  EXPECT_EQ(granted_share(gpus(0, 8), gpus(0, 9)), gpus(0, 4));
+  EXPECT_EQ(granted_share(gpus(0, 7), gpus(0, 9)), gpus(0, 4));
+  EXPECT_EQ(granted_share(gpus(0, 1), gpus(0, 9)), gpus(0, 1));
+  EXPECT_EQ(granted_share(Amounts({0, 0, 0, 400}), gpus(0, 9)), Amounts({0, 0, 0, 400}));
+  EXPECT_TRUE(granted_share(gpus(0, 0), gpus(0, 9)).is_zero());
+}
+
+TEST(RequestSchedule, AsksAtOnceWhenTheNeedChangesAndEverMoreRarelyWhenNot) {
+  RequestSchedule schedule(1, 8);
+  EXPECT_TRUE(schedule.take_due("t", gpus(0, 3), 0));
+  std::vector<double> asked;
+  for (double now = 0.5; now < 40; now += 0.5) {
+    if (schedule.take_due("t", gpus(0, 3), now)) asked.push_back(now);
+  }
+  EXPECT_EQ(asked, (std::vector<double>{1, 3, 7, 15, 23, 31, 39}));
+  EXPECT_TRUE(schedule.take_due("t", gpus(0, 2), 39.5));
+  EXPECT_FALSE(schedule.take_due("t", gpus(0, 0), 40));
+  EXPECT_TRUE(schedule.take_due("t", gpus(0, 2), 40.1)) << "it waits anew";
+}
+
+TEST(Demand, CountsWhatCouldBePlacedAndWhatIsNotProvenFree) {
+  testing::Fleet fleet;
+  fleet.add(testing::make_job("j-1", wire::Shape::array, 3, 2));
+  fleet.add(testing::make_job("j-2", wire::Shape::gang, 4, 1));
+  auto cancelled = testing::make_job("j-3", wire::Shape::array, 5, 1);
+  cancelled.withdrawn_ms = 9;
+  fleet.add(cancelled);
+  auto dependent = testing::make_job("j-4", wire::Shape::array, 5, 1);
+  dependent.spec.needs = {"j-1"};
+  fleet.add(dependent);
+  fleet.add(testing::make_job("j-5", wire::Shape::service, 2, 1, "blue"));
+  auto& running = *fleet.cluster.job("j-5");
+  fleet.cluster.add_placement(running, 0, 1, "n-1", 0);
+  auto demands = waiting_demands(fleet.cluster, 1);
+  EXPECT_EQ(demands.at("red").waiting[Resource::gpus], 10 * Amounts::kUnit);
+  EXPECT_EQ(demands.at("red").waiting_since_ms, 1000);
+  EXPECT_TRUE(demands.at("red").used.is_zero());
+  EXPECT_EQ(demands.at("blue").waiting[Resource::gpus], 1 * Amounts::kUnit);
+  EXPECT_EQ(demands.at("blue").used[Resource::gpus], 1 * Amounts::kUnit);
+  // A gang whose last attempt is not all gone can't be placed.
+  auto& gang = *fleet.cluster.job("j-2");
+  fleet.cluster.add_placement(gang, 0, 1, "n-1", 0);
+  demands = waiting_demands(fleet.cluster, 1);
+  EXPECT_EQ(demands.at("red").waiting[Resource::gpus], 6 * Amounts::kUnit);
+  EXPECT_EQ(used_share(fleet.cluster, "red")[Resource::gpus], 1 * Amounts::kUnit);
+}
+
+/// A share that stands for the whole region.
+struct FixedShares : sched::TeamShares {
+  double gpus = 0;
+  wire::Room guarantee(const base::Team&) const override { return {0, gpus, 0}; }
+  wire::Room limit(const base::Team&) const override { return {0, gpus, 0}; }
+};
+
+TEST(Demand, PlacementKnowsOnlyTheSharesOfItsRegion) {
+  testing::Fleet fleet;
+  FixedShares shares;
+  fleet.cluster.set_team_shares(&shares);
+  auto& job = fleet.add(testing::make_job("j-1", wire::Shape::array, 8, 1));
+  fleet.pass();
+  EXPECT_EQ(job.live(), 0U) << "a share of nothing is not a team without a limit";
+  EXPECT_FALSE(job.guaranteed);
+  shares.gpus = 3;
+  fleet.pass();
+  EXPECT_EQ(job.live(), 3U);
+  shares.gpus = 8;
+  fleet.pass();
+  EXPECT_EQ(job.live(), 8U);
+  EXPECT_TRUE(job.guaranteed);
+}
+
+// ---- frames ----
+
+const std::vector<RegionFrame> kFrames = {
+    RegionHello{"east", "winch-1", "west", 41}, ShareRequest{"team", gpus(1, 2), 1'700'000'000'000},
+    ShareTransfer{7, "team", gpus(0, 3)}, ShareReceipt{7}};
+
+TEST(RegionFrames, AreTheSameBytesEverywhereAndSurviveSplitting) {
+  EXPECT_EQ(pack(ShareReceipt{7}), std::string("\x00\x08\x01\x04\0\0\0\0\0\0\0\x07", 12));
+  std::string whole, buffer;
+  for (const auto& frame : kFrames) whole += pack(frame);
+  std::vector<RegionFrame> out;
+  for (const char byte : whole) {
+    buffer += byte;
+    RegionFrame frame;
+    const auto result = unpack(buffer, frame);
+    if (result == FrameResult::frame) out.push_back(frame);
+    ASSERT_TRUE(result == FrameResult::frame || result == FrameResult::more);
+  }
+  EXPECT_EQ(out, kFrames);
+  EXPECT_TRUE(buffer.empty());
+}
+
+TEST(RegionFrames, WhatIsWrongIsNamed) {
+  const auto result_of = [](std::string bytes) {
+    RegionFrame frame;
+    return unpack(bytes, frame);
+  };
+  const auto with = [](std::string bytes, std::size_t at, char value) {
+    bytes[at] = value;
+    return bytes;
+  };
+  const std::string transfer = pack(kFrames[2]);
+  EXPECT_EQ(result_of(with(transfer, 2, 2)), FrameResult::other_version);
+  EXPECT_EQ(result_of(with(transfer, 3, 0)), FrameResult::unknown_kind);
+  EXPECT_EQ(result_of(with(transfer, 3, 5)), FrameResult::unknown_kind);
+  EXPECT_EQ(result_of(with(transfer, 0, 4)), FrameResult::too_long);
+  EXPECT_EQ(result_of(with(transfer, 12, 3)), FrameResult::malformed_fields) << "a shorter name";
+  EXPECT_EQ(result_of(pack(ShareTransfer{0, "team", {}})), FrameResult::malformed_fields);
+  EXPECT_EQ(result_of(pack(ShareTransfer{1, "", {}})), FrameResult::malformed_fields);
+  EXPECT_EQ(result_of(pack(ShareTransfer{1, "team", gpus(0, -1)})), FrameResult::malformed_fields);
+  EXPECT_EQ(result_of(pack(ShareRequest{"team", gpus(-1, 0), 0})), FrameResult::malformed_fields);
+  EXPECT_EQ(result_of(pack(RegionHello{"", "m", "f", 1})), FrameResult::malformed_fields);
+  for (const auto result : {FrameResult::other_version, FrameResult::unknown_kind,
+                            FrameResult::too_long, FrameResult::malformed_fields}) {
+    EXPECT_FALSE(std::string(describe(result)).empty());
+  }
+}
+
+}  // namespace
+}  // namespace cranklock::regions
