--- a/src/base/region_settings.cpp
+++ b/src/base/region_settings.cpp
@@ -39,7 +39,7 @@
 
 std::string read_name(const pugi::xml_node& element, const char* attribute, const std::string& path,
                       const std::string& where) {
-  const std::string name = element.attribute(attribute).value();
+  std::string name = element.attribute(attribute).value();
   if (!valid_name(name)) {
     fail(path, where + "/" + attribute, "1 to 64 letters, digits, dots, dashes or underscores");
   }
--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -36,7 +36,7 @@
 }
 
 bool ended(const TestCluster& w, int i) {
-  return w.store.contains("ended/" + name(i));
+  return w.state_service.values.contains("ended/" + name(i));
 }
 
 bool all_nodes_say(TestCluster& w, int i, const std::string& state) {
@@ -99,14 +99,14 @@
   auto settings = small_settings();
   settings.state_write_rps = 21;
   TestCluster w(5, {}, settings);
-  w.limits_writes = true;
+  w.state_service.limits_writes = true;
   w.run(1);
   w.run(10);
   const int node = other_than(w, w.leader());
   const double began = w.reactor.now();
   for (int i = 0; i < 6; ++i) w.submit(node, i == 0 ? stage(0) : stage(i, {i - 1}));
   EXPECT_LT(w.reactor.now() - began, 0.5);
-  EXPECT_EQ(w.refused_writes, 0);
+  EXPECT_EQ(w.state_service.refused_writes, 0);
 }
 
 // The leader's own records use up its share of the writes, a whole transaction at a time.
@@ -115,7 +115,7 @@
   settings.state_write_rps = 21;
   settings.txn_ops = 8;
   TestCluster w(5, {}, settings);
-  w.limits_writes = true;
+  w.state_service.limits_writes = true;
   w.run_s = 1000;
   w.run(11);
   for (int i = 0; i < 40; ++i) {
@@ -302,8 +302,8 @@
   settings.value_kb = 2;
   constexpr int kFan = 250;
   TestCluster w(3, {}, settings);
-  w.limits_writes = true;
-  w.limits = {2048, 4, 0};
+  w.state_service.limits_writes = true;
+  w.state_service.limits = {2048, 4, 0};
   w.run_s = 1000;
   w.run(1);
   w.add_worker();
@@ -330,8 +330,8 @@
   };
   EXPECT_TRUE(wait_for(w, 120, all_ended));
   EXPECT_GT(w.reactor.now() - cancelled, 5);  // it took its time, as it must
-  EXPECT_EQ(w.refused_as_too_large, 0);
-  EXPECT_LT(w.refused_writes, 3);
+  EXPECT_EQ(w.state_service.refused_as_too_large, 0);
+  EXPECT_LT(w.state_service.refused_writes, 3);
   for (int i = 1; i <= kFan; i += 50) EXPECT_TRUE(all_nodes_say(w, i, "withdrawn"));
 }
 
@@ -389,20 +389,21 @@
   settings.txn_ops = 4;
   settings.state_write_rps = 21;
   TestCluster w(3, {}, settings);
-  w.limits_writes = true;
+  w.state_service.limits_writes = true;
   w.run(1);
   for (int i = 0; i < 16; ++i) w.add_worker();
   w.run(3);
   for (int i = 0; i < 120; ++i) w.run_s_of[name(0) + "/" + std::to_string(i)] = 5 + i % 20;
   w.submit(0, stage(0, {}, 120));
   w.submit(1, stage(1, {0}));
-  ASSERT_TRUE(wait_for(w, 20, [&] { return w.store.contains("parts/" + name(0) + "/0"); }));
-  w.limits = {2048, 4, 21};
+  ASSERT_TRUE(
+      wait_for(w, 20, [&] { return w.state_service.values.contains("parts/" + name(0) + "/0"); }));
+  w.state_service.limits = {2048, 4, 21};
   w.run(2);
   const int old = w.leader();
   w.crash_node(old);
   ASSERT_TRUE(wait_for(w, 120, [&] { return ended(w, 1); }));
-  EXPECT_EQ(w.refused_as_too_large, 0);
+  EXPECT_EQ(w.state_service.refused_as_too_large, 0);
   w.start_node(old);
 }
 
@@ -419,15 +420,17 @@
   for (int i = 0; i < 190; ++i) w.run_s_of[name(0) + "/" + std::to_string(i)] = 15 + i % 20;
   w.submit(0, stage(0, {}, 190));
   w.submit(1, stage(1, {0}));
-  ASSERT_TRUE(wait_for(w, 20, [&] { return w.store.contains("parts/" + name(0) + "/2"); }));
+  ASSERT_TRUE(
+      wait_for(w, 20, [&] { return w.state_service.values.contains("parts/" + name(0) + "/2"); }));
   for (int node = 0; node < w.nodes(); ++node) w.crash_node(node);
   w.base_settings.txn_ops = 3;
-  w.limits = {1024, 3, 0};
+  w.state_service.limits = {1024, 3, 0};
   for (int node = 0; node < w.nodes(); ++node) w.start_node(node);
   ASSERT_TRUE(wait_for(w, 120, [&] { return ended(w, 1); }));
   w.run(2);
-  for (const auto& [key, value] : w.store) EXPECT_FALSE(key.starts_with("parts/")) << key;
-  EXPECT_EQ(w.refused_as_too_large, 0);
+  for (const auto& [key, value] : w.state_service.values)
+    EXPECT_FALSE(key.starts_with("parts/")) << key;
+  EXPECT_EQ(w.state_service.refused_as_too_large, 0);
   EXPECT_EQ(w.starts[name(0) + "/7"], 1);
 }
 
@@ -444,11 +447,11 @@
   w.submit(1, stage(1, {0}));
   ASSERT_TRUE(wait_for(w, 20, [&] { return w.running(name(0)) > 0; }));
   const int leader = w.leader();
-  w.limits = {1500, 4, 0};
+  w.state_service.limits = {1500, 4, 0};
   ASSERT_TRUE(wait_for(w, 120, [&] { return ended(w, 1); }));
   EXPECT_EQ(w.leader(), leader);
-  EXPECT_GE(w.refused_as_too_large, 1);
-  EXPECT_LE(w.refused_as_too_large, 6);
+  EXPECT_GE(w.state_service.refused_as_too_large, 1);
+  EXPECT_LE(w.state_service.refused_as_too_large, 6);
 }
 
 // ---- the upgrade ----
@@ -473,13 +476,15 @@
   }
   w.submit(0, stage(0, {}, kTasks));
   ASSERT_TRUE(wait_for(w, 20, [&] { return w.running(name(0)) == kTasks; }));
-  EXPECT_FALSE(w.store.contains("parts/" + name(0) + "/0"));  // one value of 8 KiB holds it
+  EXPECT_FALSE(
+      w.state_service.values.contains("parts/" + name(0) + "/0"));  // one value of 8 KiB holds it
   w.start_node(1);
   w.run(2);
   w.crash_node(0);
   ASSERT_TRUE(wait_for(w, 20, [&] { return w.leader() == 1; }));
   // Written again in small values as soon as it fits; then the older version has it back.
-  ASSERT_TRUE(wait_for(w, 40, [&] { return w.store.contains("parts/" + name(0) + "/0"); }));
+  ASSERT_TRUE(
+      wait_for(w, 40, [&] { return w.state_service.values.contains("parts/" + name(0) + "/0"); }));
   w.start_node(0);
   w.run(2);
   w.crash_node(1);
--- a/tests/rule_checker_test.cpp
+++ b/tests/rule_checker_test.cpp
@@ -70,12 +70,12 @@
       for (const char* task : {"j-000002/0", "j-000002/1"}) {
         if (!worker->tasks.contains(task) || !first.empty()) continue;
         first = task;
-        here = worker->zone;
+        here = worker->kind.zone;
       }
     }
     second = first.ends_with("0") ? "j-000002/1" : "j-000002/0";
     for (auto& [id, worker] : w.workers) {
-      if ((worker->zone == here) != one_zone) w.smuggle(*worker, second);
+      if ((worker->kind.zone == here) != one_zone) w.smuggle(*worker, second);
     }
     if (w.running("j-000002") == 2) w.expected_broken.insert("ran_twice");
     w.run(0.5);
@@ -106,7 +106,7 @@
 TEST(RuleChecker, NoticesAnAcceptedJobThatIsForgottenOrRefused) {
   for (const bool asks : {true, false}) {
     Broken w("forgotten");
-    w.store.erase("jobs/j-000001");
+    w.state_service.values.erase("jobs/j-000001");
     if (asks) {
       EXPECT_EQ(w.ask(1, "GET", "/v1/jobs/j-000001").status, 404);
     } else {
@@ -117,32 +117,32 @@
 
 TEST(RuleChecker, NoticesAJobThatNobodySubmitted) {
   Broken w("invented");
-  w.store["ended/j-000777"] = {R"({"s":"done","n":1})", 1, 0};
+  w.state_service.values["ended/j-000777"] = {R"({"s":"done","n":1})", 1, 0};
   EXPECT_EQ(w.ask(1, "GET", "/v1/jobs/j-000777").status, 200);
 }
 
 TEST(RuleChecker, NoticesAJobThatIsCalledDoneTooEarly) {
   Broken w("not_done");
-  w.store.erase("jobs/j-000001");
-  w.store["ended/j-000001"] = {R"({"s":"done","n":1})", 1, 0};
+  w.state_service.values.erase("jobs/j-000001");
+  w.state_service.values["ended/j-000001"] = {R"({"s":"done","n":1})", 1, 0};
   EXPECT_EQ(w.state_of(1, "j-000001"), "done");
 }
 
 TEST(RuleChecker, NoticesAnswersThatGoBack) {
   Broken w("went_back");
-  const auto record = w.store.at("jobs/j-000001");
+  const auto record = w.state_service.values.at("jobs/j-000001");
   w.cancel(1, "j-000001");
   w.run(5);
-  ASSERT_TRUE(w.store.contains("ended/j-000001"));
-  w.store.erase("ended/j-000001");
-  w.store["jobs/j-000001"] = record;
+  ASSERT_TRUE(w.state_service.values.contains("ended/j-000001"));
+  w.state_service.values.erase("ended/j-000001");
+  w.state_service.values["jobs/j-000001"] = record;
   EXPECT_EQ(w.state_of(2, "j-000001"), "running");
 }
 
 TEST(RuleChecker, NoticesACancellationThatNobodyAskedFor) {
   Broken w("went_back");
-  w.store.erase("jobs/j-000001");
-  w.store["ended/j-000001"] = {R"({"s":"withdrawn","n":0})", 1, 0};
+  w.state_service.values.erase("jobs/j-000001");
+  w.state_service.values["ended/j-000001"] = {R"({"s":"withdrawn","n":0})", 1, 0};
   EXPECT_EQ(w.state_of(1, "j-000001"), "withdrawn");
 }
 
--- a/tests/sharing_rule_test.cpp
+++ b/tests/sharing_rule_test.cpp
@@ -1,4 +1,6 @@
 // What is asked for and given, when it is asked for, what waits, and the frames between regions.
+#include "regions/sharing_rule.hpp"
+
 #include <gtest/gtest.h>
 
 #include "fixtures.hpp"
@@ -6,7 +8,6 @@
 #include "regions/demand.hpp"
 #include "regions/frames.hpp"
 #include "regions/request_schedule.hpp"
-#include "regions/sharing_rule.hpp"
 
 namespace cranklock::regions {
 namespace {
@@ -112,9 +113,9 @@
 
 // ---- frames ----
 
-const std::vector<RegionFrame> kFrames = {
-    RegionHello{"east", "winch-1", "west", 41}, ShareRequest{"team", gpus(1, 2), 1'700'000'000'000},
-    ShareTransfer{7, "team", gpus(0, 3)}, ShareReceipt{7}};
+const std::vector<RegionFrame> kFrames = {RegionHello{"east", "winch-1", "west", 41},
+                                          ShareRequest{"team", gpus(1, 2), 1'700'000'000'000},
+                                          ShareTransfer{7, "team", gpus(0, 3)}, ShareReceipt{7}};
 
 TEST(RegionFrames, AreTheSameBytesEverywhereAndSurviveSplitting) {
   EXPECT_EQ(pack(ShareReceipt{7}), std::string("\x00\x08\x01\x04\0\0\0\0\0\0\0\x07", 12));
--- a/tests/sweep_test.cpp
+++ b/tests/sweep_test.cpp
@@ -200,7 +200,7 @@
     for (double t = 0; t < served && over() < jobs; ++t) w.run(1);
     std::string waiting;
     for (const auto& id : w.rules.accepted()) {
-      if (w.rules.ending(id).empty()) waiting += "\n" + w.store["jobs/" + id].data;
+      if (w.rules.ending(id).empty()) waiting += "\n" + w.state_service.values["jobs/" + id].data;
     }
     EXPECT_EQ(over(), jobs) << "not served:" << waiting;
   }
@@ -234,10 +234,10 @@
 TEST_P(OverlapWithPipelines, BreaksNoRuleAndAllIsServed) {
   Sweep sweep(GetParam());
   sweep.pipelines = true;
-  sweep.w.limits_writes = true;
-  sweep.begin(kTrouble / 2, [&sweep] { sweep.w.limits = {2048, 4, 21}; });
+  sweep.w.state_service.limits_writes = true;
+  sweep.begin(kTrouble / 2, [&sweep] { sweep.w.state_service.limits = {2048, 4, 21}; });
   sweep.play();
-  EXPECT_EQ(sweep.w.refused_as_too_large, 0);
+  EXPECT_EQ(sweep.w.state_service.refused_as_too_large, 0);
 }
 
 INSTANTIATE_TEST_SUITE_P(Seed, OverlapWithPipelines, ::testing::Range(1001U, 1121U));
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -10,8 +10,6 @@
 using net::Request;
 using net::Response;
 using net::Sleep;
-using wire::Cause;
-using wire::Json;
 using wire::JsonDocument;
 using wire::JsonWriter;
 using wire::TaskState;
@@ -59,8 +57,47 @@
   std::optional<Response> response;
 };
 
+class TestCluster::Surroundings : public WorkerStandIn::Surroundings {
+ public:
+  explicit Surroundings(TestCluster& cluster) : cluster_(cluster) {}
+
+  double fetch_s(const wire::TaskName&) const override { return 0.5; }
+  double run_s(const wire::TaskName& task) const override {
+    return cluster_.run_time(wire::to_string(task));
+  }
+  bool is_completed(const wire::TaskName& task) const override {
+    return cluster_.rules.is_completed(task.job, task.index);
+  }
+  void told_to_start(const wire::TaskName& task) override {
+    cluster_.rules.told_to_start(task.job, cluster_.reactor.now());
+  }
+  bool starts(const WorkerStandIn& worker, const wire::TaskName& task) override {
+    std::vector<Seen> others;
+    for (auto& seen : cluster_.everything()) {
+      if (seen.job != task.job || !seen.has_image) continue;
+      cluster_.ran_twice += seen.task == task.index && seen.machine != worker.id ? 1 : 0;
+      others.push_back(std::move(seen));
+    }
+    cluster_.rules.starts({task.job, worker.id, task.index, worker.kind, true}, others,
+                          cluster_.reactor.now());
+    ++cluster_.starts[wire::to_string(task)];
+    return true;
+  }
+  bool gang_complete(const wire::TaskName&, std::uint64_t) const override { return true; }
+  void completed(const wire::TaskName& task) override {
+    cluster_.rules.completed(task.job, task.index);
+  }
+
+ private:
+  TestCluster& cluster_;
+};
+
 TestCluster::TestCluster(int nodes, std::vector<std::string> zones, base::Settings settings)
-    : base_settings(std::move(settings)), rules(base_settings), zones_(std::move(zones)) {
+    : base_settings(std::move(settings)),
+      rules(base_settings),
+      surroundings_(std::make_unique<Surroundings>(*this)),
+      zones_(std::move(zones)) {
+  state_service.usual_write_rps = base_settings.state_write_rps;
   base_settings.cloud = "cloud";
   base_settings.state = "state";
   base_settings.list_lag_s = 2;
@@ -184,7 +221,7 @@
   auto w = std::make_unique<Worker>();
   w->id = "n-" + std::to_string(++rented);
   w->address = "worker:" + w->id;
-  w->zone = zone;
+  w->kind.zone = zone;
   w->answered_sent = w->began = reactor.now();
   Worker& ref = *w;
   workers[w->id] = std::move(w);
@@ -362,7 +399,7 @@
       co_await wait;
       continue;
     }
-    Response response = state(request);
+    Response response = state_service.handle(request);
     const bool nothing =
         response.status == 200 && response.body.find("News\":[]") != std::string::npos;
     if (watch && nothing && reactor.now() < opened + hold_s) {
@@ -405,7 +442,7 @@
   for (auto& [id, w] : workers) {
     if (w->address != address) continue;
     if (w->gone || w->cannot_receive || cut_from_workers.contains(node)) break;
-    if (apart(zone_of(node), w->zone)) break;
+    if (apart(zone_of(node), w->kind.zone)) break;
     if (w->commands_late_s > 0) {
       scope_.spawn(arrive_late(*w, request, w->commands_late_s));
       break;
@@ -414,7 +451,7 @@
       w->held.push_back(request);
       break;
     }
-    Response response = commands(*w, request);
+    Response response = w->commands(request, *surroundings_, reactor.now());
     if (w->swallow_commands > 0) {
       --w->swallow_commands;
       break;
@@ -426,143 +463,6 @@
   co_return Reply{};
 }
 
-// ---- the state service ----
-
-void TestCluster::put(const std::string& key, const std::string& data, std::uint64_t lease) {
-  store[key] = {data, revision, lease};
-  events_.push_back({key, data, revision});
-}
-
-void TestCluster::erase(const std::string& key) {
-  if (store.erase(key) > 0) events_.push_back({key, "", revision});
-}
-
-void TestCluster::expire() {
-  if (state_down) return;
-  for (auto it = leases_.begin(); it != leases_.end();) {
-    if (it->second.second > reactor.now()) {
-      ++it;
-      continue;
-    }
-    std::vector<std::string> keys;
-    for (const auto& [key, s] : store) {
-      if (s.lease == it->first) keys.push_back(key);
-    }
-    if (!keys.empty()) ++revision;
-    for (const auto& key : keys) erase(key);
-    it = leases_.erase(it);
-  }
-}
-
-Response TestCluster::state(const Request& r) {
-  expire();
-  const auto field = [&](const char* name) { return net::query_field(r.query, name); };
-  JsonWriter w;
-  if (r.path.starts_with("/store/")) {
-    const auto it = store.find(r.path.substr(7));
-    if (it == store.end()) {
-      w.begin().key("LedgerTurn").count(revision).end();
-      return answer(404, w.take());
-    }
-    w.begin().key("K").text(it->first).key("Data").raw(it->second.data);
-    w.key("Mark").count(it->second.revision).end();
-    return answer(200, w.take());
-  }
-  if (r.path == "/store") {
-    w.begin().key("Rows").list();
-    for (const auto& [key, s] : store) {
-      if (!key.starts_with(field("Under"))) continue;
-      w.begin().key("K").text(key).key("Data").raw(s.data).key("Mark").count(s.revision).end();
-    }
-    w.list_end().key("HasNext").flag(false).key("LedgerTurn").count(revision).end();
-    return answer(200, w.take());
-  }
-  if (r.path == "/follow") {
-    const auto since = std::stoull(field("Since"));
-    w.begin().key("LedgerTurn").count(revision).key("News").list();
-    for (const auto& e : events_) {
-      if (e.revision <= since || !e.key.starts_with(field("Under"))) continue;
-      w.begin().key(e.data.empty() ? "Remove" : "Write").text(e.key);
-      if (!e.data.empty()) w.key("Data").raw(e.data);
-      w.key("Mark").count(e.revision).end();
-    }
-    w.list_end().end();
-    return answer(200, w.take());
-  }
-  if (r.path == "/leases") {
-    const JsonDocument document(r.body);
-    const double life = *wire::read_amount(document.root(), "LifeMs") / 1000;
-    leases_[++next_lease_] = {life, reactor.now() + life};
-    w.begin().key("Hold").count(next_lease_).end();
-    return answer(200, w.take());
-  }
-  if (r.path.starts_with("/leases/")) {
-    const auto it = leases_.find(std::stoull(r.path.substr(8)));
-    if (it == leases_.end()) return answer(404);
-    it->second.second = r.method == "DELETE" ? 0 : reactor.now() + it->second.first;
-    expire();
-    return answer(200);
-  }
-  return transaction(r);
-}
-
-bool TestCluster::too_large(const Json& changes) const {
-  if (limits.txn_changes > 0 && changes.Size() > limits.txn_changes) return true;
-  for (const auto& change : changes.GetArray()) {
-    if (limits.value_bytes == 0 || change.HasMember("Remove")) continue;
-    if (wire::to_text(change["Data"]).size() > limits.value_bytes) return true;
-  }
-  return false;
-}
-
-Response TestCluster::transaction(const Request& r) {
-  JsonWriter w;
-  const JsonDocument document(r.body);
-  if (too_large(document.root()["Then"])) {
-    ++refused_as_too_large;
-    return answer(400, R"({"error":"too large"})");
-  }
-  if (limits_writes) {
-    const double rate = limits.write_rps > 0 ? limits.write_rps : base_settings.state_write_rps;
-    if (write_level_at_ == 0) write_level_ = rate;
-    write_level_ = std::min(rate, write_level_ + (reactor.now() - write_level_at_) * rate);
-    write_level_at_ = reactor.now();
-    const double changes = document.root()["Then"].Size();
-    if (write_level_ < changes) {
-      ++refused_writes;
-      return answer(429);
-    }
-    write_level_ -= changes;
-  }
-  for (const auto& c : document.root()["Then"].GetArray()) {
-    const auto hold = wire::read_count(c, "Hold").value_or(0);
-    if (hold != 0 && !leases_.contains(hold)) return answer(400, R"({"error":"no such lease"})");
-  }
-  w.begin();
-  bool failed = false;
-  w.key("failed").list();
-  for (const auto& c : document.root()["If"].GetArray()) {
-    const auto it = store.find(c["K"].GetString());
-    if ((it == store.end() ? 0 : it->second.revision) == c["Mark"].GetUint64()) continue;
-    w.text(c["K"].GetString());
-    failed = true;
-  }
-  w.list_end();
-  if (!failed && document.root()["Then"].Size() > 0) {
-    ++revision;
-    for (const auto& c : document.root()["Then"].GetArray()) {
-      if (c.HasMember("Remove")) {
-        erase(c["Remove"].GetString());
-      } else {
-        put(c["Write"].GetString(), wire::to_text(c["Data"]),
-            wire::read_count(c, "Hold").value_or(0));
-      }
-    }
-  }
-  w.key("LedgerTurn").count(revision).end();
-  return answer(failed ? 409 : 200, w.take());
-}
-
 // ---- the cloud ----
 
 Response TestCluster::cloud(const Request& r) {
@@ -601,7 +501,7 @@
   for (const auto& [id, worker] : workers) {
     if (worker->gone || reactor.now() - worker->began < unlisted_s) continue;
     w.begin().key("Id").text(id).key("Address").text(worker->address).key("Frame").text("g8");
-    w.key("Yard").text(worker->zone).key("Loaners").flag(false).key("Stance").text("running");
+    w.key("Yard").text(worker->kind.zone).key("Loaners").flag(false).key("Stance").text("running");
     w.key("HeldS").amount(1).end();
   }
   w.list_end().key("HasNext").flag(false).end();
@@ -611,7 +511,7 @@
 // ---- workers ----
 
 bool TestCluster::lease_over(const Worker& w) const {
-  return reactor.now() - w.answered_sent > base_settings.lease_s;
+  return w.lease_over(base_settings.lease_s, reactor.now());
 }
 
 double TestCluster::run_time(const std::string& task) const {
@@ -619,13 +519,6 @@
   return it == run_s_of.end() ? run_s : it->second;
 }
 
-void TestCluster::end_lease(Worker& w) {
-  if (!lease_over(w)) return;
-  ++w.session;
-  w.tasks.clear();
-  w.answered_sent = reactor.now();
-}
-
 std::vector<Seen> TestCluster::everything() const {
   std::vector<Seen> out;
   for (const auto& [id, w] : workers) {
@@ -634,48 +527,23 @@
     for (const auto& [name, t] : w->tasks) {
       const auto task = wire::parse_task(name);
       if (t.state == TaskState::exited || !task) continue;
-      out.push_back(
-          {task->job, id, task->index, {"g8", w->zone, false}, t.state != TaskState::fetching});
+      out.push_back({task->job, id, task->index, w->kind, t.state != TaskState::fetching});
     }
   }
   return out;
 }
 
 void TestCluster::progress(Worker& w) {
-  for (auto& [name, t] : w.tasks) {
-    if (t.state == TaskState::fetching && reactor.now() - t.since > 0.5) {
-      std::vector<Seen> others;
-      const auto task = *wire::parse_task(name);
-      if (rules.is_completed(task.job, task.index)) {  // its result was kept
-        t = {t.attempt, TaskState::exited, Cause::done, reactor.now()};
-        continue;
-      }
-      for (auto& seen : everything()) {
-        if (seen.job == task.job && seen.has_image) {
-          ran_twice += seen.task == task.index && seen.machine != w.id ? 1 : 0;
-          others.push_back(std::move(seen));
-        }
-      }
-      rules.starts({task.job, w.id, task.index, {"g8", w.zone, false}, true}, others,
-                   reactor.now());
-      t = {t.attempt, TaskState::running, Cause::none, reactor.now()};
-      ++starts[name];
-    }
-    if (t.state == TaskState::running && reactor.now() - t.since > run_time(name)) {
-      t = {t.attempt, TaskState::exited, Cause::done, reactor.now()};
-      const auto task = *wire::parse_task(name);
-      rules.completed(task.job, task.index);
-    }
-  }
+  w.progress(*surroundings_, reactor.now());
 }
 
 void TestCluster::wake(Worker& w) {
   if (w.gone) return;
   w.hangs = false;
-  end_lease(w);
+  w.end_lease(base_settings.lease_s, reactor.now());
   const auto held_back = std::move(w.held);
   w.held.clear();
-  for (const auto& request : held_back) commands(w, request);
+  for (const auto& request : held_back) w.commands(request, *surroundings_, reactor.now());
 }
 
 net::Task<void> TestCluster::arrive_late(Worker& w, Request request, double after) {
@@ -684,7 +552,7 @@
   if (w.hangs) {
     w.held.push_back(std::move(request));
   } else if (!w.gone) {
-    commands(w, request);
+    w.commands(request, *surroundings_, reactor.now());
   }
 }
 
@@ -695,7 +563,7 @@
     Sleep outage(reactor, 0.1);
     co_await outage;
   }
-  state(request);
+  state_service.handle(request);
 }
 
 net::Task<void> TestCluster::report_late(int node, std::string body, double after) {
@@ -711,12 +579,10 @@
   for (;;) {
     Sleep pause(reactor, kEvery);
     co_await pause;
-    for (auto& [id, life] : leases_) {
-      if (state_down) life.second = reactor.now() + life.first;
-    }
+    if (state_down) state_service.extend_leases();
     for (auto& [id, w] : workers) {
       if (w->hangs) continue;
-      end_lease(*w);
+      w->end_lease(base_settings.lease_s, reactor.now());
       progress(*w);
     }
     rules.look(everything(), reactor.now());
@@ -730,53 +596,6 @@
   }
 }
 
-void TestCluster::execute(Worker& w, const Json& orders) {
-  for (const auto& o : orders.GetArray()) {
-    const std::string verb = o["Verb"].GetString(), name = o["Tooth"].GetString();
-    const auto attempt = o["Crank"].GetUint64();
-    const auto it = w.tasks.find(name);
-    const bool held = it != w.tasks.end() && it->second.attempt == attempt;
-    if (verb == "start" && !held) {
-      rules.told_to_start(wire::parse_task(name)->job, reactor.now());
-      w.tasks[name] = {attempt, TaskState::fetching, Cause::none, reactor.now()};
-    } else if (verb == "kill" && held && it->second.state != TaskState::exited) {
-      it->second = {attempt, TaskState::exited, Cause::stopped, reactor.now()};
-    } else if (verb == "forget" && held && it->second.state == TaskState::exited) {
-      w.tasks.erase(it);
-    }
-  }
-}
-
-std::string TestCluster::report_of(Worker& w) {
-  JsonWriter j;
-  j.begin().key("Rig").text(w.id).key("Address").text(w.address).key("Frame").text("g8");
-  j.key("Yard").text(w.zone).key("Loaners").flag(false).key("Shift").count(w.session);
-  j.key("Tick").count(++w.tick).key("KeyTurn").count(w.token).key("Teeth").list();
-  for (const auto& [name, t] : w.tasks) {
-    const char* state = t.state == TaskState::fetching  ? "fetching"
-                        : t.state == TaskState::running ? "running"
-                                                        : "exited";
-    j.begin().key("Tooth").text(name).key("Crank").count(t.attempt).key("Stance").text(state);
-    if (t.state == TaskState::exited)
-      j.key("Cause").text(t.cause == Cause::done ? "done" : "halted");
-    j.end();
-  }
-  j.list_end().end();
-  return j.take();
-}
-
-Response TestCluster::commands(Worker& w, const Request& r) {
-  progress(w);
-  const JsonDocument document(r.body);
-  const auto token = document.root()["KeyTurn"].GetUint64();
-  if (token < w.token || document.root()["Shift"].GetUint64() != w.session) {
-    return answer(409, report_of(w));
-  }
-  w.token = token;
-  execute(w, document.root()["Orders"]);
-  return answer(200, report_of(w));
-}
-
 net::Task<void> TestCluster::work(Worker& w) {
   for (;;) {
     Sleep pause(reactor, base_settings.report_s);
@@ -784,20 +603,20 @@
     if (w.gone) co_return;
     if (w.hangs) continue;
     progress(w);
-    end_lease(w);
+    w.end_lease(base_settings.lease_s, reactor.now());
     const double sent = reactor.now();
     const int target = w.target, next = (target + 1) % nodes();
     if (w.cannot_send || !is_up(target) || cut_from_workers.contains(target)) {
       w.target = next;
       continue;
     }
-    if (apart(zone_of(target), w.zone)) {
+    if (apart(zone_of(target), w.kind.zone)) {
       Sleep patience(reactor, 4);
       co_await patience;
       w.target = next;
       continue;
     }
-    const std::string body = report_of(w);
+    const std::string body = w.report();
     if (chance() < late_reports) {
       const double after = 2 + chance() * (1.5 * base_settings.lease_s - 2);
       scope_.spawn(report_late(any_node(), body, after));
@@ -816,7 +635,7 @@
       w.target = next;
       continue;
     }
-    if (apart(zone_of(target), w.zone) || w.hangs || w.gone || session != w.session) continue;
+    if (apart(zone_of(target), w.kind.zone) || w.hangs || w.gone || session != w.session) continue;
     const JsonDocument document(response->body.empty() ? "{}" : response->body);
     if (response->status == 421) {
       const auto to = wire::read_text(document.root(), "Foreman").value_or("");
@@ -826,7 +645,7 @@
     } else if (document.root()["KeyTurn"].GetUint64() >= w.token) {
       w.token = document.root()["KeyTurn"].GetUint64();
       w.answered_sent = sent;
-      execute(w, document.root()["Orders"]);
+      w.execute(document.root()["Orders"], *surroundings_, reactor.now());
     }
   }
 }
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -13,6 +13,8 @@
 #include "control/node.hpp"
 #include "fixtures.hpp"
 #include "rule_checker.hpp"
+#include "state_stand_in.hpp"
+#include "worker_stand_in.hpp"
 
 namespace cranklock::testing {
 
@@ -86,13 +88,7 @@
   std::set<std::string> expected_broken;  ///< rules that this cluster is made to break
   std::mt19937 random{1};
 
-  // The state service.
-  struct Stored {
-    std::string data;
-    std::uint64_t revision, lease;
-  };
-  std::map<std::string, Stored> store;
-  std::uint64_t revision = 0;
+  StateStandIn state_service{reactor};
   bool state_down = false;
   double state_slow_s = 0;
   std::set<int> refused_by_state;  ///< 503 for these alone; what they watch hangs
@@ -104,15 +100,6 @@
   int swallow_txn_answers = 0;      ///< so many transactions are executed, and not answered
   double late_txns = 0;             ///< this share is executed 2 to 12 s later, and not answered
   double lost_txns = 0;             ///< this share is executed at once, and not answered
-  bool limits_writes = false;       ///< 429 above write_rps
-  int refused_writes = 0;
-  /// What the state service takes, where it isn't without limit.
-  struct Limits {
-    std::size_t value_bytes = 0, txn_changes = 0;  ///< 400 above
-    double write_rps = 0;                          ///< for limits_writes, instead of the settings'
-  };
-  Limits limits;
-  int refused_as_too_large = 0;
 
   // The cloud.
   int rented = 0;
@@ -123,17 +110,8 @@
   std::map<std::string, std::string> rentals;  ///< by request name
   std::vector<std::string> deleted;
 
-  // Workers.
-  struct Task {
-    std::uint64_t attempt;
-    wire::TaskState state;
-    wire::Cause cause;
-    double since;
-  };
-  struct Worker {
-    std::string id, address, zone;
-    std::uint64_t session = 1, tick = 0, token = 0;
-    double answered_sent = 0, began = 0;
+  /// What troubles a worker may have.
+  struct Worker : WorkerStandIn {
     int target = 0;
     bool gone = false;            ///< deleted
     bool hangs = false;           ///< neither reports nor executes
@@ -144,7 +122,6 @@
     /// executed when it goes on.
     double commands_late_s = 0;
     std::vector<net::Request> held;
-    std::map<std::string, Task> tasks;
   };
   std::map<std::string, std::unique_ptr<Worker>> workers;
   /// A machine that hangs goes on.
@@ -172,15 +149,12 @@
  private:
   struct Host;
   struct Exchange;
+  class Surroundings;
   net::Task<net::Reply> call_state(int node, net::Request request, double timeout_s);
   net::Task<net::Reply> call_cloud(net::Request request, double timeout_s);
   net::Task<net::Reply> call_worker(int node, std::string address, net::Request request,
                                     double timeout_s);
-  net::Response state(const net::Request& r);
-  net::Response transaction(const net::Request& r);
-  bool too_large(const wire::Json& changes) const;
   net::Response cloud(const net::Request& r);
-  net::Response commands(Worker& w, const net::Request& r);
   net::Task<void> work(Worker& w);
   net::Task<void> serve(int node, net::Request request, std::shared_ptr<Exchange> exchange);
   net::Task<void> arrive_late(Worker& w, net::Request request, double after);
@@ -190,30 +164,17 @@
   net::Task<void> use(wire::JobSpec spec, UserHabits habits);
   net::Task<void> look_closely(wire::JobSpec spec);
   net::Task<void> look_once(int node, wire::JobSpec spec, bool submits);
-  void execute(Worker& w, const wire::Json& orders);
   void progress(Worker& w);
-  void end_lease(Worker& w);
   bool lease_over(const Worker& w) const;
   double run_time(const std::string& task) const;
   std::vector<Seen> everything() const;
-  std::string report_of(Worker& w);
-  void put(const std::string& key, const std::string& data, std::uint64_t lease);
-  void erase(const std::string& key);
-  void expire();
   std::string zone_of(int node) const;
   bool apart(const std::string& zone, const std::string& other) const;
   bool unserved(int node) const { return state_down || refused_by_state.contains(node); }
   net::Task<void> link(int node);
   net::Task<void> deliver(int from, int to, peer::Frame frame);
 
-  struct Event {
-    std::string key, data;
-    std::uint64_t revision;
-  };
-  std::vector<Event> events_;
-  std::map<std::uint64_t, std::pair<double, double>> leases_;  ///< life and end
-  std::uint64_t next_lease_ = 0;
-  double write_level_ = 0, write_level_at_ = 0;
+  std::unique_ptr<Surroundings> surroundings_;
   std::vector<std::string> zones_;
   std::vector<std::unique_ptr<Host>> hosts_;
   std::map<std::string, std::string> kept_reports_;  ///< by machine
--- a/tests/two_troubles_test.cpp
+++ b/tests/two_troubles_test.cpp
@@ -342,7 +342,7 @@
   settings.teams = {{"red", 0, 0, 200, 400}};
   settings.state_write_rps = 30;
   TestCluster w(5, {}, settings);
-  w.limits_writes = true;
+  w.state_service.limits_writes = true;
   w.run_s = 4;
   w.run(1);
   for (int i = 0; i < 8; ++i) w.add_worker();
@@ -357,12 +357,13 @@
       const bool runs = w.starts.contains(name(j) + "/0") && w.running(name(j)) == 0;
       if (!runs || j % 4 == 3) continue;
       const auto at = ended.try_emplace(name(j), w.reactor.now()).first->second;
-      if (w.store.contains("jobs/" + name(j))) latest = std::max(latest, w.reactor.now() - at);
+      if (w.state_service.values.contains("jobs/" + name(j)))
+        latest = std::max(latest, w.reactor.now() - at);
     }
   }
   EXPECT_LT(latest, 3) << "a job is called done so late";
   EXPECT_TRUE(wait_for(w, 30, [&] { return all_over(w); }));
-  EXPECT_EQ(w.refused_writes, 0);
+  EXPECT_EQ(w.state_service.refused_writes, 0);
   EXPECT_EQ(w.rules.accepted().size(), static_cast<std::size_t>(jobs));
 }
 
@@ -380,18 +381,19 @@
   for (int i = 0; i < 4000; ++i) w.run_s_of["j-000001/" + std::to_string(i)] = i % 2 == 0 ? 3 : 60;
   w.submit(0, spec("j-000001", 4000, Shape::array, 1));
   w.submit(1, spec("j-000002", 1, Shape::array, 1));
-  ASSERT_TRUE(wait_for(w, 60, [&] { return w.store.contains("parts/j-000001/0"); }));
+  ASSERT_TRUE(wait_for(w, 60, [&] { return w.state_service.values.contains("parts/j-000001/0"); }));
   w.run(2);
   const int old = w.leader();
   w.crash_node(old);
   w.cancel(other_than(w, old), "j-000001");
   w.run(0.2);
-  EXPECT_TRUE(w.store.contains("parts/j-000001/0"));
+  EXPECT_TRUE(w.state_service.values.contains("parts/j-000001/0"));
   EXPECT_TRUE(wait_for(w, 30, [&] { return w.leader() >= 0; }));
   w.run(10);
   EXPECT_EQ(w.held("j-000001"), 0);
-  EXPECT_TRUE(wait_for(w, 60, [&] { return w.store.contains("ended/j-000001"); }));
-  for (const auto& [key, value] : w.store) EXPECT_FALSE(key.starts_with("parts/j-000001/")) << key;
+  EXPECT_TRUE(wait_for(w, 60, [&] { return w.state_service.values.contains("ended/j-000001"); }));
+  for (const auto& [key, value] : w.state_service.values)
+    EXPECT_FALSE(key.starts_with("parts/j-000001/")) << key;
   w.submit(other_than(w, old), spec("j-000003", 1, Shape::array, 1));
   EXPECT_TRUE(wait_for(w, 30, [&] {
     return w.state_of(1, "j-000003") == "done" || w.state_of(2, "j-000003") == "done";
@@ -411,12 +413,12 @@
   for (int i = 0; i < 40; ++i) w.add_worker();
   w.run(3);
   w.submit(0, spec("j-000001", 4000, Shape::array, 1));
-  ASSERT_TRUE(wait_for(w, 60, [&] { return w.store.contains("parts/j-000001/0"); }));
+  ASSERT_TRUE(wait_for(w, 60, [&] { return w.state_service.values.contains("parts/j-000001/0"); }));
   w.run(5);
   w.cancel(1, "j-000001");
   w.run(3);
   EXPECT_EQ(w.held("j-000001"), 0);
-  EXPECT_TRUE(wait_for(w, 30, [&] { return w.store.contains("ended/j-000001"); }));
+  EXPECT_TRUE(wait_for(w, 30, [&] { return w.state_service.values.contains("ended/j-000001"); }));
 }
 
 // ---- changes of leader ----
@@ -665,9 +667,9 @@
     w.run(5);
     const auto on = holders(w, "j-000001");
     auto& lost = *w.workers.at(on.at(0));
-    const std::string zone = lost.zone;
+    const std::string zone = lost.kind.zone;
     for (auto& [id, worker] : w.workers) {
-      if (worker->zone == zone && (shape == Shape::service || id == lost.id)) worker->hangs = true;
+      if (worker->kind.zone == zone && (shape == Shape::service || id == lost.id)) worker->hangs = true;
     }
     w.run(3);
     change_leader(w, 3);
@@ -765,7 +767,7 @@
       w.run(1);
       w.lost_txns = lost;
       w.late_txns = late;
-      w.limits_writes = true;
+      w.state_service.limits_writes = true;
       for (int i = 0; i < 9; ++i) {
         w.add_user(spec(name(i), 1 + i % 2, Shape::array, 2),
                    {i % 3 == 0 ? 0.2 * i : -1, i % 3 == 1, true});
--- /dev/null
+++ b/tests/worker_stand_in.cpp
@@ -0,0 +1,108 @@
+#include "worker_stand_in.hpp"
+
+#include "control/users.hpp"
+
+namespace cranklock::testing {
+
+using wire::Cause;
+using wire::Json;
+using wire::JsonDocument;
+using wire::JsonWriter;
+using wire::TaskState;
+
+namespace {
+
+const char* state_name(TaskState state) {
+  switch (state) {
+    case TaskState::fetching:
+      return "fetching";
+    case TaskState::waiting:
+      return "waiting";
+    case TaskState::running:
+      return "running";
+    case TaskState::saving:
+      return "flushing";
+    case TaskState::exited:
+      return "exited";
+  }
+  return "";
+}
+
+}  // namespace
+
+void WorkerStandIn::end_lease(double lease_s, double now) {
+  if (!lease_over(lease_s, now)) return;
+  ++session;
+  tasks.clear();
+  answered_sent = now;
+}
+
+void WorkerStandIn::progress(Surroundings& surroundings, double now) {
+  for (auto& [name, t] : tasks) {
+    const auto task = *wire::parse_task(name);
+    if (t.state == TaskState::fetching && now - t.since > surroundings.fetch_s(task)) {
+      if (surroundings.is_completed(task)) {
+        t = {t.attempt, TaskState::exited, Cause::done, now};
+        continue;
+      }
+      const bool runs = surroundings.starts(*this, task);
+      t = {t.attempt, runs ? TaskState::running : TaskState::waiting, Cause::none, now};
+    }
+    if (t.state == TaskState::waiting && surroundings.gang_complete(task, t.attempt)) {
+      t = {t.attempt, TaskState::running, Cause::none, now};
+    }
+    if (t.state == TaskState::running && now - t.since > surroundings.run_s(task)) {
+      t = {t.attempt, TaskState::exited, Cause::done, now};
+      surroundings.completed(task);
+    }
+  }
+}
+
+void WorkerStandIn::execute(const Json& orders, Surroundings& surroundings, double now) {
+  for (const auto& order : orders.GetArray()) {
+    const std::string verb = order["Verb"].GetString(), name = order["Tooth"].GetString();
+    const auto attempt = order["Crank"].GetUint64();
+    const auto it = tasks.find(name);
+    const bool held = it != tasks.end() && it->second.attempt == attempt;
+    if (verb == "start" && !held) {
+      surroundings.told_to_start(*wire::parse_task(name));
+      tasks[name] = {attempt, TaskState::fetching, Cause::none, now};
+    } else if (verb == "kill" && held && it->second.state != TaskState::exited) {
+      it->second = {attempt, TaskState::exited, Cause::stopped, now};
+    } else if (verb == "forget" && held && it->second.state == TaskState::exited) {
+      tasks.erase(it);
+    }
+  }
+}
+
+std::string WorkerStandIn::report() {
+  JsonWriter j;
+  j.begin().key("Rig").text(id).key("Address").text(address).key("Frame").text(kind.type);
+  j.key("Yard").text(kind.zone).key("Loaners").flag(kind.spot).key("Shift").count(session);
+  j.key("Tick").count(++tick).key("KeyTurn").count(token).key("Teeth").list();
+  for (const auto& [name, t] : tasks) {
+    j.begin().key("Tooth").text(name).key("Crank").count(t.attempt);
+    j.key("Stance").text(state_name(t.state));
+    if (t.state == TaskState::exited) {
+      j.key("Cause").text(t.cause == Cause::done ? "done" : "halted");
+    }
+    j.end();
+  }
+  j.list_end().end();
+  return j.take();
+}
+
+net::Response WorkerStandIn::commands(const net::Request& request, Surroundings& surroundings,
+                                      double now) {
+  progress(surroundings, now);
+  const JsonDocument document(request.body);
+  const auto told = document.root()["KeyTurn"].GetUint64();
+  if (told < token || document.root()["Shift"].GetUint64() != session) {
+    return control::plain_answer(409, report());
+  }
+  token = told;
+  execute(document.root()["Orders"], surroundings, now);
+  return control::plain_answer(200, report());
+}
+
+}  // namespace cranklock::testing
--- /dev/null
+++ b/tests/worker_stand_in.hpp
@@ -0,0 +1,62 @@
+// A hollow worker: leases, sessions, images and tasks as PROTOCOL describes them, and nothing that
+// computes. Whoever serves it carries its reports, and decides what troubles it has.
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+
+#include "net/http.hpp"
+#include "sched/cluster_state.hpp"
+#include "wire/messages.hpp"
+
+namespace cranklock::testing {
+
+class WorkerStandIn {
+ public:
+  struct Task {
+    std::uint64_t attempt;
+    wire::TaskState state;
+    wire::Cause cause;
+    double since;
+  };
+
+  /// What its tasks are part of.
+  class Surroundings {
+   public:
+    Surroundings() = default;
+    Surroundings(const Surroundings&) = delete;
+    Surroundings& operator=(const Surroundings&) = delete;
+    virtual ~Surroundings() = default;
+    virtual double fetch_s(const wire::TaskName& task) const = 0;
+    virtual double run_s(const wire::TaskName& task) const = 0;
+    /// Its result was kept: it is over as soon as it has its image.
+    virtual bool is_completed(const wire::TaskName& task) const = 0;
+    virtual void told_to_start(const wire::TaskName& task) = 0;
+    /// It has its image. False: it waits for the rest of its gang.
+    virtual bool starts(const WorkerStandIn& worker, const wire::TaskName& task) = 0;
+    /// Whether all of the gang have come to wait.
+    virtual bool gang_complete(const wire::TaskName& task, std::uint64_t attempt) const = 0;
+    virtual void completed(const wire::TaskName& task) = 0;
+  };
+
+  std::string id, address;
+  sched::MachineKind kind{"g8", "a", false};
+  std::uint64_t session = 1, tick = 0, token = 0;
+  double answered_sent = 0;  ///< sending of the last report that was answered
+  double began = 0;
+  std::map<std::string, Task> tasks;
+
+  /// Lets time pass: images arrive, tasks begin and complete.
+  void progress(Surroundings& surroundings, double now);
+  bool lease_over(double lease_s, double now) const { return now - answered_sent > lease_s; }
+  /// Kills and forgets everything if its lease is over.
+  void end_lease(double lease_s, double now);
+  void execute(const wire::Json& orders, Surroundings& surroundings, double now);
+  /// The next report's body.
+  std::string report();
+  /// Answers POST /commands.
+  net::Response commands(const net::Request& request, Surroundings& surroundings, double now);
+};
+
+}  // namespace cranklock::testing
