--- /dev/null
+++ b/lab/controllers.cpp
@@ -0,0 +1,218 @@
+#include "lab/controllers.hpp"
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <regex>
+#include <sstream>
+
+namespace cranklock::lab {
+namespace {
+
+enum Listener { users = 0, peers = 1, regions_listener = 2 };
+
+std::string member_name(const std::string& region, int index) {
+  return region + "-" + std::to_string(index);
+}
+
+/// Where controllers of region `from` reach controller `index` of region `to`.
+std::string bridge_address(int from, int to, int index) {
+  constexpr int kFirstPort = 25000, kPerRegion = 400, kPerTarget = 20;
+  return "127.0.0.1:" + std::to_string(kFirstPort + from * kPerRegion + to * kPerTarget + index);
+}
+
+}  // namespace
+
+void Controllers::write_settings(const Region& region, int index, int regions) const {
+  const RegionPlan& own = region.plan();
+  const auto zone = [&](int i) {
+    return own.zones[static_cast<std::size_t>(i) % own.zones.size()];
+  };
+  std::ofstream out(path(member_name(own.name, index), ".toml"));
+  out << "member = \"" << member_name(own.name, index) << "\"\nzone = \"" << zone(index)
+      << "\"\nlisten = \"" << region.controller_address(index, users) << "\"\npeer_listen = \""
+      << region.controller_address(index, peers) << "\"\n";
+  for (int i = 0; i < own.controllers; ++i) {
+    if (i == index) continue;
+    out << "[[others]]\nmember = \"" << member_name(own.name, i) << "\"\nzone = \"" << zone(i)
+        << "\"\naddress = \"" << region.controller_address(i, peers) << "\"\n";
+  }
+  out << "[external]\ncloud = \"" << region.cloud_address() << "\"\nstate = \""
+      << region.state_address() << "\"\n[facts]\nnodes = " << own.controllers << "\nzones = [";
+  for (const auto& name : own.zones) out << '"' << name << "\",";
+  out << "]\nclock_error_ms = 5.0\n";
+  for (int i = 0; i < plan_.teams; ++i) {
+    // Without regions each one has its part for good.
+    const double part = regions > 1 ? 1 : own.first_share;
+    out << "[[facts.teams]]\nname = \"team-" << i
+        << "\"\ncpus = 0.0\ncpus_max = 0.0\ngpus = " << plan_.guarantee_gpus * part
+        << "\ngpus_max = " << plan_.limit_gpus * part << "\n";
+  }
+  out << "[facts.workers]\nreport_s = " << plan_.report_s << "\nlease_s = " << plan_.lease_s
+      << "\ngang_wait_s = 30.0\ngang_peer_s = 5.0\ncancel_s = " << plan_.cancel_s
+      << "\n[facts.state]\nrps = 1000.0\nwrite_rps = " << plan_.state_write_rps
+      << "\nvalue_kb = 8.0\ntxn_ops = 24\n[facts.cloud]\nrps = 12.0\nlist_lag_s = 1.0\n"
+      << "[facts.resources]\nfd_limit = " << plan_.fd_limit << "\nram_mb = " << plan_.ram_mb
+      << "\n";
+}
+
+void Controllers::write_operator_file(const std::vector<std::unique_ptr<Region>>& regions,
+                                      int region, const std::string& member) const {
+  const auto& own = regions[static_cast<std::size_t>(region)]->plan();
+  std::ofstream out(path(member, ".xml"));
+  // The fleet is kept whole, so that a run has as many workers as its plan.
+  out << "<cranklock><scaler least_machines=\"" << own.workers << "\" most_machines=\""
+      << 2 * own.workers << "\"/>";
+  if (regions.size() > 1) {
+    out << "<regions self=\"" << own.name << "\" founder=\"" << regions[0]->plan().name << "\">";
+    for (int to = 0; to < static_cast<int>(regions.size()); ++to) {
+      const Region& other = *regions[static_cast<std::size_t>(to)];
+      out << "<region name=\"" << other.plan().name << "\" share=\"" << other.plan().first_share
+          << "\">";
+      for (int i = 0; i < other.plan().controllers; ++i) {
+        out << "<controller member=\"" << member_name(other.plan().name, i) << "\" address=\""
+            << (to == region ? other.controller_address(i, regions_listener)
+                             : bridge_address(region, to, i))
+            << "\"/>";
+      }
+      out << "</region>";
+    }
+    out << "</regions>";
+  }
+  out << "</cranklock>\n";
+}
+
+bool Controllers::start(net::EvReactor& reactor,
+                        const std::vector<std::unique_ptr<Region>>& regions, net::Scope& scope) {
+  const int count = static_cast<int>(regions.size());
+  for (int from = 0; from < count; ++from) {
+    const Region& own = *regions[static_cast<std::size_t>(from)];
+    for (int i = 0; i < own.plan().controllers; ++i) {
+      write_settings(own, i, count);
+      write_operator_file(regions, from, member_name(own.plan().name, i));
+      controllers_.push_back({own.plan().name, member_name(own.plan().name, i)});
+    }
+    for (int to = 0; to < count; ++to) {
+      const Region& other = *regions[static_cast<std::size_t>(to)];
+      for (int i = 0; from != to && i < other.plan().controllers; ++i) {
+        auto relay = std::make_unique<Relay>(reactor, bridge_address(from, to, i),
+                                             other.controller_address(i, regions_listener));
+        if (!relay->start(scope)) return false;
+        bridges_.push_back({own.plan().name, other.plan().name, std::move(relay)});
+      }
+    }
+  }
+  for (auto& controller : controllers_) launch(controller);
+  return true;
+}
+
+void Controllers::launch(Controller& controller) const {
+  const std::string config = path(controller.member, ".toml");
+  const std::string operators = path(controller.member, ".xml");
+  const std::string log = path(controller.member, ".log");
+  controller.pid = ::fork();
+  if (controller.pid != 0) return;
+  const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  ::dup2(fd, STDERR_FILENO);
+  ::execl(program_.c_str(), program_.c_str(), "--config", config.c_str(), "--operator",
+          operators.c_str(), nullptr);
+  ::_exit(127);
+}
+
+void Controllers::crash(const std::string& region) {
+  for (auto& controller : controllers_) {
+    if (controller.region != region || controller.pid <= 0) continue;
+    controller.cpu_before_s += cpu_seconds(controller.pid);
+    ::kill(controller.pid, SIGKILL);
+    ::waitpid(controller.pid, nullptr, 0);
+    controller.pid = -1;
+    return;
+  }
+}
+
+void Controllers::restart(const std::string& region) {
+  for (auto& controller : controllers_) {
+    if (controller.region == region && controller.pid <= 0) launch(controller);
+  }
+}
+
+void Controllers::set_apart(const std::string& region, bool apart) {
+  for (const auto& bridge : bridges_) {
+    if (bridge.from == region || bridge.to == region) bridge.relay->cut(apart);
+  }
+}
+
+void Controllers::end_all() {
+  for (auto& controller : controllers_) {
+    if (controller.pid <= 0) continue;
+    ::kill(controller.pid, SIGTERM);
+    ::waitpid(controller.pid, nullptr, 0);
+    controller.pid = -1;
+  }
+}
+
+// ---- what they use ----
+
+double Controllers::cpu_seconds(pid_t pid) {
+  std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
+  std::string text((std::istreambuf_iterator<char>(in)), {});
+  constexpr int kFieldsBeforeTimes = 11;  // after the name in brackets
+  std::istringstream fields(text.substr(text.rfind(')') + 1));
+  std::string skipped;
+  for (int i = 0; i < kFieldsBeforeTimes; ++i) fields >> skipped;
+  double user = 0, system = 0;
+  fields >> user >> system;
+  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+}
+
+std::vector<Controllers::Usage> Controllers::usage() const {
+  std::vector<Usage> out;
+  for (const auto& controller : controllers_) {
+    Usage usage;
+    usage.member = controller.member;
+    std::ifstream log(path(controller.member, ".log"));
+    const std::string text((std::istreambuf_iterator<char>(log)), {});
+    usage.led = text.find("serving with token") != std::string::npos;
+    usage.alive = controller.pid > 0 && ::kill(controller.pid, 0) == 0;
+    usage.cpu_s = controller.cpu_before_s;
+    if (usage.alive) {
+      const std::string proc = "/proc/" + std::to_string(controller.pid);
+      usage.cpu_s += cpu_seconds(controller.pid);
+      std::ifstream status(proc + "/status");
+      for (std::string line; std::getline(status, line);) {
+        if (line.starts_with("VmHWM:")) usage.memory_mb = std::stod(line.substr(6)) / 1024;
+      }
+      for ([[maybe_unused]] const auto& fd : std::filesystem::directory_iterator(proc + "/fd")) {
+        ++usage.sockets;
+      }
+    }
+    out.push_back(std::move(usage));
+  }
+  return out;
+}
+
+std::vector<Controllers::Shortage> Controllers::shortages() const {
+  static const std::regex kLine("no longer lacks share: after ([0-9.]+) s, asked ([0-9]+) times");
+  std::vector<Shortage> out;
+  for (const auto& controller : controllers_) {
+    std::ifstream log(path(controller.member, ".log"));
+    for (std::string line; std::getline(log, line);) {
+      std::smatch match;
+      if (!std::regex_search(line, match, kLine)) continue;
+      out.push_back({std::stod(match[1]), std::stoi(match[2])});
+    }
+  }
+  return out;
+}
+
+std::uint64_t Controllers::bytes_between_regions() const {
+  std::uint64_t bytes = 0;
+  for (const auto& bridge : bridges_) bytes += bridge.relay->bytes();
+  return bytes;
+}
+
+}  // namespace cranklock::lab
--- /dev/null
+++ b/lab/controllers.hpp
@@ -0,0 +1,75 @@
+// The controllers of a run: their settings files, their processes, and what these use.
+#pragma once
+
+#include <sys/types.h>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "lab/region.hpp"
+#include "lab/settings.hpp"
+
+namespace cranklock::lab {
+
+class Controllers {
+ public:
+  /// `program` is the daemon; settings files and logs go to `folder`.
+  Controllers(const LabPlan& plan, std::string program, std::string folder)
+      : plan_(plan), program_(std::move(program)), folder_(std::move(folder)) {}
+  ~Controllers() { end_all(); }
+  Controllers(const Controllers&) = delete;
+  Controllers& operator=(const Controllers&) = delete;
+
+  /// Makes relays between the regions, writes all settings files and starts all controllers.
+  bool start(net::EvReactor& reactor, const std::vector<std::unique_ptr<Region>>& regions,
+             net::Scope& scope);
+  /// Ends one controller of the region, by its id, without warning; and starts it again.
+  void crash(const std::string& region);
+  void restart(const std::string& region);
+  /// Cuts a region off from all others, or joins it again.
+  void set_apart(const std::string& region, bool apart);
+  void end_all();
+
+  struct Usage {
+    std::string member;
+    bool led = false;
+    double cpu_s = 0, memory_mb = 0;
+    int sockets = 0;
+    bool alive = false;
+  };
+  std::vector<Usage> usage() const;
+  /// How long teams lacked share, as the leaders logged it, and how often they asked.
+  struct Shortage {
+    double seconds = 0;
+    int requests = 0;
+  };
+  std::vector<Shortage> shortages() const;
+  std::uint64_t bytes_between_regions() const;
+
+ private:
+  struct Controller {
+    std::string region, member;
+    pid_t pid = -1;
+    double cpu_before_s = 0;  ///< of processes that were ended
+  };
+  struct Bridge {
+    std::string from, to;
+    std::unique_ptr<Relay> relay;
+  };
+  std::string path(const std::string& member, const char* ending) const {
+    return folder_ + "/" + member + ending;
+  }
+  void write_settings(const Region& region, int index, int regions) const;
+  void write_operator_file(const std::vector<std::unique_ptr<Region>>& regions, int region,
+                           const std::string& member) const;
+  void launch(Controller& controller) const;
+  static double cpu_seconds(pid_t pid);
+
+  const LabPlan& plan_;
+  std::string program_, folder_;
+  std::vector<Controller> controllers_;
+  std::vector<Bridge> bridges_;
+};
+
+}  // namespace cranklock::lab
--- /dev/null
+++ b/lab/main.cpp
@@ -0,0 +1,60 @@
+// cranklock-lab: real controllers on loopback between stand-ins, with the rules checked.
+#include <spdlog/spdlog.h>
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+
+#include "base/settings.hpp"
+#include "lab/run.hpp"
+
+int main(int argc, char** argv) {
+  using namespace cranklock;
+  CLI::App app{"Plays a fleet of stand-ins around real controllers, on loopback only.",
+               "cranklock-lab"};
+  app.require_subcommand(1);
+  std::string file, report;
+  std::string program = (std::filesystem::path(argv[0]).parent_path() / "cranklock").string();
+  unsigned seed = 1;
+  auto* run = app.add_subcommand("run", "play a plan to its end");
+  run->add_option("FILE", file, "the plan (TOML)")->required();
+  run->add_option("--report", report, "where the report (JSON) goes; else standard output");
+  run->add_option("--seed", seed, "of everything that is drawn");
+  run->add_option("--daemon", program, "the controller's program")->capture_default_str();
+  CLI11_PARSE(app, argc, argv);
+  lab::LabPlan plan;
+  try {
+    plan = lab::load_plan(file);
+  } catch (const base::SettingsError& e) {
+    std::cerr << e.what() << '\n';
+    return 2;
+  }
+  if (::access(program.c_str(), X_OK) != 0) {
+    std::cerr << program << ": expected the controller's program\n";
+    return 2;
+  }
+  std::string folder = (std::filesystem::temp_directory_path() / "cranklock-lab-XXXXXX").string();
+  if (::mkdtemp(folder.data()) == nullptr) {
+    std::cerr << folder << ": can't be made\n";
+    return 2;
+  }
+  std::signal(SIGPIPE, SIG_IGN);
+  lab::Run played(plan, program, folder, seed);
+  if (!played.play()) {
+    std::cerr << "an address of the plan can't be listened on\n";
+    return 2;
+  }
+  const std::string text = played.report();
+  if (report.empty()) {
+    std::cout << text << '\n';
+  } else {
+    std::ofstream(report) << text << '\n';
+  }
+  std::cerr << (played.passed() ? "\npassed: all was played and no rule broke"
+                                : "\nfailed: see the report")
+            << "; logs in " << folder << '\n';
+  return played.passed() ? 0 : 1;
+}
--- /dev/null
+++ b/lab/run.hpp
@@ -0,0 +1,84 @@
+// One run of the lab: users, what they see, what the fleet does, faults, and the report.
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "lab/controllers.hpp"
+#include "lab/region.hpp"
+#include "lab/settings.hpp"
+#include "rule_checker.hpp"
+
+namespace cranklock::lab {
+
+class Run : public testing::WorkerStandIn::Surroundings {
+ public:
+  Run(const LabPlan& plan, const std::string& program, const std::string& folder, unsigned seed);
+
+  /// Plays the plan to its end; false when something could not be started.
+  bool play();
+  /// JSON; labelled so that its figures are not taken for those of real machines.
+  std::string report() const;
+  /// All was played, every submission was accepted, and no rule broke.
+  bool passed() const;
+
+  double fetch_s(const wire::TaskName& task) const override;
+  double run_s(const wire::TaskName& task) const override;
+  bool is_completed(const wire::TaskName& task) const override;
+  void told_to_start(const wire::TaskName& task) override;
+  bool starts(const testing::WorkerStandIn& worker, const wire::TaskName& task) override;
+  bool gang_complete(const wire::TaskName& task, std::uint64_t attempt) const override;
+  void completed(const wire::TaskName& task) override;
+
+ private:
+  struct Job {
+    const ClassPlan* plan = nullptr;
+    int region = 0;
+    double submitted_at = 0, started_at = -1;
+    std::set<const testing::WorkerStandIn*> machines;           ///< that have started a task of it
+    std::map<std::uint64_t, std::set<std::uint32_t>> gathered;  ///< of a gang, by attempt
+  };
+  struct Counts {
+    int submitted = 0, accepted = 0, done = 0, cancelled = 0, task_starts = 0;
+    std::vector<double> start_s;  ///< from submission to a task's start
+  };
+
+  net::Task<void> submit_jobs(const ClassPlan& plan);
+  net::Task<void> use(wire::JobSpec spec, const ClassPlan& plan, int region);
+  net::Task<int> ask(int region, std::string method, std::string path, std::string body,
+                     std::string* state);
+  net::Task<void> watch_fleet();
+  net::Task<void> play_fault(const FaultPlan& fault);
+  net::Task<void> finish();
+  wire::JobSpec next_job(const ClassPlan& plan);
+  int pick_region();
+  double rate_factor() const;
+  void look();
+  void show_progress() const;
+  bool lease_over(const testing::WorkerStandIn& worker) const;
+  double now() const { return reactor_.now() - began_; }
+
+  const LabPlan& plan_;
+  base::Settings settings_;
+  testing::RuleChecker rules_;
+  net::EvReactor reactor_;
+  net::HttpClient client_;
+  std::mt19937 random_;
+  std::vector<std::unique_ptr<Region>> regions_;
+  Controllers controllers_;
+  double began_ = 0;
+  std::map<std::string, Job> jobs_;
+  std::map<std::string, Counts> counts_;  ///< by class
+  std::map<int, int> starts_by_second_;
+  std::size_t most_running_ = 0, running_ = 0;
+  int faults_played_ = 0, next_id_ = 0;
+  bool played_ = false;
+  std::vector<Controllers::Usage> usage_;
+  net::Scope scope_;  ///< last, so that its routines end before what they use
+};
+
+}  // namespace cranklock::lab
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -1,78 +1,14 @@
 #include "base/settings.hpp"
 
-#include <toml++/toml.h>
-
 #include <functional>
 #include <map>
 #include <pugixml.hpp>
 
+#include "base/toml_reader.hpp"
+
 namespace cranklock::base {
 namespace {
 
-class TomlReader {
- public:
-  TomlReader(const toml::table& table, std::string file, std::string prefix)
-      : table_(table), file_(std::move(file)), prefix_(std::move(prefix)) {}
-
-  [[noreturn]] void fail(const std::string& field, const std::string& expected) const {
-    throw SettingsError(file_ + ": " + prefix_ + field + ": expected " + expected);
-  }
-  std::string text(const char* field) const {
-    const auto v = table_[field].value_exact<std::string>();
-    if (!v || v->empty()) fail(field, "a non-empty string");
-    return *v;
-  }
-  double number(const char* field, double least, bool above = false) const {
-    const auto v = table_[field].value<double>();
-    if (!v || *v < least || (above && *v <= least)) {
-      fail(field,
-           std::string("a number ") + (above ? "above " : "of at least ") + std::to_string(least));
-    }
-    return *v;
-  }
-  int count(const char* field, int least) const {
-    const auto v = table_[field].value<std::int64_t>();
-    if (!v || *v < least || *v > 1'000'000'000) {
-      fail(field, "a whole number of at least " + std::to_string(least));
-    }
-    return static_cast<int>(*v);
-  }
-  TomlReader table(const char* field) const {
-    const auto* t = table_[field].as_table();
-    if (t == nullptr) fail(field, "a table");
-    return {*t, file_, prefix_ + field + "."};
-  }
-  void each(const char* field, const std::function<void(const TomlReader&)>& use) const {
-    const auto node = table_[field];
-    if (!node) return;
-    const auto* list = node.as_array();
-    if (list == nullptr) fail(field, "a list of tables");
-    int index = 0;
-    for (const auto& item : *list) {
-      const auto* t = item.as_table();
-      const std::string here = std::string(field) + "[" + std::to_string(index++) + "]";
-      if (t == nullptr) fail(here, "a table");
-      use(TomlReader(*t, file_, prefix_ + here + "."));
-    }
-  }
-  std::vector<std::string> texts(const char* field) const {
-    const auto* list = table_[field].as_array();
-    if (list == nullptr) fail(field, "a list of strings");
-    std::vector<std::string> out;
-    for (const auto& item : *list) {
-      const auto v = item.value_exact<std::string>();
-      if (!v) fail(field, "a list of strings");
-      out.push_back(*v);
-    }
-    return out;
-  }
-  bool has(const char* field) const { return static_cast<bool>(table_[field]); }
-
- private:
-  const toml::table& table_;
-  std::string file_, prefix_;
-};
-
 /// Limits that the state service will have one day. Those that stay as they are may be left out.
 void read_coming_limits(const TomlReader& next, Settings& s) {
   if (next.has("rps")) s.state_rps = std::min(s.state_rps, next.number("rps", 0, true));
@@ -84,13 +20,7 @@
 }
 
 void read_toml(const std::string& path, Settings& s) {
-  toml::table root;
-  try {
-    root = toml::parse_file(path);
-  } catch (const toml::parse_error& e) {
-    throw SettingsError(path + ": line " + std::to_string(e.source().begin.line) +
-                        ": expected TOML: " + std::string(e.description()));
-  }
+  const toml::table root = parse_toml(path);
   const TomlReader top(root, path, "");
   s.name = top.text("member");
   s.zone = top.text("zone");
--- a/src/regions/request_schedule.hpp
+++ b/src/regions/request_schedule.hpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <map>
+#include <optional>
 #include <string>
 
 #include "regions/amounts.hpp"
@@ -25,25 +26,31 @@
     }
     auto [entry, first] = asked_.try_emplace(team);
     Asked& asked = entry->second;
-    if (first || !(asked.missing == missing)) {
-      asked = {missing, shortest_s_, now + shortest_s_};
-      return true;
-    }
-    if (now < asked.next) return false;
-    asked.pause_s = std::min(2 * asked.pause_s, longest_s_);
+    if (first) asked.since = now;
+    const bool changed = first || !(asked.missing == missing);
+    if (!changed && now < asked.next) return false;
+    asked.missing = missing;
+    asked.pause_s = changed ? shortest_s_ : std::min(2 * asked.pause_s, longest_s_);
     asked.next = now + asked.pause_s;
+    ++asked.requests;
     return true;
   }
-  /// Teams that no longer wait are forgotten.
-  template <typename StillWaits>
-  void forget_unless(StillWaits still_waits) {
-    std::erase_if(asked_, [&](const auto& entry) { return !still_waits(entry.first); });
+  /// A shortage that is being asked about.
+  struct Shortage {
+    double since = 0;
+    int requests = 0;  ///< rounds of them
+  };
+  std::optional<Shortage> shortage(const std::string& team) const {
+    const auto found = asked_.find(team);
+    if (found == asked_.end()) return std::nullopt;
+    return Shortage{found->second.since, found->second.requests};
   }
 
  private:
   struct Asked {
     Amounts missing;
-    double pause_s = 0, next = 0;
+    double since = 0, pause_s = 0, next = 0;
+    int requests = 0;
   };
   double shortest_s_, longest_s_;
   std::map<std::string, Asked> asked_;
--- a/src/regions/share_service.cpp
+++ b/src/regions/share_service.cpp
@@ -146,17 +146,20 @@
 
 void ShareService::send_requests() {
   waiting_ = term_.waiting_demands();
-  schedule_.forget_unless([this](const std::string& team) { return waiting_.contains(team); });
   const auto regions = network_.reachable();
   if (regions.empty() || book_.founder_differs()) return;
   for (const auto& team : settings_.teams) {
     const auto waiting = waiting_.find(team.name);
-    if (waiting == waiting_.end()) continue;
-    const Amounts missing =
-        missing_share(book_.held(team.name), waiting->second, whole_amounts(team));
+    const TeamDemand demand = waiting == waiting_.end() ? TeamDemand{} : waiting->second;
+    const Amounts missing = missing_share(book_.held(team.name), demand, whole_amounts(team));
+    const auto shortage = schedule_.shortage(team.name);
+    if (shortage && missing.is_zero()) {
+      spdlog::info("team {} no longer lacks share: after {:.3f} s, asked {} times", team.name,
+                   now() - shortage->since, shortage->requests);
+    }
     if (!schedule_.take_due(team.name, missing, now())) continue;
     const ShareRequest request{team.name, part_of(missing, regions.size()),
-                               waiting->second.waiting_since_ms};
+                               demand.waiting_since_ms};
     for (const auto& region : regions) network_.send(region, request);
   }
 }
--- a/tests/worker_stand_in.cpp
+++ b/tests/worker_stand_in.cpp
@@ -37,25 +37,31 @@
   answered_sent = now;
 }
 
-void WorkerStandIn::progress(Surroundings& surroundings, double now) {
+bool WorkerStandIn::progress(Surroundings& surroundings, double now) {
+  bool changed = false;
   for (auto& [name, t] : tasks) {
     const auto task = *wire::parse_task(name);
     if (t.state == TaskState::fetching && now - t.since > surroundings.fetch_s(task)) {
       if (surroundings.is_completed(task)) {
         t = {t.attempt, TaskState::exited, Cause::done, now};
+        changed = true;
         continue;
       }
       const bool runs = surroundings.starts(*this, task);
       t = {t.attempt, runs ? TaskState::running : TaskState::waiting, Cause::none, now};
+      changed = true;
     }
     if (t.state == TaskState::waiting && surroundings.gang_complete(task, t.attempt)) {
       t = {t.attempt, TaskState::running, Cause::none, now};
+      changed = true;
     }
     if (t.state == TaskState::running && now - t.since > surroundings.run_s(task)) {
       t = {t.attempt, TaskState::exited, Cause::done, now};
       surroundings.completed(task);
+      changed = true;
     }
   }
+  return changed;
 }
 
 void WorkerStandIn::execute(const Json& orders, Surroundings& surroundings, double now) {
--- a/tests/worker_stand_in.hpp
+++ b/tests/worker_stand_in.hpp
@@ -47,8 +47,8 @@
   double began = 0;
   std::map<std::string, Task> tasks;
 
-  /// Lets time pass: images arrive, tasks begin and complete.
-  void progress(Surroundings& surroundings, double now);
+  /// Lets time pass: images arrive, tasks begin and complete. True when something has changed.
+  bool progress(Surroundings& surroundings, double now);
   bool lease_over(double lease_s, double now) const { return now - answered_sent > lease_s; }
   /// Kills and forgets everything if its lease is over.
   void end_lease(double lease_s, double now);
