--- /dev/null
+++ b/tests/regions_cluster_test.cpp
@@ -0,0 +1,163 @@
+// Whole regions side by side: controllers, state service, cloud and workers of each, and leaders
+// that share the teams' limits.
+#include <gtest/gtest.h>
+
+#include <deque>
+
+#include "regions/records.hpp"
+#include "test_cluster.hpp"
+
+namespace cranklock::testing {
+namespace {
+
+using wire::Shape;
+
+constexpr double kLimit = 16;  // GPUs of each team, in fixtures.hpp
+
+class TwoRegionClusters {
+ public:
+  TwoRegionClusters()
+      : east(3, {}, settings("east"), &east_), west(3, {}, settings("west"), &west_) {
+    for (auto* cluster : {&east, &west}) {
+      cluster->run_s = 1e6;
+      for (int i = 0; i < 3; ++i) cluster->add_worker();
+    }
+  }
+
+  void run(double seconds) {
+    constexpr double kStep = 0.02;
+    for (double passed = 0; passed < seconds; passed += kStep) {
+      east.run(kStep);
+      west.run(kStep);
+      for (; !frames_.empty(); frames_.pop_front()) {
+        const auto& [from, frame] = frames_.front();
+        if (!apart) (from == "east" ? west : east).heard_region(from, frame);
+      }
+      const auto used = [](TestCluster& cluster) {
+        double gpus = 0;
+        for (const auto& id : cluster.rules.accepted()) {
+          gpus += cluster.held(id) * cluster.rules.spec(id)->room.gpus;
+        }
+        return gpus;
+      };
+      EXPECT_LE(used(east) + used(west), kLimit);
+    }
+  }
+  static double held(TestCluster& cluster) {
+    const auto stored = cluster.state_service.values.find(regions::share_key("red"));
+    if (stored == cluster.state_service.values.end()) return 0;
+    const auto amounts = regions::read_share(stored->second.data);
+    return static_cast<double>((*amounts)[regions::Resource::gpus]) / regions::Amounts::kUnit;
+  }
+  static wire::JobSpec service(const std::string& id, std::uint32_t replicas) {
+    return make_job(id, Shape::service, replicas, 1).spec;
+  }
+
+  bool apart = false;
+
+ private:
+  struct Network : regions::RegionNetwork {
+    Network(TwoRegionClusters& w, std::string n) : all(w), name(std::move(n)) {}
+    std::vector<std::string> reachable() const override {
+      const std::string other = name == "east" ? "west" : "east";
+      return all.apart ? std::vector<std::string>{} : std::vector<std::string>{other};
+    }
+    void send(const std::string&, const regions::RegionFrame& frame) override {
+      all.frames_.emplace_back(name, frame);
+    }
+    TwoRegionClusters& all;
+    std::string name;
+  };
+  static base::Settings settings(const std::string& self) {
+    base::Settings settings = small_settings();
+    settings.operators.regions = {self, "east", {{"east", 0.5, {}}, {"west", 0.5, {}}}};
+    return settings;
+  }
+  std::deque<std::pair<std::string, regions::RegionFrame>> frames_;
+  Network east_{*this, "east"}, west_{*this, "west"};
+
+ public:
+  TestCluster east, west;
+};
+
+TEST(RegionClusters, WorkBeyondARegionsShareRunsOnWhatTheOtherHasUnused) {
+  TwoRegionClusters all;
+  all.run(4);
+  EXPECT_DOUBLE_EQ(all.held(all.east), 8);
+  EXPECT_DOUBLE_EQ(all.held(all.west), 8);
+  all.west.submit(0, all.service("j-000001", 13));
+  all.run(6);
+  EXPECT_EQ(all.west.running("j-000001"), 13);
+  EXPECT_DOUBLE_EQ(all.held(all.east) + all.held(all.west), kLimit);
+}
+
+TEST(RegionClusters, ApartEachUsesItsShareAndTheRestComesOnceTheyHearEachOther) {
+  TwoRegionClusters all;
+  all.run(4);
+  all.apart = true;
+  all.west.submit(0, all.service("j-000001", 13));
+  all.east.submit(0, all.service("j-000002", 3));
+  all.run(30);  // three worker leases
+  EXPECT_EQ(all.west.running("j-000001"), 8);
+  EXPECT_EQ(all.east.running("j-000002"), 3);
+  all.apart = false;
+  all.run(10);
+  EXPECT_EQ(all.west.running("j-000001"), 13);
+}
+
+TEST(RegionClusters, ShareUnderWayOutlivesTheLeadersOfBothRegions) {
+  TwoRegionClusters all;
+  all.run(4);
+  all.west.submit(0, all.service("j-000001", 13));
+  all.run(0.3);
+  all.east.crash_node(all.east.leader());
+  all.run(0.3);
+  all.west.crash_node(all.west.leader());
+  all.run(15);
+  EXPECT_EQ(all.west.running("j-000001"), 13);
+  EXPECT_DOUBLE_EQ(all.held(all.east) + all.held(all.west), kLimit);
+}
+
+TEST(RegionClusters, AStateServiceThatIsDownInOneRegionDoesNotHoldUpTheOther) {
+  TwoRegionClusters all;
+  all.run(4);
+  all.east.state_down = true;
+  all.west.submit(0, all.service("j-000001", 13));
+  all.run(3);
+  EXPECT_EQ(all.west.running("j-000001"), 8);
+  all.east.state_down = false;
+  all.run(12);
+  EXPECT_EQ(all.west.running("j-000001"), 13);
+}
+
+// As after a roll-back of one controller: it would use the whole of each limit.
+TEST(RegionClusters, ANodeWhoseFileNamesNoRegionsDoesNotLeadWhereLimitsAreShared) {
+  TwoRegionClusters all;
+  all.run(4);
+  auto& west = all.west;
+  for (int i = 0; i < 3; ++i) west.crash_node(i);
+  const auto with_regions = west.base_settings.operators.regions;
+  west.base_settings.operators.regions = {};
+  west.start_node(0);
+  all.run(15);
+  EXPECT_EQ(west.leader(), -1);
+  west.base_settings.operators.regions = with_regions;
+  west.start_node(1);
+  all.run(25);
+  EXPECT_EQ(west.leader(), 1);
+}
+
+TEST(RegionClusters, WithoutRegionsNothingOfThemIsStored) {
+  TestCluster cluster;
+  cluster.add_worker();
+  cluster.run(3);
+  cluster.submit(0, TwoRegionClusters::service("j-000001", 2));
+  cluster.run(3);
+  EXPECT_EQ(cluster.running("j-000001"), 2);
+  for (const auto& [key, value] : cluster.state_service.values) {
+    EXPECT_FALSE(key.starts_with(regions::kRegionsPrefix)) << key;
+  }
+}
+
+}  // namespace
+}  // namespace cranklock::testing
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -92,8 +92,10 @@
   TestCluster& cluster_;
 };
 
-TestCluster::TestCluster(int nodes, std::vector<std::string> zones, base::Settings settings)
+TestCluster::TestCluster(int nodes, std::vector<std::string> zones, base::Settings settings,
+                         regions::RegionNetwork* network)
     : base_settings(std::move(settings)),
+      region_network(network),
       rules(base_settings),
       surroundings_(std::make_unique<Surroundings>(*this)),
       zones_(std::move(zones)) {
@@ -132,6 +134,7 @@
   }
   auto& host = hosts_[static_cast<std::size_t>(i)];
   host = std::make_unique<Host>(*this, i, std::move(settings));
+  if (host->settings.operators.regions.enabled()) host->node.set_region_network(region_network);
   if (zones_.empty()) return;
   host->node.set_send([this, i](const std::string& to, const peer::Frame& frame) {
     scope_.spawn(deliver(i, to[1] - '0', frame));
@@ -168,6 +171,12 @@
   }
 }
 
+void TestCluster::heard_region(const std::string& region, const regions::RegionFrame& frame) {
+  for (const auto& host : hosts_) {
+    if (host) host->node.heard_region(region, frame);
+  }
+}
+
 void TestCluster::crash_node(int i) {
   hosts_[static_cast<std::size_t>(i)].reset();
 }
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -50,7 +50,8 @@
  public:
   /// Nodes are told apart by zones only when these are given, one each; then they are linked too.
   explicit TestCluster(int nodes = 3, std::vector<std::string> zones = {},
-                       base::Settings settings = small_settings());
+                       base::Settings settings = small_settings(),
+                       regions::RegionNetwork* network = nullptr);
   /// Fails the test if a rule was broken that it did not expect.
   ~TestCluster();
 
@@ -75,6 +76,8 @@
   int held(const std::string& job) const;
 
   void add_user(const wire::JobSpec& spec, UserHabits habits = {});
+  /// Delivers to all nodes what the leader of another region says.
+  void heard_region(const std::string& region, const regions::RegionFrame& frame);
 
   FakeReactor reactor;
   base::Settings base_settings;
@@ -84,6 +87,8 @@
     int txn_ops = 0;
   };
   std::map<int, KnownLimits> known_limits;
+  /// Of all nodes, where the settings name regions; set before they start.
+  regions::RegionNetwork* region_network = nullptr;
   RuleChecker rules;
   std::set<std::string> expected_broken;  ///< rules that this cluster is made to break
   std::mt19937 random{1};
--- a/tests/two_troubles_test.cpp
+++ b/tests/two_troubles_test.cpp
@@ -669,7 +669,8 @@
     auto& lost = *w.workers.at(on.at(0));
     const std::string zone = lost.kind.zone;
     for (auto& [id, worker] : w.workers) {
-      if (worker->kind.zone == zone && (shape == Shape::service || id == lost.id)) worker->hangs = true;
+      if (worker->kind.zone == zone && (shape == Shape::service || id == lost.id))
+        worker->hangs = true;
     }
     w.run(3);
     change_leader(w, 3);
