--- a/lab/controllers.cpp
+++ b/lab/controllers.cpp
@@ -196,13 +196,14 @@
 }
 
 std::vector<Controllers::Shortage> Controllers::shortages() const {
-  static const std::regex kLine("no longer lacks share: after ([0-9.]+) s, asked ([0-9]+) times");
+  static const std::regex line_format(
+      "no longer lacks share: after ([0-9.]+) s, asked ([0-9]+) times");
   std::vector<Shortage> out;
   for (const auto& controller : controllers_) {
     std::ifstream log(path(controller.member, ".log"));
     for (std::string line; std::getline(log, line);) {
       std::smatch match;
-      if (!std::regex_search(line, match, kLine)) continue;
+      if (!std::regex_search(line, match, line_format)) continue;
       out.push_back({std::stod(match[1]), std::stoi(match[2])});
     }
   }
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -3,6 +3,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cmath>
 #include <iostream>
 
 namespace cranklock::lab {
@@ -12,8 +13,6 @@
 
 namespace {
 
-constexpr double kSettle = 3;  ///< before the first submission, for the first elections
-
 base::Settings checked_settings(const LabPlan& plan) {
   base::Settings settings;
   settings.cancel_s = plan.cancel_s;
@@ -28,7 +27,7 @@
 double percentile(std::vector<double>& sorted, double share) {
   if (sorted.empty()) return 0;
   const auto last = static_cast<double>(sorted.size() - 1);
-  return sorted[static_cast<std::size_t>(share * last + 0.5)];
+  return sorted[static_cast<std::size_t>(std::lround(share * last))];
 }
 
 void write_percentiles(wire::JsonWriter& w, const char* name, std::vector<double> values) {
@@ -80,7 +79,7 @@
 }
 
 Task<void> Run::finish() {
-  Sleep pause(reactor_, kSettle + plan_.duration_s + plan_.drain_s);
+  Sleep pause(reactor_, plan_.settle_s + plan_.duration_s + plan_.drain_s);
   co_await pause;
   usage_ = controllers_.usage();
   played_ = true;
@@ -90,7 +89,7 @@
 // ---- users ----
 
 double Run::rate_factor() const {
-  const double at = now() - kSettle;
+  const double at = now() - plan_.settle_s;
   if (at < 0 || at > plan_.duration_s) return 0;
   const bool peak = at >= plan_.peak_from_s && at < plan_.peak_from_s + plan_.peak_for_s;
   return peak ? plan_.peak_factor : 1;
@@ -120,9 +119,9 @@
 Task<void> Run::submit_jobs(const ClassPlan& plan) {
   constexpr double kTick = 0.05;
   double due = plan.initial;
-  Sleep settle(reactor_, kSettle);
+  Sleep settle(reactor_, plan_.settle_s);
   co_await settle;
-  while (now() < kSettle + plan_.duration_s) {
+  while (now() < plan_.settle_s + plan_.duration_s) {
     for (; due >= 1; --due) {
       const int region = pick_region();
       auto spec = next_job(plan);
@@ -161,7 +160,7 @@
   std::string state;
   const auto chance = [this] { return std::uniform_real_distribution<>(0, 1)(random_); };
   const bool cancels = chance() < plan.cancelled_share;
-  const double cancel_at = now() + chance() * (kSettle + plan_.duration_s - now());
+  const double cancel_at = now() + chance() * (plan_.settle_s + plan_.duration_s - now());
   for (;;) {  // until it is accepted
     auto asking = ask(region, "POST", "/v1/jobs", text_of(spec), &state);
     const int status = co_await asking;
@@ -272,8 +271,8 @@
 void Run::show_progress() const {
   const auto second = starts_by_second_.find(static_cast<int>(now()) - 1);
   std::cerr << "\r" << static_cast<int>(now()) << " s of "
-            << static_cast<int>(kSettle + plan_.duration_s + plan_.drain_s) << ": " << running_
-            << " tasks, " << (second == starts_by_second_.end() ? 0 : second->second)
+            << static_cast<int>(plan_.settle_s + plan_.duration_s + plan_.drain_s) << ": "
+            << running_ << " tasks, " << (second == starts_by_second_.end() ? 0 : second->second)
             << " starts a second, " << jobs_.size() << " jobs, " << rules_.broken.size()
             << " rules broken   " << std::flush;
 }
@@ -281,7 +280,7 @@
 // ---- faults: add further kinds here and in FaultPlan ----
 
 Task<void> Run::play_fault(const FaultPlan& fault) {
-  Sleep until(reactor_, kSettle + fault.at_s);
+  Sleep until(reactor_, plan_.settle_s + fault.at_s);
   co_await until;
   const auto set = [&](bool on) {
     switch (fault.kind) {
@@ -317,7 +316,7 @@
 std::string Run::report() const {
   wire::JsonWriter w;
   w.begin().key("kind").text("lab run with stand-ins on loopback").key("passed").flag(passed());
-  w.key("played_s").amount(kSettle + plan_.duration_s + plan_.drain_s);
+  w.key("played_s").amount(plan_.settle_s + plan_.duration_s + plan_.drain_s);
   w.key("teams").integer(plan_.teams).key("faults_played").integer(faults_played_);
   w.key("broken").begin();
   for (const auto& [rule, how] : rules_.broken) w.key(rule).text(how);
--- a/lab/settings.cpp
+++ b/lab/settings.cpp
@@ -39,12 +39,12 @@
 }
 
 FaultPlan read_fault(const TomlReader& in, const LabPlan& plan) {
-  static const std::map<std::string, FaultPlan::Kind> kKinds = {
+  static const std::map<std::string, FaultPlan::Kind> kinds = {
       {"region_apart", FaultPlan::Kind::region_apart},
       {"controller_crash", FaultPlan::Kind::controller_crash},
       {"state_down", FaultPlan::Kind::state_down}};
-  const auto kind = kKinds.find(in.text("kind"));
-  if (kind == kKinds.end()) in.fail("kind", "region_apart, controller_crash or state_down");
+  const auto kind = kinds.find(in.text("kind"));
+  if (kind == kinds.end()) in.fail("kind", "region_apart, controller_crash or state_down");
   FaultPlan fault{kind->second, in.text("region"), in.number("at_s", 0), in.number("for_s", 0)};
   const bool known = std::any_of(plan.regions.begin(), plan.regions.end(),
                                  [&](const auto& region) { return region.name == fault.region; });
@@ -64,9 +64,9 @@
     double least;
   };
   for (const auto& [name, into, least] :
-       {Number{"duration_s", plan.duration_s, 1}, Number{"drain_s", plan.drain_s, 0},
-        Number{"peak_from_s", plan.peak_from_s, 0}, Number{"peak_for_s", plan.peak_for_s, 0},
-        Number{"peak_factor", plan.peak_factor, 1},
+       {Number{"settle_s", plan.settle_s, 0}, Number{"duration_s", plan.duration_s, 1},
+        Number{"drain_s", plan.drain_s, 0}, Number{"peak_from_s", plan.peak_from_s, 0},
+        Number{"peak_for_s", plan.peak_for_s, 0}, Number{"peak_factor", plan.peak_factor, 1},
         Number{"guarantee_gpus", plan.guarantee_gpus, 0}, Number{"limit_gpus", plan.limit_gpus, 1},
         Number{"report_s", plan.report_s, 0.1}, Number{"lease_s", plan.lease_s, 1},
         Number{"cancel_s", plan.cancel_s, 2}, Number{"boot_s", plan.boot_s, 0.1},
--- a/lab/settings.hpp
+++ b/lab/settings.hpp
@@ -34,7 +34,8 @@
 };
 
 struct LabPlan {
-  double duration_s = 30, drain_s = 20;  ///< submissions, then the time for what is under way
+  /// The time before the first submission, that of submissions, and that for what is under way.
+  double settle_s = 3, duration_s = 30, drain_s = 20;
   double peak_from_s = 0, peak_for_s = 0, peak_factor = 1;
   int teams = 12;
   double guarantee_gpus = 8, limit_gpus = 16;  ///< of each team
--- a/src/regions/share_book.cpp
+++ b/src/regions/share_book.cpp
@@ -41,6 +41,12 @@
   return settings_.operators.regions.self == settings_.operators.regions.founder;
 }
 
+bool ShareBook::all_founded() const {
+  return is_founder() && std::all_of(teams_.begin(), teams_.end(), [this](const auto& team) {
+           return shares_.contains(team.first);
+         });
+}
+
 Amounts ShareBook::whole(const std::string& team) const {
   const auto found = teams_.find(team);
   return found == teams_.end() ? Amounts{} : whole_amounts(found->second);
--- a/src/regions/share_book.hpp
+++ b/src/regions/share_book.hpp
@@ -46,6 +46,8 @@
 
   wire::Room guarantee(const base::Team& team) const override;
   wire::Room limit(const base::Team& team) const override;
+  /// Whether this region is the founder, and has made the shares of all teams.
+  bool all_founded() const;
   /// What may be used here: certainly stored, and not being given away.
   Amounts held(const std::string& team) const;
 
--- a/src/regions/share_service.cpp
+++ b/src/regions/share_service.cpp
@@ -48,6 +48,8 @@
 }
 
 void ShareService::start(net::Scope& scope) {
+  began_ = now();
+  founded_ = book_.all_founded();
   scope.spawn(write());
   scope.spawn(talk());
 }
@@ -102,6 +104,11 @@
     auto writing = store_.transact(transaction->conditions, transaction->changes, kStoreTimeout);
     const auto result = co_await writing;
     if (book_.finish_transaction(result)) term_.shares_changed();
+    if (!founded_ && book_.all_founded()) {
+      founded_ = true;
+      spdlog::info("the shares of {} teams are made: {:.1f} s after the term began",
+                   settings_.teams.size(), now() - began_);
+    }
     to_tell_.set();
     const bool decided =
         result.outcome == store::Outcome::ok || result.outcome == store::Outcome::failed;
--- a/src/regions/share_service.hpp
+++ b/src/regions/share_service.hpp
@@ -78,6 +78,8 @@
     double again_at = 0;  ///< when all without a receipt are sent again
   };
   std::map<std::string, Sent> sent_;
+  double began_ = 0;
+  bool founded_ = false;  ///< for the log
   net::Signal to_write_, to_tell_;
 };
 
