--- a/src/regions/links.cpp
+++ b/src/regions/links.cpp
@@ -43,38 +43,18 @@
   return {regions.self, settings_.name, regions.founder, token_()};
 }
 
-bool Links::accepts(const RegionHello& hello) const {
-  const auto& regions = settings_.operators.regions;
-  if (hello.region == regions.self || regions.find(hello.region) == nullptr) {
-    spdlog::error("a connection of the unknown region {} was refused", hello.region);
-    return false;
-  }
-  if (hello.founder != regions.founder) {
-    spdlog::error("region {} was refused: it names {} as the founder, not {}", hello.region,
-                  hello.founder, regions.founder);
-    return false;
-  }
-  return true;
-}
-
-Task<std::optional<std::vector<RegionFrame>>> Links::receive(int fd, std::string& buffer) {
+Task<std::optional<std::vector<RegionFrame>>> Links::receive(int fd, Session& session) {
   char bytes[4096];
   const double until = reactor_.now() + kPatience * hello_every(settings_);
   auto reading = net::read_some(reactor_, fd, bytes, sizeof bytes, until);
   const auto count = co_await reading;
   if (count <= 0) co_return std::nullopt;
-  buffer.append(bytes, static_cast<std::size_t>(count));
-  std::vector<RegionFrame> frames;
-  for (;;) {
-    RegionFrame frame;
-    const FrameResult result = unpack(buffer, frame);
-    if (result == FrameResult::more) co_return frames;
-    if (result != FrameResult::frame) {
-      spdlog::error("a connection between regions was closed: {}", describe(result));
-      co_return std::nullopt;
-    }
-    frames.push_back(std::move(frame));
+  auto arrived = session.feed({bytes, static_cast<std::size_t>(count)});
+  if (!arrived.error.empty()) {
+    spdlog::error("a connection between regions was closed: {}", arrived.error);
+    co_return std::nullopt;
   }
+  co_return std::move(arrived.frames);
 }
 
 // ---- connections of others ----
@@ -94,22 +74,17 @@
 }
 
 Task<void> Links::serve(Fd fd) {
-  std::string buffer, region;  // whose connection it is, as its first hello says
+  Session session(settings_.operators.regions);
   for (;;) {
-    auto receiving = receive(fd.get(), buffer);
+    auto receiving = receive(fd.get(), session);
     const auto frames = co_await receiving;
     if (!frames) co_return;
     bool answer = false;
     for (const auto& frame : *frames) {
-      if (const auto* hello = std::get_if<RegionHello>(&frame)) {
-        if (!accepts(*hello)) co_return;
-        region = hello->region;
+      if (std::holds_alternative<RegionHello>(frame)) {
         answer = true;
-      } else if (region.empty()) {
-        spdlog::error("a connection between regions was closed: it began without a hello");
-        co_return;
       } else {
-        heard_(region, frame);
+        heard_(session.region(), frame);
       }
     }
     if (!answer) continue;
@@ -134,9 +109,9 @@
 }
 
 Task<void> Links::read_hellos(Link& link, SharedFd fd) {
-  std::string buffer;
+  Session session(settings_.operators.regions);
   for (;;) {
-    auto receiving = receive(fd->get(), buffer);
+    auto receiving = receive(fd->get(), session);
     const auto frames = co_await receiving;
     if (link.fd != fd) co_return;  // another connection has taken its place
     if (!frames) break;
--- a/src/regions/links.hpp
+++ b/src/regions/links.hpp
@@ -12,6 +12,7 @@
 #include "base/settings.hpp"
 #include "net/stream.hpp"
 #include "regions/frames.hpp"
+#include "regions/session.hpp"
 #include "regions/share_service.hpp"
 
 namespace cranklock::regions {
@@ -60,9 +61,8 @@
   net::Task<void> connect(Link& link);
   net::Task<void> read_hellos(Link& link, SharedFd fd);
   /// The frames that came next; nothing at the end of the connection or after a bad frame.
-  net::Task<std::optional<std::vector<RegionFrame>>> receive(int fd, std::string& buffer);
+  net::Task<std::optional<std::vector<RegionFrame>>> receive(int fd, Session& session);
   static void close(Link& link);
-  bool accepts(const RegionHello& hello) const;
   std::string take_due(Link& link);
   /// The connection to the region's leader, as an index; nothing when none is known.
   std::optional<std::size_t> leader_link(const std::string& region) const;
--- /dev/null
+++ b/src/regions/session.hpp
@@ -0,0 +1,36 @@
+// What arrives on one connection between regions, taken apart and checked. Pure.
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "base/region_settings.hpp"
+#include "regions/frames.hpp"
+
+namespace cranklock::regions {
+
+/// One connection as its reader sees it. It begins with a hello, which names the region that all
+/// its frames are from.
+class Session {
+ public:
+  explicit Session(const base::RegionSettings& settings) : settings_(settings) {}
+
+  struct Arrived {
+    std::vector<RegionFrame> frames;  ///< in their order, hellos too
+    /// Why the connection is to be closed: what came after `frames` can't be used. Empty if it can.
+    std::string error;
+  };
+  /// Takes bytes in pieces of any size. Nothing may be fed after an error.
+  Arrived feed(std::string_view bytes);
+  /// The region at the other end; empty before its hello.
+  const std::string& region() const { return region_; }
+
+ private:
+  std::string check(const RegionFrame& frame);
+
+  const base::RegionSettings& settings_;
+  std::string buffer_, region_;
+};
+
+}  // namespace cranklock::regions
--- a/tests/sharing_rule_test.cpp
+++ b/tests/sharing_rule_test.cpp
@@ -8,6 +8,7 @@
 #include "regions/demand.hpp"
 #include "regions/frames.hpp"
 #include "regions/request_schedule.hpp"
+#include "regions/session.hpp"
 
 namespace cranklock::regions {
 namespace {
@@ -38,6 +39,17 @@
       << "a missing guarantee keeps nothing from running";
 }
 
+// Without it each would keep what the other lacks: one all CPUs, the other all GPUs.
+TEST(SharingRule, WorkThatLacksOneResourceYieldsTheOtherToTheLongerWait) {
+  const Amounts whole({0, 10'000, 0, 10'000});
+  const TeamDemand both{{}, Amounts({8000, 8000, 8000, 8000}), 5};
+  const Amounts only_cpus({0, 10'000, 0, 0}), only_gpus({0, 0, 0, 10'000});
+  const Claim longer{"a", 1}, shorter{"b", 5};
+  EXPECT_EQ(missing_share(only_gpus, both, whole), Amounts({0, 8000, 0, 0}));
+  EXPECT_EQ(spare_share(only_cpus, both, whole, shorter, longer), only_cpus);
+  EXPECT_EQ(spare_share(only_gpus, both, whole, longer, shorter), Amounts({0, 0, 0, 2000}));
+}
+
 TEST(SharingRule, GivesWhatIsAskedUpToHalfInWholeUnits) {
   EXPECT_EQ(granted_share(gpus(0, 8), gpus(0, 3)), gpus(0, 3));
   EXPECT_EQ(granted_share(gpus(0, 8), gpus(0, 9)), gpus(0, 4));
@@ -159,5 +171,44 @@
   }
 }
 
+// ---- connections ----
+
+base::RegionSettings east_and_west() {
+  return {"east", "west", {{"east", 0.5, {}}, {"west", 0.5, {}}}};
+}
+
+TEST(RegionSession, TakesFramesInTheirOrderFromTheRegionThatSaidHello) {
+  const auto settings = east_and_west();
+  Session session(settings);
+  const RegionHello hello{"west", "winch-1", "west", 7};
+  const std::string bytes = pack(hello) + pack(kFrames[2]);
+  EXPECT_TRUE(session.feed(bytes.substr(0, 9)).frames.empty());
+  const auto arrived = session.feed(bytes.substr(9));
+  EXPECT_EQ(arrived.error, "");
+  EXPECT_EQ(arrived.frames, (std::vector<RegionFrame>{hello, kFrames[2]}));
+  EXPECT_EQ(session.region(), "west");
+}
+
+TEST(RegionSession, SaysWhyAConnectionIsClosed) {
+  const auto settings = east_and_west();
+  const auto error_of = [&](const std::string& bytes) {
+    Session session(settings);
+    return session.feed(bytes).error;
+  };
+  const std::string hello = pack(RegionHello{"west", "m", "west", 7});
+  EXPECT_EQ(error_of(pack(kFrames[2])), "it did not begin with a hello");
+  EXPECT_EQ(error_of(pack(RegionHello{"north", "m", "west", 7})), "the region north is not known");
+  EXPECT_EQ(error_of(pack(RegionHello{"east", "m", "west", 7})), "the region east is not known");
+  EXPECT_EQ(error_of(pack(RegionHello{"west", "m", "east", 7})),
+            "region west names east as the founder, not west");
+  std::string other_version = hello;
+  other_version[2] = 2;
+  EXPECT_EQ(error_of(other_version), "a frame of another version");
+  Session session(settings);
+  const auto arrived = session.feed(hello + pack(kFrames[2]) + std::string("\x7f\xff\x01\x02"));
+  EXPECT_EQ(arrived.frames.size(), 2U) << "what came before is used";
+  EXPECT_EQ(arrived.error, "a frame that is too long");
+}
+
 }  // namespace
 }  // namespace cranklock::regions
