--- /dev/null
+++ b/src/control/command_sender.cpp
@@ -0,0 +1,189 @@
+#include "control/command_sender.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace cranklock::control {
+
+using net::Sleep;
+using net::Task;
+using sched::Job;
+using sched::Machine;
+
+CommandSender::CommandSender(Services services, const LeaderLease& lease,
+                             sched::ClusterState& cluster, net::Signal& work, Term term)
+    : services_(services),
+      leader_lease_(lease),
+      cluster_(cluster),
+      work_(work),
+      term_(std::move(term)),
+      term_began_(services.reactor.now()) {}
+
+namespace {
+/// What the leader lease is good for. What a user has cancelled is stopped even when it is in
+/// doubt: no leader wants it to go on.
+struct Allowed {
+  bool start, stop;
+};
+
+bool start_due(const Job& job, const sched::Placement& p, Allowed allowed) {
+  return allowed.start && !job.withdrawn() && job.needs_met && p.durable && !p.ended && !p.stop &&
+         !p.seen && p.start_session == 0 && p.unconfirmed_session == 0;
+}
+
+bool stop_due(const Job& job, const sched::Placement& p, Allowed allowed) {
+  return ((p.stop && allowed.stop) || job.withdrawn()) && p.seen && !p.ended && !p.stop_sent;
+}
+}  // namespace
+
+void CommandSender::send_orders() {
+  const double at = now();
+  if (term_.is_lost()) return;
+  const Allowed allowed{leader_lease_.may_start(at), leader_lease_.valid(at)};
+  std::set<std::string> machines;
+  for (const auto& [id, job] : cluster_.jobs()) {
+    for (const auto& p : job.placements) {
+      if (start_due(job, p, allowed) || stop_due(job, p, allowed)) machines.insert(p.machine);
+    }
+  }
+  for (const auto& id : machines) {
+    const Machine* m = cluster_.machine(id);
+    if (m == nullptr || !m->reported || m->silent || m->removing || m->address.empty()) continue;
+    // A worker not heard of lately would only leave starts in doubt.
+    if (at - m->last_report > 2 * services_.settings.report_s) continue;
+    if (calling_.size() >= most_calls()) return;
+    if (calling_.insert(id).second) scope_.spawn(send_to(id));
+  }
+}
+
+// What is due to the worker. Starts are in doubt from here on, until they are answered.
+std::vector<wire::Order> CommandSender::take_due_orders(Machine& machine) {
+  std::vector<wire::Order> orders;
+  const Allowed allowed{leader_lease_.may_start(now()), leader_lease_.valid(now())};
+  for (const auto& held : machine.tasks) {
+    const Job& job = *held.job;
+    sched::Placement& placement = held.placement();
+    const wire::TaskName task{job.spec.id, placement.task};
+    if (start_due(job, placement, allowed)) {
+      orders.push_back({wire::Verb::start, task, placement.attempt, 0});
+      placement.unconfirmed_session = machine.session;
+      machine.unconfirmed_starts.insert({task, placement.attempt});
+    } else if (stop_due(job, placement, allowed)) {
+      const double grace_s = job.withdrawn() ? 0 : placement.grace_s;
+      orders.push_back({wire::Verb::stop, task, placement.attempt, grace_s});
+      placement.stop_sent = true;
+    }
+  }
+  return orders;
+}
+
+// `report` is the worker's where it executed the orders; otherwise they were certainly not
+// executed.
+void CommandSender::confirm_starts(Machine& machine, std::uint64_t session,
+                                   const std::vector<wire::Order>& orders,
+                                   const std::optional<wire::Report>& report) {
+  for (const auto& order : orders) {
+    if (order.verb != wire::Verb::start) continue;
+    if (machine.session == session) {
+      machine.unconfirmed_starts.erase({order.task, order.attempt});
+    }
+    Job* job = cluster_.job(order.task.job);
+    auto* placement = job != nullptr ? job->find(order.task.index, order.attempt) : nullptr;
+    if (placement == nullptr) continue;
+    placement->unconfirmed_session = 0;
+    if (!report) continue;
+    placement->start_session = std::max(placement->start_session, report->session);
+    placement->start_tick = std::max(placement->start_tick, report->tick);
+  }
+}
+
+Task<void> CommandSender::send_to(std::string id) {
+  Machine* machine = cluster_.machine(id);
+  const std::uint64_t session = machine->session;
+  const auto orders = take_due_orders(*machine);
+  if (orders.empty()) {
+    calling_.erase(id);
+    co_return;
+  }
+  net::Request request{"POST", "/commands", "",
+                       wire::orders_command(leader_lease_.token(), session, orders), true};
+  auto calling =
+      services_.transport.call(machine->address, std::move(request), services_.settings.report_s);
+  const auto reply = co_await calling;
+  calling_.erase(id);
+  if (reply.kind != net::Reply::Kind::not_sent && reply.status() != 200 && reply.status() != 409) {
+    spdlog::debug("starts sent to {} are in doubt", id);
+    co_return;
+  }
+  const auto report = reply.answered() ? wire::parse_report(reply.response.body) : std::nullopt;
+  if (reply.answered() && (!report || report->machine != id)) co_return;  // tells nothing
+  machine = cluster_.machine(id);
+  if (machine == nullptr) co_return;
+  confirm_starts(*machine, session, orders, reply.status() == 200 ? report : std::nullopt);
+  if (!report) co_return;
+  if (report->token > leader_lease_.token()) {
+    term_.lose("a worker has seen a higher token");
+    co_return;
+  }
+  cluster_.apply_report(*report, false, now());
+  work_.set();
+}
+
+// A worker that reports to a former leader, or to nobody, is told of our token straight away: from
+// then on it drops the former leader's answers, and its lease is ours to time.
+Task<void> CommandSender::announce_token() {
+  const auto& s = services_.settings;
+  for (;;) {
+    Sleep pause(services_.reactor, s.report_s / 2);
+    co_await pause;
+    const double at = now();
+    if (at - term_began_ < 1.5 * s.report_s) continue;  // most come by themselves
+    std::vector<std::string> due;
+    std::erase_if(shown_at_,
+                  [&](const auto& call) { return cluster_.machine(call.first) == nullptr; });
+    for (const auto& [id, m] : cluster_.machines()) {
+      if (m.shown_token || m.removing || m.failed || m.address.empty() || !m.listed) continue;
+      if (m.booting || at - m.last_report < 2 * s.report_s) continue;
+      const auto last = shown_at_.find(id);
+      if (last != shown_at_.end() && at - last->second < s.lease_s / 3) continue;
+      due.push_back(id);
+    }
+    for (const auto& id : due) {
+      if (calling_.size() >= most_calls() / 2) break;
+      shown_at_[id] = at;
+      if (calling_.insert(id).second) scope_.spawn(show_token(id));
+    }
+  }
+}
+
+Task<void> CommandSender::show_token(std::string id) {
+  std::uint64_t session = 1;
+  for (int tries = 0; tries < 2; ++tries) {
+    const Machine* m = cluster_.machine(id);
+    if (m == nullptr || !leader_lease_.valid(now())) break;
+    if (m->session != 0) session = m->session;
+    net::Request request{"POST", "/commands", "",
+                         wire::orders_command(leader_lease_.token(), session, {}), true};
+    auto calling =
+        services_.transport.call(m->address, std::move(request), services_.settings.report_s);
+    const auto reply = co_await calling;
+    if (reply.status() != 200 && reply.status() != 409) break;
+    const auto report = wire::parse_report(reply.response.body);
+    if (!report || report->machine != id || term_.is_deleted(id)) break;
+    if (report->token > leader_lease_.token()) {
+      term_.lose("a worker has seen a higher token");
+      break;
+    }
+    term_.heard_worker();
+    cluster_.apply_report(*report, false, now());
+    work_.set();
+    if (reply.status() == 200 || report->session == session) break;
+    session = report->session;  // it was told under the wrong session: once more
+  }
+  calling_.erase(id);
+}
+
+}  // namespace cranklock::control
--- /dev/null
+++ b/src/control/command_sender.hpp
@@ -0,0 +1,68 @@
+// Commands sent straight to workers' addresses, beside the answers to their reports.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "control/leader_lease.hpp"
+#include "control/services.hpp"
+#include "net/task.hpp"
+#include "sched/cluster_state.hpp"
+
+namespace cranklock::control {
+
+/// Sends starts and stops as soon as they are due, and shows a new leader's token to workers that
+/// do not report to it. What is sent and not answered may still be executed: the placement then
+/// stays in doubt for the worker's session (invariant 5).
+class CommandSender {
+ public:
+  /// What it needs of the term that it serves.
+  struct Term {
+    std::function<bool()> is_lost;
+    std::function<void(const char* why)> lose;  ///< a worker has seen a higher token
+    std::function<void()> heard_worker;
+    std::function<bool(const std::string& machine)> is_deleted;
+  };
+
+  /// Made when the term begins. All that is referred to outlives the sender.
+  CommandSender(Services services, const LeaderLease& lease, sched::ClusterState& cluster,
+                net::Signal& work, Term term);
+
+  /// Sends what is due to each worker that is not being called already.
+  void send_orders();
+  /// Shows our token to workers that have not shown it, for ever. From then on they drop a former
+  /// leader's answers, and their leases are ours to time.
+  net::Task<void> announce_token();
+
+ private:
+  net::Task<void> send_to(std::string machine);
+  std::vector<wire::Order> take_due_orders(sched::Machine& machine);
+  void confirm_starts(sched::Machine& machine, std::uint64_t session,
+                      const std::vector<wire::Order>& orders,
+                      const std::optional<wire::Report>& report);
+  net::Task<void> show_token(std::string machine);
+  double now() const { return services_.reactor.now(); }
+  /// Guards the sockets against hung machines by the hundred, each of which holds one until its
+  /// call's time is over.
+  std::size_t most_calls() const {
+    return static_cast<std::size_t>(services_.settings.fd_limit) / 8;
+  }
+
+  Services services_;
+  const LeaderLease& leader_lease_;
+  sched::ClusterState& cluster_;
+  net::Signal& work_;
+  Term term_;
+  double term_began_;
+  std::set<std::string> calling_;           ///< workers under way
+  std::map<std::string, double> shown_at_;  ///< when workers were last told of our token
+  net::Scope scope_;                        ///< last, so that its routines end before what they use
+};
+
+}  // namespace cranklock::control
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -33,7 +33,8 @@
           services.reactor, services.settings, services.store, cluster_,
           [this](Job job) { put_job(std::move(job)); }, work_),
       writer_(services.reactor, services.settings, services.store, cluster_, reloader_,
-              lease.token()) {
+              lease.token()),
+      commands_(services, lease, cluster_, work_, command_duties()) {
   if (regions == nullptr) return;
   shares_ = std::make_unique<regions::ShareService>(
       services.reactor, services.settings, services.store, *regions,
@@ -54,6 +55,12 @@
   return now() > last_heard_ + span;
 }
 
+CommandSender::Term Term::command_duties() {
+  return {[this] { return is_lost_; }, [this](const char* why) { lose(why); },
+          [this] { last_heard_ = now(); },
+          [this](const std::string& machine) { return deleted_.contains(machine); }};
+}
+
 // ---- shares of team limits ----
 
 regions::ShareService::Term Term::share_duties() {
@@ -166,7 +173,7 @@
   scope.spawn(scale());
   scope.spawn(supervise_machines());
   scope.spawn(delete_machines());
-  scope.spawn(announce_token());
+  scope.spawn(commands_.announce_token());
   if (shares_) shares_->start(scope);
 }
 
@@ -320,7 +327,7 @@
   leader_lease_.caught_up(sent);
   known_before_ = std::max(known_before_, sent);
   if (!pending_changes_.empty()) work_.set();
-  if (stops) push_orders();
+  if (stops) commands_.send_orders();
 }
 
 void Term::apply_changes() {
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -10,31 +10,21 @@
 #include <vector>
 
 #include "base/settings.hpp"
-#include "cloud/client.hpp"
+#include "control/command_sender.hpp"
 #include "control/ending_reader.hpp"
 #include "control/leader_lease.hpp"
 #include "control/record_reloader.hpp"
 #include "control/record_writer.hpp"
-#include "net/client.hpp"
+#include "control/services.hpp"
 #include "net/reactor.hpp"
 #include "net/task.hpp"
 #include "peer/frames.hpp"
 #include "regions/share_service.hpp"
 #include "sched/cluster_state.hpp"
 #include "sched/scaler.hpp"
-#include "store/client.hpp"
 
 namespace cranklock::control {
 
-/// What every part of a node works with.
-struct Services {
-  net::Reactor& reactor;
-  net::Transport& transport;
-  const base::Settings& settings;
-  store::Client& store;
-  cloud::Client& cloud;
-};
-
 class Term {
  public:
   /// `lost` is set when a higher token or a failed condition shows that the leadership is gone.
@@ -75,8 +65,6 @@
   net::Task<void> scale();
   net::Task<void> supervise_machines();  // leases, notices, cancellations, faulty machines
   net::Task<void> delete_machines();
-  net::Task<void> announce_token();  // our token, to workers that do not report here
-  net::Task<void> call_worker(std::string machine);
 
   net::Task<void> write_jobs();
   /// The earliest time at which a job may have been cancelled that was marked so at this time of
@@ -85,8 +73,6 @@
   void put_job(sched::Job job);
   void note_changes(std::vector<wire::StoredValue> items, double sent);
   void apply_changes();
-  void push_orders();
-  net::Task<void> push_to(std::string machine);
   net::Task<void> rent(sched::MachineKind kind, int count);
   void grow(const sched::PoolId& pool, int machines);
   int shrink(const sched::PoolId& pool, int machines);
@@ -100,6 +86,7 @@
   /// Whether shares of other regions bind this node, and it knows them.
   net::Task<bool> load_shares();
   regions::ShareService::Term share_duties();
+  CommandSender::Term command_duties();
   double now() const { return services_.reactor.now(); }
 
   Services services_;
@@ -116,14 +103,7 @@
   bool first_ever_ = false;
 
   std::deque<wire::StoredValue> pending_changes_;
-  double known_before_ = -1e9;     ///< when the changes last taken in were asked for
-  std::set<std::string> pushing_;  ///< workers being called
-  /// Guards the sockets against hung machines by the hundred, each of which holds one until its
-  /// call's time is over.
-  std::size_t most_calls() const {
-    return static_cast<std::size_t>(services_.settings.fd_limit) / 8;
-  }
-  std::map<std::string, double> called_;  ///< workers told of our token, and when
+  double known_before_ = -1e9;  ///< when the changes last taken in were asked for
   std::map<std::string, sched::Pool> pools_;
   std::map<std::string, std::uint64_t> pool_revisions_;
   std::map<sched::MachineKind, double> refused_until_;
@@ -136,6 +116,7 @@
   EndingReader endings_;
   RecordReloader reloader_;
   RecordWriter writer_;
+  CommandSender commands_;
   std::unique_ptr<regions::ShareService> shares_;
   double next_pass_at_ = 0;  ///< no placement pass before
   /// Since the last pass a job has come, or one that others need has ended.
