--- /dev/null
+++ b/src/control/pool_scaler.cpp
@@ -0,0 +1,212 @@
+#include "control/pool_scaler.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+#include "control/record.hpp"
+
+namespace cranklock::control {
+
+using net::Sleep;
+using net::Task;
+using sched::Machine;
+using store::Outcome;
+
+PoolScaler::PoolScaler(Services services, const LeaderLease& lease, sched::ClusterState& cluster,
+                       net::Signal& work, Term term)
+    : services_(services),
+      leader_lease_(lease),
+      cluster_(cluster),
+      work_(work),
+      term_(std::move(term)),
+      term_began_(services.reactor.now()) {}
+
+Task<bool> PoolScaler::load() {
+  auto reading_pools = services_.store.read_all(kPoolsPrefix, kStoreTimeout);
+  const auto pools = co_await reading_pools;
+  if (pools.outcome != Outcome::ok) co_return false;
+  first_ever_ = pools.page.items.empty();
+  for (const auto& item : pools.page.items) {
+    const wire::JsonDocument document(item.data);
+    const auto name = item.key.substr(std::string(kPoolsPrefix).size());
+    auto& pool =
+        pools_.try_emplace(name, sched::Pool(services_.settings.operators.scaler)).first->second;
+    pool.state.count = static_cast<int>(wire::read_amount(document.root(), "count").value_or(0));
+    pool.state.scaled_ms =
+        static_cast<std::int64_t>(wire::read_amount(document.root(), "scaled").value_or(0));
+    pool_revisions_[name] = item.revision;
+  }
+  co_return true;
+}
+
+void PoolScaler::forget_refusals(double at) {
+  std::erase_if(refused_until_, [&](const auto& refusal) { return refusal.second < at; });
+}
+
+Task<void> PoolScaler::run() {
+  const auto& figures = services_.settings.operators.scaler;
+  for (;;) {
+    Sleep pause(services_.reactor, figures.every_s);
+    co_await pause;
+    if (cluster_.types().empty() || term_.is_lost()) continue;
+    const double at = now();
+    const bool settled = first_ever_ || at - term_began_ >= figures.down_window_s;
+    const auto readings = sched::read_pools(cluster_, shortfall_, figures.high);
+    std::vector<std::string> changed;
+    for (const auto& [id, reading] : readings) {
+      const std::string name = id.name();
+      auto& pool = pools_.try_emplace(name, sched::Pool(figures)).first->second;
+      const auto wall = services_.reactor.wall_ms();
+      const auto before = pool.state;
+      const int change = pool.decide(reading, settled, wall, at);
+      spdlog::debug("pool {}: score {:.2f}, {} machines, {} wanted, change {}", name, reading.score,
+                    reading.machines, reading.wanted, change);
+      if (change > 0 && leader_lease_.valid(at)) {
+        // Stamped now: a refused rental waits a cooldown like any other.
+        pool.stamp(reading.machines + change, wall);
+        spdlog::info("pool {} grows by {} from {}: score {:.2f}", name, change, reading.machines,
+                     reading.score);
+        grow(id, change);
+      } else if (change < 0 && leader_lease_.valid(at)) {
+        const int given = shrink(id, -change);
+        if (given > 0) {
+          pool.stamp(reading.machines - given, wall);
+          spdlog::info("pool {} shrinks by {} from {}: score {:.2f}", name, given, reading.machines,
+                       reading.score);
+        }
+      }
+      if (!(pool.state == before)) changed.push_back(name);
+    }
+    for (const auto& name : changed) {
+      auto writing = write_pool(name);
+      co_await writing;
+    }
+  }
+}
+
+void PoolScaler::grow(const sched::PoolId& pool, int machines) {
+  // What waits decides on the zone; what the step adds beyond that goes to the zone that has
+  // fewest; a zone without a controller, which loses its work in a cut, gets half of a share.
+  std::map<sched::MachineKind, int> plan;
+  auto wanted = shortfall_.wanted;
+  for (bool any = true; any && machines > 0;) {
+    any = false;
+    for (auto& [kind, n] : wanted) {
+      if (sched::pool_of(kind) != pool || n == 0 || machines == 0) continue;
+      --n, --machines, ++plan[kind];
+      any = true;
+    }
+  }
+  const auto* type = cluster_.type(pool.type);
+  const auto weight = [&](const std::string& zone) {
+    return pool.spot || services_.settings.has_node(zone) ? 1 : 2;
+  };
+  std::map<std::string, int> zones;
+  for (const auto& zone : type->zones) {
+    if (!cluster_.is_unreachable(zone)) zones[zone] = 0;
+  }
+  for (const auto& [id, m] : cluster_.machines()) {
+    if (sched::pool_of(m.kind) == pool && zones.contains(m.kind.zone)) {
+      zones[m.kind.zone] += weight(m.kind.zone);
+    }
+  }
+  for (; machines > 0 && !zones.empty(); --machines) {
+    auto least = zones.end();
+    for (auto it = zones.begin(); it != zones.end(); ++it) {
+      const auto refused = refused_until_.find({pool.type, it->first, pool.spot});
+      if (refused != refused_until_.end() && refused->second > now()) continue;
+      if (least == zones.end() || it->second < least->second) least = it;
+    }
+    if (least == zones.end()) break;
+    least->second += weight(least->first);
+    ++plan[{pool.type, least->first, pool.spot}];
+  }
+  constexpr int kMostAtOnce = 50;
+  for (const auto& [kind, n] : plan) {
+    for (int left = n; left > 0; left -= kMostAtOnce) {
+      scope_.spawn(rent(kind, std::min(left, kMostAtOnce)));
+    }
+  }
+}
+
+Task<void> PoolScaler::rent(sched::MachineKind kind, int count) {
+  // The token makes the name unique among leaders, the sequence among our own.
+  const std::string name =
+      "r-" + std::to_string(leader_lease_.token()) + "-" + std::to_string(++rental_sequence_);
+  const auto& figures = services_.settings.operators.scaler;
+  for (;;) {
+    if (!leader_lease_.valid(now())) co_return;
+    auto renting = services_.cloud.rent({name, kind.type, kind.zone, kind.spot, count});
+    const auto result = co_await renting;
+    using Kind = cloud::RentResult::Kind;
+    if (result.kind == Kind::rented) {
+      for (const auto& id : result.machines) {
+        if (!term_.is_deleted(id)) cluster_.put_machine(id, kind, now()).rented_here = true;
+      }
+      if (static_cast<int>(result.machines.size()) < count) {
+        refused_until_[kind] = now() + figures.up_cooldown_s;
+      }
+      work_.set();
+      co_return;
+    }
+    if (result.kind == Kind::no_capacity) {
+      spdlog::info("no {} machine to be had in {}{}", kind.type, kind.zone,
+                   kind.spot ? " as spot" : "");
+      refused_until_[kind] = now() + figures.up_cooldown_s;
+      cluster_.mark_changed();
+      co_return;
+    }
+    if (result.kind == Kind::refused) co_return;  // the next cooldown brings the next try
+    // No answer: it may have rented. The same name asks again without renting twice.
+    Sleep pause(services_.reactor, services_.settings.report_s);
+    co_await pause;
+  }
+}
+
+int PoolScaler::shrink(const sched::PoolId& pool, int machines) {
+  std::vector<Machine*> idle;
+  for (auto& [id, m] : cluster_.machines()) {
+    if (sched::pool_of(m.kind) == pool && sched::usable(cluster_, m) && m.idle() &&
+        now() - m.idle_since > services_.settings.report_s * 2) {
+      idle.push_back(&m);
+    }
+  }
+  std::sort(idle.begin(), idle.end(),
+            [](const Machine* a, const Machine* b) { return a->idle_since < b->idle_since; });
+  int given = 0;
+  for (Machine* m : idle) {
+    if (given == machines) break;
+    term_.retire(*m, "nothing needs it");
+    ++given;
+  }
+  return given;
+}
+
+Task<void> PoolScaler::write_pool(std::string name) {
+  const auto& pool = pools_.at(name);
+  wire::JsonWriter w;
+  w.begin()
+      .key("count")
+      .integer(pool.state.count)
+      .key("scaled")
+      .integer(pool.state.scaled_ms)
+      .end();
+  const std::string key = kPoolsPrefix + name;
+  std::vector<wire::Condition> conditions{{kLeaderKey, leader_lease_.token()},
+                                          {key, pool_revisions_[name]}};
+  std::vector<wire::Change> changes{{key, w.take(), 0}};
+  auto writing = services_.store.transact(std::move(conditions), std::move(changes), kStoreTimeout);
+  const auto result = co_await writing;
+  if (result.outcome == Outcome::ok) {
+    pool_revisions_[name] = result.revision;
+  } else if (result.outcome != Outcome::refused) {
+    auto reading = services_.store.read(key, kStoreTimeout);
+    const auto found = co_await reading;
+    if (found.outcome == Outcome::ok) pool_revisions_[name] = found.value.revision;
+  }
+}
+
+}  // namespace cranklock::control
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -34,7 +34,8 @@
           [this](Job job) { put_job(std::move(job)); }, work_),
       writer_(services.reactor, services.settings, services.store, cluster_, reloader_,
               lease.token()),
-      commands_(services, lease, cluster_, work_, command_duties()) {
+      commands_(services, lease, cluster_, work_, command_duties()),
+      scaler_(services, lease, cluster_, work_, scaler_duties()) {
   if (regions == nullptr) return;
   shares_ = std::make_unique<regions::ShareService>(
       services.reactor, services.settings, services.store, *regions,
@@ -61,6 +62,12 @@
           [this](const std::string& machine) { return deleted_.contains(machine); }};
 }
 
+PoolScaler::Term Term::scaler_duties() {
+  return {[this] { return is_lost_; },
+          [this](Machine& machine, const char* why) { retire_machine(machine, why); },
+          [this](const std::string& machine) { return deleted_.contains(machine); }};
+}
+
 // ---- shares of team limits ----
 
 regions::ShareService::Term Term::share_duties() {
@@ -107,20 +114,8 @@
   } else if (types.outcome != Outcome::failed) {
     co_return false;
   }
-  auto reading_pools = services_.store.read_all(kPoolsPrefix, kStoreTimeout);
-  const auto pools = co_await reading_pools;
-  if (pools.outcome != Outcome::ok) co_return false;
-  first_ever_ = pools.page.items.empty();
-  for (const auto& item : pools.page.items) {
-    const wire::JsonDocument document(item.data);
-    const auto name = item.key.substr(std::string(kPoolsPrefix).size());
-    auto& pool =
-        pools_.try_emplace(name, sched::Pool(services_.settings.operators.scaler)).first->second;
-    pool.state.count = static_cast<int>(wire::read_amount(document.root(), "count").value_or(0));
-    pool.state.scaled_ms =
-        static_cast<std::int64_t>(wire::read_amount(document.root(), "scaled").value_or(0));
-    pool_revisions_[name] = item.revision;
-  }
+  auto loading_pools = scaler_.load();
+  if (!co_await loading_pools) co_return false;
   const double sent = now();
   auto reading_jobs = services_.store.read_all(kJobsPrefix, kStoreTimeout);
   auto jobs = co_await reading_jobs;
@@ -170,7 +165,7 @@
   scope.spawn(follow_jobs());
   scope.spawn(follow_cloud());
   scope.spawn(follow_types());
-  scope.spawn(scale());
+  scope.spawn(scaler_.run());
   scope.spawn(supervise_machines());
   scope.spawn(delete_machines());
   scope.spawn(commands_.announce_token());
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -5,7 +5,6 @@
 #include <deque>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -13,6 +12,7 @@
 #include "control/command_sender.hpp"
 #include "control/ending_reader.hpp"
 #include "control/leader_lease.hpp"
+#include "control/pool_scaler.hpp"
 #include "control/record_reloader.hpp"
 #include "control/record_writer.hpp"
 #include "control/services.hpp"
@@ -21,7 +21,6 @@
 #include "peer/frames.hpp"
 #include "regions/share_service.hpp"
 #include "sched/cluster_state.hpp"
-#include "sched/scaler.hpp"
 
 namespace cranklock::control {
 
@@ -58,11 +57,10 @@
 
  private:
   // Duties, each a routine.
-  net::Task<void> decide();        // changes, placement, writing, starts
-  net::Task<void> follow_jobs();   // other nodes' acceptances and cancellations
-  net::Task<void> follow_cloud();  // the machine list
-  net::Task<void> follow_types();  // machine types and prices
-  net::Task<void> scale();
+  net::Task<void> decide();              // changes, placement, writing, starts
+  net::Task<void> follow_jobs();         // other nodes' acceptances and cancellations
+  net::Task<void> follow_cloud();        // the machine list
+  net::Task<void> follow_types();        // machine types and prices
   net::Task<void> supervise_machines();  // leases, notices, cancellations, faulty machines
   net::Task<void> delete_machines();
 
@@ -73,10 +71,6 @@
   void put_job(sched::Job job);
   void note_changes(std::vector<wire::StoredValue> items, double sent);
   void apply_changes();
-  net::Task<void> rent(sched::MachineKind kind, int count);
-  void grow(const sched::PoolId& pool, int machines);
-  int shrink(const sched::PoolId& pool, int machines);
-  net::Task<void> write_pool(std::string name);
   void retire_machine(sched::Machine& machine, const char* why);
   void note_silence(double at);
   void check_placements(double at);
@@ -87,6 +81,7 @@
   net::Task<bool> load_shares();
   regions::ShareService::Term share_duties();
   CommandSender::Term command_duties();
+  PoolScaler::Term scaler_duties();
   double now() const { return services_.reactor.now(); }
 
   Services services_;
@@ -100,28 +95,22 @@
   double began_;
   double last_heard_;
   std::uint64_t loaded_revision_ = 0;
-  bool first_ever_ = false;
 
   std::deque<wire::StoredValue> pending_changes_;
   double known_before_ = -1e9;  ///< when the changes last taken in were asked for
-  std::map<std::string, sched::Pool> pools_;
-  std::map<std::string, std::uint64_t> pool_revisions_;
-  std::map<sched::MachineKind, double> refused_until_;
-  sched::Shortfall shortfall_;
   /// When they were deleted: names never come back, but a lagging list or a late report may show
   /// them for a while yet.
   std::map<std::string, double> deleted_;
   void note_deleted(const std::vector<std::string>& names);
-  std::uint64_t rental_sequence_ = 0;
   EndingReader endings_;
   RecordReloader reloader_;
   RecordWriter writer_;
   CommandSender commands_;
+  PoolScaler scaler_;
   std::unique_ptr<regions::ShareService> shares_;
   double next_pass_at_ = 0;  ///< no placement pass before
   /// Since the last pass a job has come, or one that others need has ended.
   bool pass_awaited_ = false;
-  net::Scope scope_;  ///< last, so that its routines end before what they use
 };
 
 }  // namespace cranklock::control
--- a/src/control/term_decide.cpp
+++ b/src/control/term_decide.cpp
@@ -35,10 +35,10 @@
     if (!cluster_.types().empty() && (cluster_.take_changed() || overdue)) {
       last_pass = now();
       const bool job_came = std::exchange(pass_awaited_, false);
-      auto result = sched::place_waiting(cluster_, refused_until_, last_pass);
+      auto result = sched::place_waiting(cluster_, scaler_.refused_until(), last_pass);
       if (result.cut_short) cluster_.mark_changed();
       if (shares_ && job_came) shares_->look_again();
-      if (shortfall_.wanted.empty() && !result.shortfall.wanted.empty()) {
+      if (scaler_.shortfall().wanted.empty() && !result.shortfall.wanted.empty()) {
         const auto& [kind, count] = *result.shortfall.wanted.begin();
         spdlog::info("work finds no room: {} more {} wanted in {}{}", count, kind.type, kind.zone,
                      kind.spot ? ", spot" : "");
@@ -46,7 +46,7 @@
       // Guards reports, users and the renewal of the leader lease against a fleet so large, or a
       // processor so slow, that passes would fill the time.
       next_pass_at_ = last_pass + std::max(kPassEvery, kRestAfterPass * (now() - last_pass));
-      if (!result.cut_short) shortfall_ = std::move(result.shortfall);
+      if (!result.cut_short) scaler_.set_shortfall(std::move(result.shortfall));
       if (result.placed > 0 || result.stopped > 0) {
         spdlog::debug("placed {} tasks, stopping {}", result.placed, result.stopped);
       }
