--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -53,8 +53,8 @@
   } else {
     std::ofstream(report) << text << '\n';
   }
-  std::cerr << (played.passed() ? "\npassed: all was played and no rule broke"
-                                : "\nfailed: see the report")
-            << "; logs in " << folder << '\n';
+  std::cerr << '\n'
+            << (played.passed() ? "passed: " : "failed: ") << played.summary() << "; logs in "
+            << folder << '\n';
   return played.passed() ? 0 : 1;
 }
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -26,13 +26,20 @@
   /// All was played, every submission was accepted, and no rule broke.
   bool passed() const;
 
-  double fetch_s(const wire::TaskName& task) const override;
+  /// One line for a person.
+  std::string summary() const;
+
+  double fetch_s(const wire::TaskName&) const override { return plan_.fetch_s; }
   double run_s(const wire::TaskName& task) const override;
-  bool is_completed(const wire::TaskName& task) const override;
-  void told_to_start(const wire::TaskName& task) override;
+  bool is_completed(const wire::TaskName& task) const override {
+    return rules_.is_completed(task.job, task.index);
+  }
+  void told_to_start(const wire::TaskName& task) override {
+    rules_.told_to_start(task.job, reactor_.now());
+  }
   bool starts(const testing::WorkerStandIn& worker, const wire::TaskName& task) override;
   bool gang_complete(const wire::TaskName& task, std::uint64_t attempt) const override;
-  void completed(const wire::TaskName& task) override;
+  void completed(const wire::TaskName& task) override { rules_.completed(task.job, task.index); }
 
  private:
   struct Job {
--- a/lab/settings.hpp
+++ b/lab/settings.hpp
@@ -22,7 +22,7 @@
   double gpus = 1;
   double run_s = 1;
   double jobs_per_s = 0;       ///< over all regions, with all at their usual rate
-  int initial = 0;             ///< over all regions, within the first seconds
+  int initial = 0;             ///< over all regions, within ramp_s
   double cancelled_share = 0;  ///< by their users, at some time before the end of the run
 };
 
@@ -36,6 +36,7 @@
 struct LabPlan {
   /// The time before the first submission, that of submissions, and that for what is under way.
   double settle_s = 3, duration_s = 30, drain_s = 20;
+  double ramp_s = 0;  ///< over which each class's initial jobs are submitted
   double peak_from_s = 0, peak_for_s = 0, peak_factor = 1;
   int teams = 12;
   double guarantee_gpus = 8, limit_gpus = 16;  ///< of each team
