--- a/lab/controllers.cpp
+++ b/lab/controllers.cpp
@@ -2,6 +2,7 @@
 
 #include <fcntl.h>
 #include <spdlog/fmt/fmt.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -140,6 +141,7 @@
   const std::string log = path(controller.member, ".log");
   controller.pid = ::fork();
   if (controller.pid != 0) return;
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // nothing outlives a run that is broken off
   const int fd = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
   ::dup2(fd, STDERR_FILENO);
   ::execl(program_.c_str(), program_.c_str(), "--config", config.c_str(), "--operator",
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -7,6 +7,8 @@
 #include <cmath>
 #include <iostream>
 
+#include "regions/records.hpp"
+
 namespace cranklock::lab {
 
 using net::Sleep;
@@ -35,7 +37,7 @@
   std::sort(values.begin(), values.end());
   w.key(name).begin().key("count").count(values.size());
   for (const auto& [key, share] :
-       {std::pair("p50", 0.5), {"p90", 0.9}, {"p99", 0.99}, {"max", 1.0}}) {
+       {std::pair("least", 0.0), {"p50", 0.5}, {"p90", 0.9}, {"p99", 0.99}, {"max", 1.0}}) {
     w.key(key).amount(percentile(values, share));
   }
   w.end();
@@ -83,6 +85,7 @@
   Sleep pause(reactor_, plan_.settle_s + plan_.duration_s + plan_.drain_s);
   co_await pause;
   usage_ = controllers_.usage();
+  if (regions_.size() > 1) wrong_sums_ = count_wrong_sums();
   played_ = true;
   reactor_.stop();
 }
@@ -291,6 +294,50 @@
   ++faults_played_;
 }
 
+// ---- shares ----
+
+regions::Amounts Run::under_way_to(const std::string& region, const std::string& team) {
+  regions::Amounts sum;
+  const auto to = std::find_if(regions_.begin(), regions_.end(), [&](const auto& candidate) {
+    return candidate->plan().name == region;
+  });
+  for (const auto& from : regions_) {
+    const auto& received = (*to)->state().values;
+    const auto counter = received.find(regions::received_key(from->plan().name));
+    const auto through =
+        counter == received.end() ? 0 : regions::read_counter(counter->second.data).value_or(0);
+    const auto& sent = from->state().values;
+    const std::string prefix = regions::kOutPrefix + region + "/";
+    for (auto it = sent.lower_bound(prefix); it != sent.end(); ++it) {
+      if (!it->first.starts_with(prefix)) break;
+      const auto transfer = regions::read_transfer(it->second.data);
+      if (transfer && transfer->team == team && transfer->sequence > through) {
+        sum += transfer->amounts;
+      }
+    }
+  }
+  return sum;
+}
+
+int Run::count_wrong_sums() {
+  int wrong = 0;
+  for (const auto& team : settings_.teams) {
+    regions::Amounts sum;
+    for (const auto& region : regions_) {
+      const auto& values = region->state().values;
+      const auto stored = values.find(regions::share_key(team.name));
+      const auto held = stored == values.end()
+                            ? regions::Amounts{}
+                            : regions::read_share(stored->second.data).value_or(regions::Amounts{});
+      sum += held + under_way_to(region->plan().name, team.name);
+      held_gpus_[region->plan().name].push_back(static_cast<double>(held[regions::Resource::gpus]) /
+                                                regions::Amounts::kUnit);
+    }
+    wrong += sum == regions::whole_amounts(team) ? 0 : 1;
+  }
+  return wrong;
+}
+
 // ---- the report ----
 
 bool Run::passed() const {
@@ -299,7 +346,7 @@
   });
   const bool all_alive =
       std::all_of(usage_.begin(), usage_.end(), [](const auto& usage) { return usage.alive; });
-  return played_ && all_accepted && all_alive && rules_.broken.empty() &&
+  return played_ && wrong_sums_ == 0 && all_accepted && all_alive && rules_.broken.empty() &&
          faults_played_ == static_cast<int>(plan_.faults.size());
 }
 
@@ -351,6 +398,7 @@
   }
   write_percentiles(w, "shortage_s", seconds);
   write_percentiles(w, "shortage_requests", requests);
+  w.key("teams_with_wrong_sums").integer(wrong_sums_);
   w.key("bytes_between_regions").count(controllers_.bytes_between_regions());
   w.key("regions").begin();
   for (const auto& region : regions_) {
@@ -358,7 +406,10 @@
     w.key(region->plan().name).begin().key("workers").integer(region->workers());
     w.key("state_requests").count(state.requests).key("state_writes").count(state.writes);
     w.key("state_writes_refused").integer(state.refused_writes);
-    w.key("state_keys").count(state.values.size()).end();
+    w.key("state_keys").count(state.values.size());
+    const auto held = held_gpus_.find(region->plan().name);
+    if (held != held_gpus_.end()) write_percentiles(w, "share_gpus", held->second);
+    w.end();
   }
   w.end().key("controllers").list();
   for (const auto& usage : usage_) {
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -11,6 +11,7 @@
 #include "lab/controllers.hpp"
 #include "lab/region.hpp"
 #include "lab/settings.hpp"
+#include "regions/amounts.hpp"
 #include "rule_checker.hpp"
 
 namespace cranklock::lab {
@@ -65,6 +66,10 @@
   int pick_region();
   double rate_factor() const;
   void look();
+  /// Adds up what all regions hold of each team and what is under way; counts teams for which that
+  /// is not the limit.
+  int count_wrong_sums();
+  regions::Amounts under_way_to(const std::string& region, const std::string& team);
   void show_progress() const;
   bool lease_over(const testing::WorkerStandIn& worker) const;
   double now() const { return reactor_.now() - began_; }
@@ -85,6 +90,8 @@
   int faults_played_ = 0, next_id_ = 0;
   bool played_ = false;
   std::vector<Controllers::Usage> usage_;
+  std::map<std::string, std::vector<double>> held_gpus_;  ///< by region, of each team, at the end
+  int wrong_sums_ = 0;
   net::Scope scope_;  ///< last, so that its routines end before what they use
 };
 
