--- a/tests/regions_cluster_test.cpp
+++ b/tests/regions_cluster_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <random>
 
 #include "regions/records.hpp"
 #include "test_cluster.hpp"
@@ -159,5 +160,68 @@
   }
 }
 
+// Random troubles of both regions and of what is between them, with work coming and going.
+class RegionTroubles : public ::testing::TestWithParam<unsigned> {};
+
+TEST_P(RegionTroubles, NoLimitIsPassedAndAllWorkThatFitsIsServed) {
+  std::mt19937 random(GetParam());
+  const auto draw = [&](int below) {
+    return std::uniform_int_distribution<>(0, below - 1)(random);
+  };
+  TwoRegionClusters all;
+  all.run(4);
+  TestCluster* const clusters[] = {&all.east, &all.west};
+  std::vector<std::pair<TestCluster*, std::string>> services;
+  for (int step = 0; step < 20; ++step) {
+    TestCluster& cluster = *clusters[draw(2)];
+    switch (draw(6)) {
+      case 0:
+        all.apart = !all.apart;
+        break;
+      case 1:
+        cluster.state_down = !cluster.state_down;
+        break;
+      case 2:
+        if (cluster.leader() >= 0) cluster.crash_node(cluster.leader());
+        break;
+      case 3:
+        for (int node = 0; node < cluster.nodes(); ++node) {
+          if (!cluster.is_up(node)) cluster.start_node(node);
+        }
+        break;
+      case 4:
+        cluster.lost_txns = draw(2) * 0.3;
+        break;
+      default: {
+        const std::string id = "j-0000" + std::to_string(10 + step);
+        cluster.add_user(TwoRegionClusters::service(id, static_cast<std::uint32_t>(1 + draw(3))));
+        services.emplace_back(&cluster, id);
+        break;
+      }
+    }
+    all.run(0.5 + draw(4));
+  }
+  all.apart = false;
+  for (auto* cluster : clusters) {
+    cluster->state_down = false;
+    cluster->lost_txns = 0;
+    for (int node = 0; node < cluster->nodes(); ++node) {
+      if (!cluster->is_up(node)) cluster->start_node(node);
+    }
+  }
+  all.run(60);
+  std::uint32_t wanted = 0;
+  for (const auto& [cluster, id] : services) {
+    if (cluster->rules.spec(id) != nullptr) wanted += cluster->rules.spec(id)->tasks;
+  }
+  if (wanted > kLimit) return;  // not all of it fits
+  for (const auto& [cluster, id] : services) {
+    ASSERT_NE(cluster->rules.spec(id), nullptr);
+    EXPECT_EQ(cluster->running(id), static_cast<int>(cluster->rules.spec(id)->tasks)) << id;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(Seed, RegionTroubles, ::testing::Range(1U, 41U));
+
 }  // namespace
 }  // namespace cranklock::testing
--- a/tests/share_property_test.cpp
+++ b/tests/share_property_test.cpp
@@ -131,5 +131,33 @@
   }
 }
 
+/// A team's name as it may stand in a frame.
+rc::Gen<std::string> any_team() {
+  return rc::gen::map(rc::gen::inRange(1, 65),
+                      [](int size) { return std::string(static_cast<std::size_t>(size), 't'); });
+}
+
+RC_GTEST_PROP(RegionFrames, AnyTransferIsReadAsItWasWritten, ()) {
+  const auto amount = rc::gen::inRange<std::int64_t>(0, INT64_MAX);
+  const regions::ShareTransfer transfer{*rc::gen::inRange<std::uint64_t>(1, UINT64_MAX),
+                                        *any_team(),
+                                        regions::Amounts({*amount, *amount, *amount, *amount})};
+  std::string bytes = regions::pack(transfer);
+  regions::RegionFrame out;
+  RC_ASSERT(regions::unpack(bytes, out) == regions::FrameResult::frame);
+  RC_ASSERT(out == regions::RegionFrame(transfer));
+  RC_ASSERT(bytes.empty());
+}
+
+RC_GTEST_PROP(RegionFrames, NoBytesAreReadBeyondTheirEnd, ()) {
+  // One byte of a frame is replaced: it is a frame, a part of one, or refused, and never more.
+  std::string bytes = regions::pack(regions::ShareRequest{*any_team(), {}, 7});
+  const auto size = bytes.size();
+  bytes[*rc::gen::inRange<std::size_t>(0, size)] = static_cast<char>(*rc::gen::inRange(0, 256));
+  regions::RegionFrame out;
+  const auto result = regions::unpack(bytes, out);
+  RC_ASSERT(bytes.size() == (result == regions::FrameResult::frame ? 0 : size));
+}
+
 }  // namespace
 }  // namespace cranklock::testing
