Lab: use from the ended processes, words checked in one place; regions hear a new leader sooner

A controller that had ended by itself still counted as alive, being a zombie of the lab: it is now waited for.

--- a/lab/controllers.cpp
+++ b/lab/controllers.cpp
@@ -3,14 +3,16 @@
 #include <fcntl.h>
 #include <spdlog/fmt/fmt.h>
 #include <sys/prctl.h>
+#include <sys/resource.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <regex>
-#include <sstream>
 
 namespace cranklock::lab {
 namespace {
@@ -119,7 +121,7 @@
     for (int i = 0; i < own.plan().controllers; ++i) {
       write_settings(own, i, count);
       write_operator_file(regions, from, member_name(own.plan().name, i));
-      controllers_.push_back({own.plan().name, member_name(own.plan().name, i)});
+      controllers_.push_back({own.plan().name, {member_name(own.plan().name, i)}});
     }
     for (int to = 0; to < count; ++to) {
       const Region& other = *regions[static_cast<std::size_t>(to)];
@@ -136,9 +138,9 @@
 }
 
 void Controllers::launch(Controller& controller) const {
-  const std::string config = path(controller.member, ".toml");
-  const std::string operators = path(controller.member, ".xml");
-  const std::string log = path(controller.member, ".log");
+  const std::string config = path(controller.usage.member, ".toml");
+  const std::string operators = path(controller.usage.member, ".xml");
+  const std::string log = path(controller.usage.member, ".log");
   controller.pid = ::fork();
   if (controller.pid != 0) return;
   ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // nothing outlives a run that is broken off
@@ -149,14 +151,29 @@
   ::_exit(127);
 }
 
+void Controllers::end(Controller& controller, int signal) {
+  if (controller.pid <= 0) return;
+  Usage& usage = controller.usage;
+  rusage used{};
+  const std::string descriptors = "/proc/" + std::to_string(controller.pid) + "/fd";
+  usage.alive = ::wait4(controller.pid, nullptr, WNOHANG, &used) == 0;
+  if (usage.alive) {
+    usage.sockets = static_cast<int>(std::distance(std::filesystem::directory_iterator(descriptors),
+                                                   std::filesystem::directory_iterator()));
+    ::kill(controller.pid, signal);
+    ::wait4(controller.pid, nullptr, 0, &used);
+  }
+  const auto seconds = [](const timeval& time) {
+    return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
+  };
+  usage.cpu_s += seconds(used.ru_utime) + seconds(used.ru_stime);
+  usage.memory_mb = std::max(usage.memory_mb, static_cast<double>(used.ru_maxrss) / 1024);
+  controller.pid = -1;
+}
+
 void Controllers::crash(const std::string& region) {
   for (auto& controller : controllers_) {
-    if (controller.region != region || controller.pid <= 0) continue;
-    controller.cpu_before_s += cpu_seconds(controller.pid);
-    ::kill(controller.pid, SIGKILL);
-    ::waitpid(controller.pid, nullptr, 0);
-    controller.pid = -1;
-    return;
+    if (controller.region == region) return end(controller, SIGKILL);
   }
 }
 
@@ -173,50 +190,21 @@
 }
 
 void Controllers::end_all() {
-  for (auto& controller : controllers_) {
-    if (controller.pid <= 0) continue;
-    ::kill(controller.pid, SIGTERM);
-    ::waitpid(controller.pid, nullptr, 0);
-    controller.pid = -1;
-  }
+  for (auto& controller : controllers_) end(controller, SIGTERM);
 }
 
-// ---- what they use ----
-
-double Controllers::cpu_seconds(pid_t pid) {
-  std::ifstream in("/proc/" + std::to_string(pid) + "/stat");
-  std::string text((std::istreambuf_iterator<char>(in)), {});
-  constexpr int kFieldsBeforeTimes = 11;  // after the name in brackets
-  std::istringstream fields(text.substr(text.rfind(')') + 1));
-  std::string skipped;
-  for (int i = 0; i < kFieldsBeforeTimes; ++i) fields >> skipped;
-  double user = 0, system = 0;
-  fields >> user >> system;
-  return (user + system) / static_cast<double>(::sysconf(_SC_CLK_TCK));
+// ---- what they did and used ----
+
+std::string Controllers::log_of(const Controller& controller) const {
+  std::ifstream in(path(controller.usage.member, ".log"));
+  return {std::istreambuf_iterator<char>(in), {}};
 }
 
 std::vector<Controllers::Usage> Controllers::usage() const {
   std::vector<Usage> out;
   for (const auto& controller : controllers_) {
-    Usage usage;
-    usage.member = controller.member;
-    std::ifstream log(path(controller.member, ".log"));
-    const std::string text((std::istreambuf_iterator<char>(log)), {});
-    usage.led = text.find("serving with token") != std::string::npos;
-    usage.alive = controller.pid > 0 && ::kill(controller.pid, 0) == 0;
-    usage.cpu_s = controller.cpu_before_s;
-    if (usage.alive) {
-      const std::string proc = "/proc/" + std::to_string(controller.pid);
-      usage.cpu_s += cpu_seconds(controller.pid);
-      std::ifstream status(proc + "/status");
-      for (std::string line; std::getline(status, line);) {
-        if (line.starts_with("VmHWM:")) usage.memory_mb = std::stod(line.substr(6)) / 1024;
-      }
-      for ([[maybe_unused]] const auto& fd : std::filesystem::directory_iterator(proc + "/fd")) {
-        ++usage.sockets;
-      }
-    }
-    out.push_back(std::move(usage));
+    out.push_back(controller.usage);
+    out.back().led = log_of(controller).find("serving with token") != std::string::npos;
   }
   return out;
 }
@@ -226,11 +214,10 @@
       "no longer lacks share: after ([0-9.]+) s, asked ([0-9]+) times");
   std::vector<Shortage> out;
   for (const auto& controller : controllers_) {
-    std::ifstream log(path(controller.member, ".log"));
-    for (std::string line; std::getline(log, line);) {
-      std::smatch match;
-      if (!std::regex_search(line, match, line_format)) continue;
-      out.push_back({std::stod(match[1]), std::stoi(match[2])});
+    const std::string log = log_of(controller);
+    for (std::sregex_iterator match(log.begin(), log.end(), line_format), end; match != end;
+         ++match) {
+      out.push_back({std::stod((*match)[1]), std::stoi((*match)[2])});
     }
   }
   return out;
--- a/lab/controllers.hpp
+++ b/lab/controllers.hpp
@@ -31,12 +31,13 @@
   void set_apart(const std::string& region, bool apart);
   void end_all();
 
+  /// What a controller used, known once it has ended.
   struct Usage {
     std::string member;
-    bool led = false;
+    bool led = false;    ///< its region, at some time
+    bool alive = false;  ///< when it was asked to end
     double cpu_s = 0, memory_mb = 0;
-    int sockets = 0;
-    bool alive = false;
+    int sockets = 0;  ///< open just before
   };
   std::vector<Usage> usage() const;
   /// How long teams lacked share, as the leaders logged it, and how often they asked.
@@ -49,14 +50,15 @@
 
  private:
   struct Controller {
-    std::string region, member;
+    std::string region;
+    Usage usage;
     pid_t pid = -1;
-    double cpu_before_s = 0;  ///< of processes that were ended
   };
   struct Bridge {
     std::string from, to;
     std::unique_ptr<Relay> relay;
   };
+  std::string log_of(const Controller& controller) const;
   std::string path(const std::string& member, const char* ending) const {
     return folder_ + "/" + member + ending;
   }
@@ -64,7 +66,7 @@
   void write_operator_file(const std::vector<std::unique_ptr<Region>>& regions, int region,
                            const std::string& member) const;
   void launch(Controller& controller) const;
-  static double cpu_seconds(pid_t pid);
+  static void end(Controller& controller, int signal);
 
   const LabPlan& plan_;
   std::string program_, folder_;
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -78,13 +78,13 @@
   reactor_.run();
   scope_.clear();
   controllers_.end_all();
+  usage_ = controllers_.usage();
   return played_;
 }
 
 Task<void> Run::finish() {
   Sleep pause(reactor_, plan_.settle_s + plan_.duration_s + plan_.drain_s);
   co_await pause;
-  usage_ = controllers_.usage();
   if (regions_.size() > 1) wrong_sums_ = count_wrong_sums();
   played_ = true;
   reactor_.stop();
@@ -106,18 +106,11 @@
 }
 
 wire::JobSpec Run::next_job(const ClassPlan& plan) {
-  wire::JsonWriter w;
   const auto team = std::uniform_int_distribution<>(0, plan_.teams - 1)(random_);
-  w.begin().key("Id").text("j-" + std::to_string(++next_id_)).key("Gear").text(plan.name);
-  w.key("Crew").text("team-" + std::to_string(team)).key("Shape").text(plan.shape);
-  w.key("Rank").text(plan.rank).key("Teeth").integer(plan.tasks);
-  w.key("Cpus").amount(plan.gpus).key("Accelerators").amount(plan.gpus);
-  w.key("MemGb").amount(8 * plan.gpus).key("Cast").text("img-" + plan.name).key("SizeGb").amount(1);
-  w.key("OneZone").flag(false).key("Apart").flag(false).key("Loaners").flag(false);
-  w.key("ExpectS").amount(plan.run_s).key("NotchS").amount(0).key("StowS").amount(0).end();
-  const std::string text = w.take();
-  const wire::JsonDocument document(text);
-  return std::get<wire::JobSpec>(wire::parse_job(document.root()));
+  wire::JobSpec spec = plan.spec;
+  spec.id = "j-" + std::to_string(++next_id_);
+  spec.team = "team-" + std::to_string(team);
+  return spec;
 }
 
 Task<void> Run::submit_jobs(const ClassPlan& plan) {
@@ -138,7 +131,7 @@
       job.plan = &plan;
       job.region = region;
       job.submitted_at = now();
-      ++counts_[plan.name].submitted;
+      ++counts_[plan.spec.job_class].submitted;
       scope_.spawn(use(std::move(spec), plan, region));
     }
     due += kTick * plan.jobs_per_s * rate_factor();
@@ -164,7 +157,7 @@
 }
 
 Task<void> Run::use(wire::JobSpec spec, const ClassPlan& plan, int region) {
-  Counts& counts = counts_[plan.name];
+  Counts& counts = counts_[plan.spec.job_class];
   const std::string path = "/v1/jobs/" + spec.id;
   std::string state;
   const auto chance = [this] { return std::uniform_real_distribution<>(0, 1)(random_); };
@@ -200,7 +193,7 @@
 double Run::run_s(const wire::TaskName& task) const {
   const auto& plan = *jobs_.at(task.job).plan;
   constexpr double kForEver = 1e9;
-  return plan.shape == "standing" ? kForEver : plan.run_s;
+  return plan.spec.shape == wire::Shape::service ? kForEver : plan.spec.estimate_s;
 }
 
 bool Run::starts(const testing::WorkerStandIn& worker, const wire::TaskName& task) {
@@ -217,11 +210,11 @@
   }
   rules_.starts({task.job, worker.id, task.index, worker.kind, true}, others, reactor_.now());
   job.machines.insert(&worker);
-  Counts& counts = counts_[job.plan->name];
+  Counts& counts = counts_[job.plan->spec.job_class];
   ++counts.task_starts;
   counts.start_s.push_back(now() - job.submitted_at);
   ++starts_by_second_[static_cast<int>(now())];
-  if (job.plan->shape != "ensemble") return true;
+  if (job.plan->spec.shape != wire::Shape::gang) return true;
   const auto attempt = worker.tasks.at(wire::to_string(task)).attempt;
   job.gathered[attempt].insert(task.index);
   return false;
@@ -230,8 +223,7 @@
 bool Run::gang_complete(const wire::TaskName& task, std::uint64_t attempt) const {
   const Job& job = jobs_.at(task.job);
   const auto gathered = job.gathered.find(attempt);
-  return gathered != job.gathered.end() &&
-         gathered->second.size() == static_cast<std::size_t>(job.plan->tasks);
+  return gathered != job.gathered.end() && gathered->second.size() == job.plan->spec.tasks;
 }
 
 void Run::look() {
--- a/lab/settings.cpp
+++ b/lab/settings.cpp
@@ -21,17 +21,34 @@
   return region;
 }
 
+/// The value of a field that is one of these words.
+template <typename Value>
+Value read_word(const TomlReader& in, const char* field,
+                const std::map<std::string, Value>& words) {
+  const auto found = words.find(in.text(field));
+  if (found != words.end()) return found->second;
+  std::string expected = "one of";
+  for (const auto& [word, value] : words) expected += " " + word;
+  in.fail(field, expected);
+}
+
 ClassPlan read_class(const TomlReader& in) {
+  using wire::Rank;
+  using wire::Shape;
   ClassPlan plan;
-  plan.name = in.text("name");
-  plan.shape = in.text("shape");
-  if (plan.shape != "batch" && plan.shape != "ensemble" && plan.shape != "standing") {
-    in.fail("shape", "batch, ensemble or standing");
-  }
-  plan.rank = in.text("rank");
-  plan.tasks = in.count("tasks", 1);
-  plan.gpus = in.number("gpus", 0, true);
-  plan.run_s = in.number("run_s", 0, true);
+  auto& spec = plan.spec;
+  spec.job_class = in.text("name");
+  spec.shape = read_word<Shape>(
+      in, "shape", {{"array", Shape::array}, {"gang", Shape::gang}, {"service", Shape::service}});
+  spec.rank = read_word<Rank>(
+      in, "rank",
+      {{"production", Rank::production}, {"high", Rank::high}, {"standard", Rank::standard}});
+  spec.tasks = static_cast<std::uint32_t>(in.count("tasks", 1));
+  const double gpus = in.number("gpus", 0, true);
+  spec.room = {gpus, gpus, 8 * gpus};
+  spec.estimate_s = in.number("run_s", 0, true);
+  spec.image = "img-" + spec.job_class;
+  spec.image_gb = 1;
   if (in.has("jobs_per_s")) plan.jobs_per_s = in.number("jobs_per_s", 0);
   if (in.has("initial")) plan.initial = in.count("initial", 0);
   if (in.has("cancelled_share")) plan.cancelled_share = in.number("cancelled_share", 0);
@@ -39,13 +56,12 @@
 }
 
 FaultPlan read_fault(const TomlReader& in, const LabPlan& plan) {
-  static const std::map<std::string, FaultPlan::Kind> kinds = {
-      {"region_apart", FaultPlan::Kind::region_apart},
-      {"controller_crash", FaultPlan::Kind::controller_crash},
-      {"state_down", FaultPlan::Kind::state_down}};
-  const auto kind = kinds.find(in.text("kind"));
-  if (kind == kinds.end()) in.fail("kind", "region_apart, controller_crash or state_down");
-  FaultPlan fault{kind->second, in.text("region"), in.number("at_s", 0), in.number("for_s", 0)};
+  const auto kind =
+      read_word<FaultPlan::Kind>(in, "kind",
+                                 {{"region_apart", FaultPlan::Kind::region_apart},
+                                  {"controller_crash", FaultPlan::Kind::controller_crash},
+                                  {"state_down", FaultPlan::Kind::state_down}});
+  FaultPlan fault{kind, in.text("region"), in.number("at_s", 0), in.number("for_s", 0)};
   const bool known = std::any_of(plan.regions.begin(), plan.regions.end(),
                                  [&](const auto& region) { return region.name == fault.region; });
   if (!known) in.fail("region", "the name of a region");
--- a/lab/settings.hpp
+++ b/lab/settings.hpp
@@ -5,6 +5,8 @@
 #include <string>
 #include <vector>
 
+#include "wire/messages.hpp"
+
 namespace cranklock::lab {
 
 /// One region: its controllers, one in each of its zones in turn, and its fleet.
@@ -17,11 +19,8 @@
 
 /// Jobs of one class, submitted in every region by its part of the fleet.
 struct ClassPlan {
-  std::string name, shape, rank;
-  int tasks = 1;
-  double gpus = 1;
-  double run_s = 1;
-  double jobs_per_s = 0;       ///< over all regions, with all at their usual rate
+  wire::JobSpec spec;          ///< without id and team; `estimate_s` is how long its tasks run
+  double jobs_per_s = 0;       ///< over all regions, outside the peak
   int initial = 0;             ///< over all regions, within ramp_s
   double cancelled_share = 0;  ///< by their users, at some time before the end of the run
 };
--- a/src/regions/links.cpp
+++ b/src/regions/links.cpp
@@ -11,6 +11,8 @@
 
 /// Hellos after which a silent connection is given up, and what it said counts no more.
 constexpr double kPatience = 3;
+/// Without a connection, how often it is looked whether there should be one.
+constexpr double kLooksPerHello = 4;
 /// Frames that wait for one link; more are dropped and come again.
 constexpr std::size_t kMostWaiting = 1024;
 
@@ -156,7 +158,9 @@
           net::write_all(reactor_, fd->get(), bytes, reactor_.now() + hello_every(settings_));
       if (!co_await writing) close(link);
     }
-    const double pause = link.fd ? link.next_hello - reactor_.now() : hello_every(settings_);
+    // A new leader is heard of soon after its take-over.
+    const double pause =
+        link.fd ? link.next_hello - reactor_.now() : hello_every(settings_) / kLooksPerHello;
     constexpr double kLeastPause = 0.001;  // the resolution of timers
     net::Signal::Wait wait(link.filled, std::max(pause, kLeastPause));
     co_await wait;
