A malformed record of shares stops transfers, not the region's leader

Need: one record under regions/ that could not be read kept every node of the region from leading, so its running work would have been lost. Change: it is named in the log and left alone, the other shares stay usable, nothing is moved until it is put right.

--- a/src/regions/share_book.cpp
+++ b/src/regions/share_book.cpp
@@ -78,13 +78,14 @@
 
 // ---- what is stored ----
 
-bool ShareBook::load(const std::vector<wire::StoredValue>& items) {
+// Guards a region against losing its leader for one record that can't be read.
+void ShareBook::load(const std::vector<wire::StoredValue>& items) {
   ShareBook fresh(settings_, leader_);
   for (const auto& item : items) {
-    if (!fresh.load_item(item)) {
-      spdlog::error("record {} is malformed", item.key);
-      return false;
-    }
+    if (fresh.load_item(item)) continue;
+    spdlog::error("record {} is malformed: shares are used as they are, and nothing is moved",
+                  item.key);
+    fresh.frozen_ = true;
   }
   // What was heard stays; what is stored says how far it has been dealt with.
   for (auto& [region, partner] : fresh.partners_) {
@@ -102,11 +103,11 @@
   founder_revision_ = fresh.founder_revision_;
   under_way_.reset();
   outcome_unknown_ = guard_sent_ = handed_out_ = reload_needed_ = false;
-  if (founder_differs()) {
-    spdlog::error("shares were made by region {}, and the settings name {}: nothing is moved",
-                  *founder_, settings_.operators.regions.founder);
-  }
-  return true;
+  frozen_ = fresh.frozen_;
+  if (!founder_ || *founder_ == settings_.operators.regions.founder) return;
+  frozen_ = true;
+  spdlog::error("shares were made by region {}, and the settings name {}: nothing is moved",
+                *founder_, settings_.operators.regions.founder);
 }
 
 bool ShareBook::load_transfer(const wire::StoredValue& item) {
@@ -364,7 +365,7 @@
 
 std::optional<ShareBook::Operation> ShareBook::prepare(const DemandOf& demand_of,
                                                        std::size_t most_changes) {
-  if (founder_differs()) return std::nullopt;
+  if (frozen_) return std::nullopt;
   if (auto operation = take_transfers(most_changes)) return operation;
   if (auto operation = give_share(demand_of, most_changes)) return operation;
   if (auto operation = found_shares(demand_of, most_changes)) return operation;
--- a/src/regions/share_book.hpp
+++ b/src/regions/share_book.hpp
@@ -35,14 +35,12 @@
   /// `leader` is the condition that only this term's transactions meet.
   ShareBook(const base::Settings& settings, wire::Condition leader);
 
-  /// Replaces everything by what is stored under kRegionsPrefix. False, changing nothing, when a
-  /// record is malformed.
-  bool load(const std::vector<wire::StoredValue>& items);
-  /// A founder other than the settings' made the shares that are stored here: what is held stays
-  /// usable, and nothing is moved.
-  bool founder_differs() const {
-    return founder_ && *founder_ != settings_.operators.regions.founder;
-  }
+  /// Replaces everything by what is stored under kRegionsPrefix. A malformed record is logged and
+  /// left alone: nothing is held by it, and nothing is moved any more (is_frozen).
+  void load(const std::vector<wire::StoredValue>& items);
+  /// What is stored can't be trusted whole, or another founder than the settings' has made it: what
+  /// is held stays usable, and nothing is moved.
+  bool is_frozen() const { return frozen_; }
 
   wire::Room guarantee(const base::Team& team) const override;
   wire::Room limit(const base::Team& team) const override;
@@ -141,6 +139,7 @@
   bool handed_out_ = false;       ///< a transaction whose end has not been told yet
   bool reload_needed_ = false;
   bool leadership_lost_ = false;
+  bool frozen_ = false;
 };
 
 }  // namespace cranklock::regions
--- a/src/regions/share_service.cpp
+++ b/src/regions/share_service.cpp
@@ -44,7 +44,8 @@
   auto reading = store_.read_all(kRegionsPrefix, kStoreTimeout);
   const auto stored = co_await reading;
   if (stored.outcome != store::Outcome::ok) co_return false;
-  co_return book_.load(stored.page.items);
+  book_.load(stored.page.items);
+  co_return true;
 }
 
 void ShareService::start(net::Scope& scope) {
@@ -154,7 +155,7 @@
 void ShareService::send_requests() {
   waiting_ = term_.waiting_demands();
   const auto regions = network_.reachable();
-  if (regions.empty() || book_.founder_differs()) return;
+  if (regions.empty() || book_.is_frozen()) return;
   for (const auto& team : settings_.teams) {
     const auto waiting = waiting_.find(team.name);
     const TeamDemand demand = waiting == waiting_.end() ? TeamDemand{} : waiting->second;
