--- a/src/regions/share_service.cpp
+++ b/src/regions/share_service.cpp
@@ -8,9 +8,9 @@
 namespace {
 
 constexpr double kStoreTimeout = 2.0;
-/// Pauses between requests for share that nobody gives, in lookings at the teams' needs.
+/// The longest pause between requests for share that nobody gives, in intervals of ask_every().
 constexpr double kLongestPause = 16;
-/// Between two rounds of telling, in the same measure.
+/// The least pause between two rounds of talk(), in the same measure.
 constexpr double kLeastPause = 1.0 / 20;
 
 /// A part of what is missing, in whole CPUs and GPUs so that the parts add up to at least all.
