--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -129,7 +129,6 @@
       auto spec = next_job(plan);
       Job& job = jobs_[spec.id];
       job.plan = &plan;
-      job.region = region;
       job.submitted_at = now();
       ++counts_[plan.spec.job_class].submitted;
       scope_.spawn(use(std::move(spec), plan, region));
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -45,7 +45,6 @@
  private:
   struct Job {
     const ClassPlan* plan = nullptr;
-    int region = 0;
     double submitted_at = 0, started_at = -1;
     std::set<const testing::WorkerStandIn*> machines;           ///< that have started a task of it
     std::map<std::uint64_t, std::set<std::uint32_t>> gathered;  ///< of a gang, by attempt
--- a/src/regions/amounts.hpp
+++ b/src/regions/amounts.hpp
@@ -78,6 +78,11 @@
   return std::llround(amount * static_cast<double>(Amounts::kUnit));
 }
 
+/// The next whole CPU or GPU, in thousandths.
+inline std::int64_t round_up_to_unit(std::int64_t thousandths) {
+  return (thousandths + Amounts::kUnit - 1) / Amounts::kUnit * Amounts::kUnit;
+}
+
 /// A team's whole guarantee and limit. 0 stands for a resource that is not looked at.
 inline Amounts whole_amounts(const base::Team& team) {
   return Amounts({to_thousandths(team.cpus), to_thousandths(team.cpus_max),
--- a/src/regions/share_book.cpp
+++ b/src/regions/share_book.cpp
@@ -424,10 +424,14 @@
   return false;
 }
 
+void ShareBook::note_founder(std::uint64_t revision) {
+  founder_ = settings_.operators.regions.founder;
+  founder_revision_ = revision;
+}
+
 void ShareBook::apply_guard(const Operation& operation, std::uint64_t revision) {
   if (operation.kind == Operation::Kind::found) {
-    founder_ = settings_.operators.regions.founder;
-    founder_revision_ = revision;
+    note_founder(revision);
   } else if (operation.kind == Operation::Kind::take) {
     partners_.at(operation.region).received.revision = revision;
   } else {
@@ -444,11 +448,9 @@
     to.sent = {to.sent.value + transfers.size(), revision};
     for (const auto& transfer : transfers) to.out.emplace(transfer.sequence, transfer);
   }
-  for (const auto& change : operation.transaction.changes) {
-    if (change.key != kFounderKey) continue;
-    founder_ = settings_.operators.regions.founder;
-    founder_revision_ = revision;
-  }
+  // Founding writes the founder's record each time, the first transfer that is taken once.
+  const bool first_taken = operation.kind == Operation::Kind::take && !founder_;
+  if (operation.kind == Operation::Kind::found || first_taken) note_founder(revision);
   if (operation.kind == Operation::Kind::take) {
     Partner& from = partners_.at(operation.region);
     from.received = {operation.through, revision};
--- a/src/regions/share_book.hpp
+++ b/src/regions/share_book.hpp
@@ -6,7 +6,6 @@
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -121,6 +120,8 @@
                          const TeamDemand& demand) const;
   std::optional<Operation> clear_acknowledged(std::size_t most_changes) const;
   std::optional<Operation> prepare(const DemandOf& demand_of, std::size_t most_changes);
+  /// The record of the founder was written, at this revision.
+  void note_founder(std::uint64_t revision);
   bool apply(const Operation& operation, std::uint64_t revision);
   void apply_guard(const Operation& operation, std::uint64_t revision);
   bool is_founder() const;
--- a/src/regions/share_service.cpp
+++ b/src/regions/share_service.cpp
@@ -19,8 +19,7 @@
   const auto count = static_cast<std::int64_t>(parts);
   for (auto& value : values) {
     const std::int64_t part = (value + count - 1) / count;
-    const std::int64_t rounded = (part + Amounts::kUnit - 1) / Amounts::kUnit * Amounts::kUnit;
-    value = std::min(value, rounded);
+    value = std::min(value, round_up_to_unit(part));
   }
   return Amounts(values);
 }
--- a/src/regions/sharing_rule.cpp
+++ b/src/regions/sharing_rule.cpp
@@ -50,8 +50,7 @@
 Amounts granted_share(const Amounts& spare, const Amounts& asked) {
   const Amounts half = Amounts::combine(spare, spare, [](auto amount, auto) {
     const auto halved = (amount + 1) / 2;
-    const auto rounded_up = (halved + Amounts::kUnit - 1) / Amounts::kUnit * Amounts::kUnit;
-    return std::min(amount, rounded_up);
+    return std::min(amount, round_up_to_unit(halved));
   });
   return Amounts::least(half, asked);
 }
--- a/src/sched/cluster_state.hpp
+++ b/src/sched/cluster_state.hpp
@@ -247,8 +247,8 @@
   const wire::MachineType* type(const std::string& name) const;
 
   const wire::Room& team_use(const std::string& team) const;
-  /// What teams may use here when that is less than the settings say; nullptr: all of it. It has to
-  /// outlive the cluster state.
+  /// What teams may use here when that is less than the settings say; nullptr: all of it. Asked as
+  /// long as anything is placed here.
   void set_team_shares(const TeamShares* shares) { team_shares_ = shares; }
   wire::Room guarantee_of(const base::Team& team) const {
     return team_shares_ != nullptr ? team_shares_->guarantee(team) : whole_guarantee(team);
