Move the leader's machines out of Term into MachineLifecycle (no change)

What the cloud lists, supervision of leases and machines, and deletions stand in a type of their own with their state; Term wires it.

--- a/src/cloud/client.hpp
+++ b/src/cloud/client.hpp
@@ -1,6 +1,7 @@
 // The cloud: machine types, rentals and deletions, inside its call rate.
 #pragma once
 
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <vector>
@@ -12,6 +13,9 @@
 
 namespace cranklock::cloud {
 
+/// Names in one deletion request, at most (PROTOCOL).
+inline constexpr std::size_t kMostDeletions = 100;
+
 struct RentResult {
   enum class Kind { rented, no_capacity, refused, unknown };
   Kind kind = Kind::unknown;
--- a/src/control/term_machines.cpp
+++ b/src/control/machine_lifecycle.cpp
@@ -1,10 +1,9 @@
-// The leader's machines: what the cloud lists, and what is returned.
+#include "control/machine_lifecycle.hpp"
+
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
 
-#include "control/term.hpp"
-
 namespace cranklock::control {
 
 using net::Sleep;
@@ -12,9 +11,25 @@
 using sched::Job;
 using sched::Machine;
 
-// ---- machines ----
+MachineLifecycle::MachineLifecycle(Services services, const LeaderLease& lease,
+                                   sched::ClusterState& cluster, net::Signal& work)
+    : services_(services),
+      leader_lease_(lease),
+      cluster_(cluster),
+      work_(work),
+      deletions_(services.reactor),
+      term_began_(services.reactor.now()) {}
+
+void MachineLifecycle::start(net::Scope& scope) {
+  scope.spawn(follow_list());
+  scope.spawn(follow_types());
+  scope.spawn(supervise());
+  scope.spawn(delete_retired());
+}
+
+// ---- the cloud ----
 
-Task<void> Term::follow_types() {
+Task<void> MachineLifecycle::follow_types() {
   for (;;) {
     auto asking = services_.cloud.types();
     auto types = co_await asking;
@@ -29,24 +44,26 @@
   }
 }
 
-Task<void> Term::follow_cloud() {
+void MachineLifecycle::take_in_list(const std::vector<wire::ListedMachine>& machines) {
+  const double at = now();
+  for (const auto& item : machines) {
+    if (is_deleted(item.id)) continue;
+    auto& m = cluster_.put_machine(item.id, {item.type, item.zone, item.spot}, at);
+    m.listed = true;
+    m.last_listed = at;
+    m.rented_at = std::min(m.rented_at, at - item.age_s);
+    if (m.address.empty()) m.address = item.address;
+    if (item.state == wire::MachineState::failed) m.failed = true;
+    m.booting = item.state == wire::MachineState::booting;
+  }
+}
+
+Task<void> MachineLifecycle::follow_list() {
   const double every = std::max(services_.settings.list_lag_s / 4, 1.0);
   for (;;) {
     auto asking = services_.cloud.list();
     const auto machines = co_await asking;
-    const double at = now();
-    if (machines) {
-      for (const auto& item : *machines) {
-        if (deleted_.contains(item.id)) continue;
-        auto& m = cluster_.put_machine(item.id, {item.type, item.zone, item.spot}, at);
-        m.listed = true;
-        m.last_listed = at;
-        m.rented_at = std::min(m.rented_at, at - item.age_s);
-        if (m.address.empty()) m.address = item.address;
-        if (item.state == wire::MachineState::failed) m.failed = true;
-        m.booting = item.state == wire::MachineState::booting;
-      }
-    }
+    if (machines) take_in_list(*machines);
     Sleep pause(services_.reactor, every);
     co_await pause;
   }
@@ -61,14 +78,15 @@
 
 // When a cancelled task that is not proven gone takes its machine along. A new leader first hears
 // those that report, as long as there is time for it.
-double Term::cancel_due(const Job& job) const {
+double MachineLifecycle::cancel_due(const Job& job) const {
   const auto& s = services_.settings;
   const double due = job.withdrawn_since + (s.cancel_s - s.report_s) / 2;
-  const double heard = std::min(began_ + 2.5 * s.report_s, job.withdrawn_since + s.cancel_s * 0.75);
+  const double heard =
+      std::min(term_began_ + 2.5 * s.report_s, job.withdrawn_since + s.cancel_s * 0.75);
   return std::max(due, heard);
 }
 
-void Term::retire_machine(Machine& m, const char* why) {
+void MachineLifecycle::retire(Machine& m, const char* why) {
   if (m.removing) return;
   m.removing = true;
   spdlog::info("machine {} ({} in {}{}) is returned: {}", m.id, m.kind.type, m.kind.zone,
@@ -77,17 +95,21 @@
   deletions_.set();
 }
 
-Task<void> Term::delete_machines() {
-  constexpr std::size_t kMost = 100;
+// What was cancelled must be gone in time, also in an outage: no leader wants it to go on.
+std::vector<std::string> MachineLifecycle::due_deletions() const {
+  std::vector<std::string> names;
+  for (const auto& [id, m] : cluster_.machines()) {
+    if (!m.removing || names.size() == cloud::kMostDeletions) continue;
+    if (leader_lease_.valid(now()) || holds_cancelled(m)) names.push_back(id);
+  }
+  return names;
+}
+
+Task<void> MachineLifecycle::delete_retired() {
   for (;;) {
     net::Signal::Wait wait(deletions_, services_.settings.report_s);
     co_await wait;
-    std::vector<std::string> names;
-    for (const auto& [id, m] : cluster_.machines()) {
-      if (!m.removing || names.size() == kMost) continue;
-      // What was cancelled must be gone in time, also in an outage: no leader wants it to go on.
-      if (leader_lease_.valid(now()) || holds_cancelled(m)) names.push_back(id);
-    }
+    const auto names = due_deletions();
     if (names.empty()) continue;
     auto removing = services_.cloud.remove(names);
     if (!co_await removing) {
@@ -98,41 +120,42 @@
     note_deleted(names);
     for (const auto& name : names) cluster_.remove_machine(name, now());
     work_.set();
-    if (names.size() == kMost) deletions_.set();  // there may be more
+    if (names.size() == cloud::kMostDeletions) deletions_.set();  // there may be more
   }
 }
 
-void Term::note_deleted(const std::vector<std::string>& names) {
+void MachineLifecycle::note_deleted(const std::vector<std::string>& names) {
   const auto& s = services_.settings;
   const double kept = 20 * std::max(s.list_lag_s, s.lease_s);
   std::erase_if(deleted_, [&](const auto& entry) { return entry.second < now() - kept; });
   for (const auto& name : names) deleted_[name] = now();
 }
 
-void Term::check_machine(Machine& m, const std::map<std::string, sched::ZoneWorkers>& zones,
-                         double at) {
+void MachineLifecycle::check_machine(Machine& m,
+                                     const std::map<std::string, sched::ZoneWorkers>& zones,
+                                     double at) {
   const auto& s = services_.settings;
   const auto* type = cluster_.type(m.kind.type);
   const double ready_s = type != nullptr ? type->ready_s : s.lease_s;
-  if (m.failed) return retire_machine(m, "it has stopped on its own");
+  if (m.failed) return retire(m, "it has stopped on its own");
   if (!m.reported) {
     // A list alone proves nothing; a machine that has not reported for several boot times, to a
     // leader who has been there for long enough, does no work.
     const double patience = s.operators.boot_patience * ready_s;
     // Nor has one that its zone's cut keeps from reporting failed to come up.
-    if (at - m.rented_at > patience && at - began_ > s.lease_s * 2 &&
+    if (at - m.rented_at > patience && at - term_began_ > s.lease_s * 2 &&
         at > m.silence_allowed_until) {
-      retire_machine(m, "it never came up");
+      retire(m, "it never came up");
     }
     return;
   }
   if (m.silent && at - m.last_answered > 2 * s.lease_s && at > m.silence_allowed_until) {
-    return retire_machine(m, "it is silent");
+    return retire(m, "it is silent");
   }
   // Its deletion proves what its lease would prove only later: its work starts elsewhere the
   // sooner.
-  if (sched::surely_taken(cluster_, m, zones, at)) return retire_machine(m, "it is taken");
-  if (m.quarantined && m.idle()) return retire_machine(m, "it fails what it starts");
+  if (sched::surely_taken(cluster_, m, zones, at)) return retire(m, "it is taken");
+  if (m.quarantined && m.idle()) return retire(m, "it fails what it starts");
   if (!m.taken_at) return;
   // Its work moves while it still runs: what saves is told to save.
   for (const auto& held : m.tasks) {
@@ -143,7 +166,7 @@
   }
 }
 
-Task<void> Term::supervise_machines() {
+Task<void> MachineLifecycle::supervise() {
   for (;;) {
     Sleep pause(services_.reactor, services_.settings.report_s / 3);
     co_await pause;
@@ -154,11 +177,10 @@
       if (!m.removing) check_machine(m, zones, at);
     }
     check_placements(at);
-    scaler_.forget_refusals(at);
   }
 }
 
-void Term::note_silence(double at) {
+void MachineLifecycle::note_silence(double at) {
   for (const auto& id : cluster_.expire_leases(at)) {
     spdlog::info("machine {} is silent, its lease is over", id);
     work_.set();
@@ -172,21 +194,21 @@
 // Deletes machines whose cancelled tasks could not be confirmed as ended in time, and machines that
 // a record names though neither the list nor a report has shown them: for both, the deletion is the
 // only proof left.
-void Term::check_placements(double at) {
+void MachineLifecycle::check_placements(double at) {
   const auto& s = services_.settings;
-  const bool all_known = at - began_ > 2 * s.list_lag_s + s.lease_s;
+  const bool all_known = at - term_began_ > 2 * s.list_lag_s + s.lease_s;
   std::vector<std::string> unknown;
   for (const auto& [id, job] : cluster_.jobs()) {
     const bool overdue = job.withdrawn() && at > cancel_due(job);
     for (const auto& p : job.placements) {
       if (p.ended) continue;
       Machine* m = cluster_.machine(p.machine);
-      if (m != nullptr && overdue) retire_machine(*m, "a cancelled task may still be on it");
+      if (m != nullptr && overdue) retire(*m, "a cancelled task may still be on it");
       if (m == nullptr && (overdue || all_known)) unknown.push_back(p.machine);
     }
   }
   for (const auto& name : unknown) {
-    retire_machine(cluster_.put_machine(name, {}, at), "nothing is known of it");
+    retire(cluster_.put_machine(name, {}, at), "nothing is known of it");
   }
 }
 
--- a/src/control/pool_scaler.cpp
+++ b/src/control/pool_scaler.cpp
@@ -53,6 +53,7 @@
     co_await pause;
     if (cluster_.types().empty() || term_.is_lost()) continue;
     const double at = now();
+    forget_refusals(at);
     const bool settled = first_ever_ || at - term_began_ >= figures.down_window_s;
     const auto readings = sched::read_pools(cluster_, shortfall_, figures.high);
     std::vector<std::string> changed;
--- a/src/control/pool_scaler.hpp
+++ b/src/control/pool_scaler.hpp
@@ -40,9 +40,9 @@
   const sched::Shortfall& shortfall() const { return shortfall_; }
   /// Kinds that the cloud lately had none of, and until when they are passed over.
   const std::map<sched::MachineKind, double>& refused_until() const { return refused_until_; }
-  void forget_refusals(double at);
 
  private:
+  void forget_refusals(double at);
   net::Task<void> rent(sched::MachineKind kind, int count);
   void grow(const sched::PoolId& pool, int machines);
   int shrink(const sched::PoolId& pool, int machines);
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -25,9 +25,8 @@
       lost_(lost),
       cluster_(services.settings, lease.token(), services.reactor.now()),
       work_(services.reactor),
-      deletions_(services.reactor),
-      began_(services.reactor.now()),
-      last_heard_(began_),
+      last_heard_(services.reactor.now()),
+      machines_(services, lease, cluster_, work_),
       endings_(services.reactor, services.store, cluster_, work_),
       reloader_(
           services.reactor, services.settings, services.store, cluster_,
@@ -59,13 +58,13 @@
 CommandSender::Term Term::command_duties() {
   return {[this] { return is_lost_; }, [this](const char* why) { lose(why); },
           [this] { last_heard_ = now(); },
-          [this](const std::string& machine) { return deleted_.contains(machine); }};
+          [this](const std::string& machine) { return machines_.is_deleted(machine); }};
 }
 
 PoolScaler::Term Term::scaler_duties() {
   return {[this] { return is_lost_; },
-          [this](Machine& machine, const char* why) { retire_machine(machine, why); },
-          [this](const std::string& machine) { return deleted_.contains(machine); }};
+          [this](Machine& machine, const char* why) { machines_.retire(machine, why); },
+          [this](const std::string& machine) { return machines_.is_deleted(machine); }};
 }
 
 // ---- shares of team limits ----
@@ -163,11 +162,8 @@
   scope.spawn(decide());
   scope.spawn(reloader_.run());
   scope.spawn(follow_jobs());
-  scope.spawn(follow_cloud());
-  scope.spawn(follow_types());
+  machines_.start(scope);
   scope.spawn(scaler_.run());
-  scope.spawn(supervise_machines());
-  scope.spawn(delete_machines());
   scope.spawn(commands_.announce_token());
   if (shares_) shares_->start(scope);
 }
@@ -184,7 +180,7 @@
     return response;
   }
   // Judged now, at the moment of answering: the process may have been held up.
-  if (is_lost_ || !leader_lease_.may_answer(at) || deleted_.contains(report.machine)) {
+  if (is_lost_ || !leader_lease_.may_answer(at) || machines_.is_deleted(report.machine)) {
     response.status = 503;
     return response;
   }
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -12,6 +12,7 @@
 #include "control/command_sender.hpp"
 #include "control/ending_reader.hpp"
 #include "control/leader_lease.hpp"
+#include "control/machine_lifecycle.hpp"
 #include "control/pool_scaler.hpp"
 #include "control/record_reloader.hpp"
 #include "control/record_writer.hpp"
@@ -57,12 +58,8 @@
 
  private:
   // Duties, each a routine.
-  net::Task<void> decide();              // changes, placement, writing, starts
-  net::Task<void> follow_jobs();         // other nodes' acceptances and cancellations
-  net::Task<void> follow_cloud();        // the machine list
-  net::Task<void> follow_types();        // machine types and prices
-  net::Task<void> supervise_machines();  // leases, notices, cancellations, faulty machines
-  net::Task<void> delete_machines();
+  net::Task<void> decide();       // changes, placement, writing, starts
+  net::Task<void> follow_jobs();  // other nodes' acceptances and cancellations
 
   net::Task<void> write_jobs();
   /// The earliest time at which a job may have been cancelled that was marked so at this time of
@@ -71,12 +68,6 @@
   void put_job(sched::Job job);
   void note_changes(std::vector<wire::StoredValue> items, double sent);
   void apply_changes();
-  void retire_machine(sched::Machine& machine, const char* why);
-  void note_silence(double at);
-  void check_placements(double at);
-  double cancel_due(const sched::Job& job) const;
-  void check_machine(sched::Machine& machine,
-                     const std::map<std::string, sched::ZoneWorkers>& zones, double now);
   /// Whether shares of other regions bind this node, and it knows them.
   net::Task<bool> load_shares();
   regions::ShareService::Term share_duties();
@@ -91,17 +82,12 @@
   bool is_unfit_ = false;
   sched::ClusterState cluster_;
   net::Signal work_;
-  net::Signal deletions_;
-  double began_;
   double last_heard_;
   std::uint64_t loaded_revision_ = 0;
 
   std::deque<wire::StoredValue> pending_changes_;
   double known_before_ = -1e9;  ///< when the changes last taken in were asked for
-  /// When they were deleted: names never come back, but a lagging list or a late report may show
-  /// them for a while yet.
-  std::map<std::string, double> deleted_;
-  void note_deleted(const std::vector<std::string>& names);
+  MachineLifecycle machines_;
   EndingReader endings_;
   RecordReloader reloader_;
   RecordWriter writer_;
