Fixed limits: no bound below 4,000 machines in scaler, sockets, caches and deletions

Need: the service runs at about 4,000 machines.

Change: pools have no ceiling of the scaler's own below 100,000 machines, and a step up may be a quarter of the pool. A server announces the end of connections beyond three quarters of its limit instead of closing idle ones unannounced; a leader hands workers on by connections as well as by processor, in proportion to how many there are, and workers of zones without a controller too, for which any node may forward. Caches forget their oldest entry, never all. Deletions that the cloud refuses are halved and pass on. The list of a large fleet takes at most half of the calls. A job's live tasks are bounded by the state service's limits alone.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -63,10 +63,9 @@
   control::Node node(services);
 
   net::ServerLimits limits;
-  // Of the sockets: six tenths for workers and users, an eighth of that on top while one goes for
-  // another, a sixth for kept connections to workers, an eighth for calls under way. The rest is
-  // for the other controllers, the state service and the cloud.
-  limits.connections = static_cast<std::size_t>(settings.fd_limit) * 6 / 10;
+  // Of the sockets that are not public: a sixth for kept connections to workers, an eighth for calls
+  // under way. The rest is for the other controllers, the state service and the cloud.
+  limits.connections = base::public_connections(settings);
   limits.request_bytes = most_request_bytes(settings);
   limits.idle_s = 4 * settings.lease_s;
   net::HttpServer server(reactor, limits,
@@ -75,6 +74,7 @@
     spdlog::error("{} can't be listened on", settings.listen);
     return 1;
   }
+  node.set_connection_load([&server] { return server.connection_load(); });
   peer::Links links(
       reactor, settings, control::Node::hello_every(settings), [&] { return node.hello(); },
       [&](const std::string& from, peer::Frame frame) { node.heard(from, std::move(frame)); });
--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -96,6 +96,7 @@
         {"step_machines", {whole(sc.step_machines), 1, true}},
         {"step_share", {real(sc.step_share), 0.0}},
         {"most_step", {whole(sc.most_step), 1, true}},
+        {"most_step_share", {real(sc.most_step_share), 0.0}},
         {"least_machines", {whole(sc.least_machines), 0, true}},
         {"most_machines", {whole(sc.most_machines), 1, true}}}},
       {"machines", {{"boot_patience", {real(o.boot_patience), 1.0}}}}};
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <algorithm>
+#include <cstddef>
 #include <stdexcept>
 #include <string>
 #include <vector>
@@ -37,11 +38,14 @@
   double high = 0.85, low = 0.75;
   double up_window_s = 2.0, down_window_s = 30.0;
   double up_cooldown_s = 4.0, down_cooldown_s = 10.0;
-  int most_step = 50;        ///< a step up is what is missing, but never more than this
-  int step_machines = 1;     ///< a step down is the larger of this
-  double step_share = 0.05;  ///< and this share of the pool
-  int least_machines = 0;    ///< per pool
-  int most_machines = 1000;  ///< per pool
+  /// A step up is what is missing, but never more than the larger of so many machines and this
+  /// share of the pool.
+  int most_step = 50;
+  double most_step_share = 0.25;
+  int step_machines = 1;        ///< a step down is the larger of this
+  double step_share = 0.05;     ///< and this share of the pool
+  int least_machines = 0;       ///< per pool
+  int most_machines = 100'000;  ///< per pool; what the cloud has is the limit long before
 };
 
 struct OperatorSettings {
@@ -85,6 +89,12 @@
   }
 };
 
+/// Of the sockets, six tenths are for connections of workers and users; an eighth of that comes on
+/// top while one goes for another.
+inline std::size_t public_connections(const Settings& settings) {
+  return static_cast<std::size_t>(settings.fd_limit) * 6 / 10;
+}
+
 /// Throws SettingsError.
 Settings load_settings(const std::string& toml_path, const std::string& xml_path);
 
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -1,9 +1,10 @@
 #include "cloud/client.hpp"
 
+#include <algorithm>
+
 namespace cranklock::cloud {
 namespace {
 constexpr double kTimeout = 5.0;
-constexpr int kPage = 500;
 }  // namespace
 
 Client::Client(net::Reactor& reactor, net::Transport& transport, const base::Settings& settings)
@@ -52,19 +53,28 @@
   co_return result;
 }
 
-net::Task<bool> Client::remove(std::vector<std::string> machines) {
+net::Task<Removal> Client::remove(std::vector<std::string> machines) {
   net::Request request{"POST", "/rentals/delete", "", wire::delete_request(machines), true};
   auto sending = send(std::move(request), others_);
   const auto reply = co_await sending;
-  co_return reply.status() == 200;
+  if (reply.status() == 200) co_return Removal::done;
+  co_return reply.status() == 400 ? Removal::refused : Removal::unavailable;
+}
+
+double Client::list_interval(const base::Settings& settings, std::size_t machines) {
+  constexpr double kLeast = 1.0;
+  constexpr double kListShare = 0.5;  // of the calls for other things than rentals
+  const double calls_per_s = settings.cloud_rps / 2 * kListShare;
+  const double pages = 1 + static_cast<double>(machines / kMostListed);
+  return std::max({settings.list_lag_s / 4, kLeast, pages / calls_per_s});
 }
 
 net::Task<std::optional<std::vector<wire::ListedMachine>>> Client::list() {
   std::vector<wire::ListedMachine> all;
   for (;;) {
     net::Request request{"GET", "/rentals",
-                         wire::machine_page_query(all.empty() ? "" : all.back().id, kPage), "",
-                         true};
+                         wire::machine_page_query(all.empty() ? "" : all.back().id, kMostListed),
+                         "", true};
     auto sending = send(std::move(request), others_);
     const auto reply = co_await sending;
     if (reply.status() != 200) co_return std::nullopt;
--- a/src/cloud/client.hpp
+++ b/src/cloud/client.hpp
@@ -15,6 +15,16 @@
 
 /// Names in one deletion request, at most (PROTOCOL).
 inline constexpr std::size_t kMostDeletions = 100;
+/// Machines that one rental request may ask for, at most (PROTOCOL).
+inline constexpr int kMostRented = 50;
+/// Machines on a page of the list, at most (PROTOCOL).
+inline constexpr int kMostListed = 500;
+
+enum class Removal {
+  done,         ///< proof that the machines are gone
+  refused,      ///< the cloud does not take this request; the same again would fare no better
+  unavailable,  ///< nothing is known; it may be asked again
+};
 
 struct RentResult {
   enum class Kind { rented, no_capacity, refused, unknown };
@@ -29,9 +39,11 @@
   net::Task<std::optional<std::vector<wire::MachineType>>> types();
   /// `unknown` must be asked again under the same name: it may have been, or yet be, carried out.
   net::Task<RentResult> rent(wire::Rental rental);
-  /// True only on the 200 that proves the machines gone.
-  net::Task<bool> remove(std::vector<std::string> machines);
+  net::Task<Removal> remove(std::vector<std::string> machines);
   net::Task<std::optional<std::vector<wire::ListedMachine>>> list();
+  /// How long to wait between two lists of so many machines: reading their pages takes no more than
+  /// half of the calls that are left for other things than rentals.
+  static double list_interval(const base::Settings& settings, std::size_t machines);
 
  private:
   net::Task<net::Reply> send(net::Request request, store::Budget& budget);
--- a/src/control/job_lookup.cpp
+++ b/src/control/job_lookup.cpp
@@ -5,22 +5,8 @@
 using net::Task;
 using store::Outcome;
 
-namespace {
-constexpr std::size_t kMostEndings = 4000;
-}
-
 const Ending* JobLookup::known_ending(const std::string& id) const {
-  const auto it = endings_.find(id);
-  return it == endings_.end() ? nullptr : &it->second;
-}
-
-void JobLookup::remember(const std::string& id, const Ending& ending) {
-  if (!endings_.emplace(id, ending).second) return;
-  order_.push_back(id);
-  if (order_.size() > kMostEndings) {
-    endings_.erase(order_.front());
-    order_.pop_front();
-  }
+  return endings_.find(id);
 }
 
 Task<StoredJob> JobLookup::find(std::string id) {
@@ -56,7 +42,7 @@
   if (!ending) co_return found;
   found.kind = StoredJob::Kind::ended;
   found.ending = *ending;
-  remember(id, *ending);
+  endings_.put(id, *ending);
   co_return found;
 }
 
--- a/src/control/job_lookup.hpp
+++ b/src/control/job_lookup.hpp
@@ -2,11 +2,10 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
-#include <map>
 #include <string>
 
+#include "base/recent_map.hpp"
 #include "control/record.hpp"
 #include "net/task.hpp"
 #include "store/client.hpp"
@@ -39,7 +38,7 @@
  public:
   /// `state_reached` says whether the state service has answered this node lately.
   JobLookup(store::Client& store, std::function<bool()> state_reached)
-      : store_(store), state_reached_(std::move(state_reached)) {}
+      : store_(store), state_reached_(std::move(state_reached)), endings_(kMostEndings) {}
 
   net::Task<StoredJob> find(std::string id);
   /// Null when it is not remembered.
@@ -47,12 +46,13 @@
   bool state_reached() const { return state_reached_(); }
 
  private:
-  void remember(const std::string& id, const Ending& ending);
+  /// Endings remembered, some 150 bytes each. One that is forgotten costs a read when it is asked
+  /// for.
+  static constexpr std::size_t kMostEndings = 4096;
 
   store::Client& store_;
   std::function<bool()> state_reached_;
-  std::map<std::string, Ending> endings_;  ///< bounded
-  std::deque<std::string> order_;          ///< of endings_, oldest first
+  base::RecentMap<Ending> endings_;
 };
 
 }  // namespace cranklock::control
--- a/src/control/machine_lifecycle.cpp
+++ b/src/control/machine_lifecycle.cpp
@@ -59,12 +59,12 @@
 }
 
 Task<void> MachineLifecycle::follow_list() {
-  const double every = std::max(services_.settings.list_lag_s / 4, 1.0);
   for (;;) {
     auto asking = services_.cloud.list();
     const auto machines = co_await asking;
     if (machines) take_in_list(*machines);
-    Sleep pause(services_.reactor, every);
+    const auto known = cluster_.machines().size();
+    Sleep pause(services_.reactor, cloud::Client::list_interval(services_.settings, known));
     co_await pause;
   }
 }
@@ -97,30 +97,51 @@
 
 // What was cancelled must be gone in time, also in an outage: no leader wants it to go on.
 std::vector<std::string> MachineLifecycle::due_deletions() const {
-  std::vector<std::string> names;
+  std::vector<std::string> names, from_start;
   for (const auto& [id, m] : cluster_.machines()) {
-    if (!m.removing || names.size() == cloud::kMostDeletions) continue;
-    if (leader_lease_.valid(now()) || holds_cancelled(m)) names.push_back(id);
+    if (!m.removing || (!leader_lease_.valid(now()) && !holds_cancelled(m))) continue;
+    auto& list = id > deletions_after_ ? names : from_start;
+    if (list.size() < most_deletions_) list.push_back(id);
+  }
+  for (auto& id : from_start) {
+    if (names.size() < most_deletions_) names.push_back(std::move(id));
   }
   return names;
 }
 
+// Guards against a machine that the cloud refuses to delete, and with it all that are named in the
+// same request: half as many are named next, and others, until it stands alone.
+void MachineLifecycle::note_removal(const std::vector<std::string>& names, cloud::Removal removal) {
+  if (removal == cloud::Removal::unavailable) return;
+  deletions_after_ = names.back();
+  if (removal == cloud::Removal::refused) {
+    spdlog::error("the cloud refuses to delete {} machines, {} among them", names.size(),
+                  names.front());
+    most_deletions_ = std::max<std::size_t>(names.size() / 2, 1);
+    return;
+  }
+  most_deletions_ = std::min(2 * most_deletions_, cloud::kMostDeletions);
+  note_deleted(names);
+  for (const auto& name : names) cluster_.remove_machine(name, now());
+  work_.set();
+}
+
 Task<void> MachineLifecycle::delete_retired() {
   for (;;) {
     net::Signal::Wait wait(deletions_, services_.settings.report_s);
     co_await wait;
     const auto names = due_deletions();
     if (names.empty()) continue;
+    const bool may_be_more = names.size() == most_deletions_;
     auto removing = services_.cloud.remove(names);
-    if (!co_await removing) {
-      Sleep pause(services_.reactor, services_.settings.report_s / 2);
-      co_await pause;
+    const auto removal = co_await removing;
+    note_removal(names, removal);
+    if (removal == cloud::Removal::done) {
+      if (may_be_more) deletions_.set();
       continue;
     }
-    note_deleted(names);
-    for (const auto& name : names) cluster_.remove_machine(name, now());
-    work_.set();
-    if (names.size() == cloud::kMostDeletions) deletions_.set();  // there may be more
+    Sleep pause(services_.reactor, services_.settings.report_s / 2);
+    co_await pause;
   }
 }
 
--- a/src/control/machine_lifecycle.hpp
+++ b/src/control/machine_lifecycle.hpp
@@ -37,7 +37,9 @@
   net::Task<void> delete_retired();
 
   void take_in_list(const std::vector<wire::ListedMachine>& machines);
+  /// Machines to be deleted next, no more than one request may name.
   std::vector<std::string> due_deletions() const;
+  void note_removal(const std::vector<std::string>& names, cloud::Removal removal);
   void note_deleted(const std::vector<std::string>& names);
   void note_silence(double at);
   void check_placements(double at);
@@ -52,6 +54,10 @@
   net::Signal& work_;
   net::Signal deletions_;
   double term_began_;
+  /// The next deletion names so many machines at most, beginning after this one: requests that the
+  /// cloud refuses become smaller and pass on, so that one name does not hold up all others.
+  std::size_t most_deletions_ = cloud::kMostDeletions;
+  std::string deletions_after_;
   /// When they were deleted: names never come back, but a lagging list or a late report may show
   /// them for a while yet.
   std::map<std::string, double> deleted_;
--- a/src/control/needs_check.cpp
+++ b/src/control/needs_check.cpp
@@ -10,26 +10,16 @@
 /// Jobs read for one request. What was read is trusted for a while, so a user who asks again gets
 /// further.
 constexpr int kMostReads = 32;
-constexpr std::size_t kMostTrusted = 2000;
 }  // namespace
 
-void NeedsCheck::trust(const std::string& id, Live live) {
-  if (live_.size() >= kMostTrusted) {
-    std::erase_if(
-        live_, [&](const auto& entry) { return entry.second.as_of + trusted_s_ < reactor_.now(); });
-    if (live_.size() >= kMostTrusted) live_.clear();
-  }
-  live_[id] = std::move(live);
-}
-
 Task<NeedsCheck::Verdict> NeedsCheck::look_at(std::string id, Progress& progress,
                                               std::vector<std::string>& needs) {
   if (const Ending* ending = lookup_.known_ending(id)) {
     co_return ending->state == wire::JobState::done ? Verdict::clear : Verdict::cancelled;
   }
   const double sent = reactor_.now();
-  if (const auto it = live_.find(id); it != live_.end() && sent < it->second.as_of + trusted_s_) {
-    needs = it->second.needs;
+  if (const Live* live = live_.find(id); live != nullptr && sent < live->as_of + trusted_s_) {
+    needs = live->needs;
     co_return Verdict::clear;
   }
   if (++progress.reads > kMostReads || sent >= progress.until) co_return Verdict::unclear;
@@ -47,7 +37,7 @@
   }
   if (found.cancelled()) co_return Verdict::cancelled;
   if (!found.started()) needs = found.job.spec.needs;
-  trust(id, {sent, needs});
+  live_.put(id, {sent, needs});
   co_return Verdict::clear;
 }
 
--- a/src/control/needs_check.hpp
+++ b/src/control/needs_check.hpp
@@ -1,10 +1,10 @@
 // Whether a job is cancelled with one that it needs, decided by any node from what is stored.
 #pragma once
 
-#include <map>
 #include <string>
 #include <vector>
 
+#include "base/recent_map.hpp"
 #include "control/job_lookup.hpp"
 #include "net/reactor.hpp"
 
@@ -28,11 +28,14 @@
   };
 
   NeedsCheck(net::Reactor& reactor, double cancel_s, JobLookup& lookup)
-      : reactor_(reactor), trusted_s_(cancel_s / 4), lookup_(lookup) {}
+      : reactor_(reactor), trusted_s_(cancel_s / 4), lookup_(lookup), live_(kMostTrusted) {}
 
   net::Task<Verdict> check(std::vector<std::string> needs);
 
  private:
+  /// Jobs, several times those that are live at once in the fleets in service.
+  static constexpr std::size_t kMostTrusted = 16'384;
+
   /// A job that was live and not cancelled.
   struct Live {
     double as_of = 0;  ///< when the read was sent
@@ -44,12 +47,11 @@
   };
   /// One job, without those that it needs; `needs` receives them.
   net::Task<Verdict> look_at(std::string id, Progress& progress, std::vector<std::string>& needs);
-  void trust(const std::string& id, Live live);
 
   net::Reactor& reactor_;
   double trusted_s_;
   JobLookup& lookup_;
-  std::map<std::string, Live> live_;
+  base::RecentMap<Live> live_;
 };
 
 }  // namespace cranklock::control
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -72,33 +72,51 @@
   if (send_) send_(from, answer);
 }
 
-// A report that comes straight here costs two packets; forwarded ones come and go together with
-// others, at the expense of a node that has more to spare.
+// A report that comes straight here costs two packets and a connection; forwarded ones come and go
+// together with others, at the expense of a node that has more to spare.
 bool Node::reports_crowd() {
   constexpr double kMostShare = 0.1;  // of this node's own, for reports of its own zone
   constexpr double kPackets = 2;      // a report and its answer
+  constexpr double kMostLoad = 0.5;   // of its connections; the rest is for users and newcomers
   const double cost =
       direct_reports_.per_second(services_.reactor.now()) * kPackets * base::kPacketCost;
-  return cost > kMostShare * services_.settings.core_share;
+  return cost > kMostShare * services_.settings.core_share ||
+         (connection_load_ && connection_load_() > kMostLoad);
+}
+
+// One after the other, and no more than a tenth of them in the time between two reports: the rate
+// tells only later what each has changed.
+double Node::relief_interval() {
+  constexpr double kFewest = 10, kMostPart = 0.1;
+  const double report_s = services_.settings.report_s;
+  const double direct = direct_reports_.per_second(services_.reactor.now()) * report_s;
+  return report_s / std::max(kFewest, kMostPart * direct);
+}
+
+/// The zone's own controllers; any, where none stands in the zone.
+std::vector<const base::Peer*> Node::possible_forwarders(const std::string& zone) const {
+  const bool any = !services_.settings.has_node(zone);
+  std::vector<const base::Peer*> found;
+  for (const auto& other : services_.settings.others) {
+    if (any || other.zone == zone) found.push_back(&other);
+  }
+  return found;
 }
 
 std::string Node::forwarder_for(const wire::Report& report) {
   if (!send_) return {};
-  const bool own_zone = report.zone == services_.settings.zone;
+  // Workers of other nodes' zones belong there; all others stay as long as there is room.
+  const bool may_stay =
+      report.zone == services_.settings.zone || !services_.settings.has_node(report.zone);
   const double now = services_.reactor.now();
-  if (own_zone && (now < next_relief_ || !reports_crowd())) return {};
-  std::vector<const base::Peer*> candidates;
-  for (const auto& other : services_.settings.others) {
-    if (other.zone == report.zone) candidates.push_back(&other);
-  }
+  if (may_stay && (now < next_relief_ || !reports_crowd())) return {};
+  const auto candidates = possible_forwarders(report.zone);
   // Each worker begins at another of them, so that they share the work.
   const auto first = std::hash<std::string>{}(report.machine);
   for (std::size_t i = 0; i < candidates.size(); ++i) {
     const auto& name = candidates[(first + i) % candidates.size()]->name;
     if (!term_->may_hand_over(report.machine, name)) continue;
-    // One after the other: the rate tells only later what each has changed.
-    constexpr double kReliefsPerReport = 10;
-    if (own_zone) next_relief_ = now + services_.settings.report_s / kReliefsPerReport;
+    if (may_stay) next_relief_ = now + relief_interval();
     return name;
   }
   return {};
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -1,8 +1,10 @@
 // One controller: elections, and which part answers what.
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 #include "base/event_rate.hpp"
 #include "control/report_forwarder.hpp"
@@ -33,6 +35,9 @@
   void heard(const std::string& from, peer::Frame frame);
   /// How frames reach the other nodes; without it each node serves only its own workers.
   void set_send(ReportForwarder::Send send);
+  /// Tells the share of this node's connections that is in use; without it nobody is handed on for
+  /// want of connections.
+  void set_connection_load(std::function<double()> load) { connection_load_ = std::move(load); }
   /// How leaders of other regions are reached, where the settings name regions.
   void set_region_network(regions::RegionNetwork* network) { region_network_ = network; }
   /// Takes what the leader of another region says; ignored while this node does not lead.
@@ -57,8 +62,12 @@
   void heard_forwarded_report(const std::string& from, const peer::ForwardedReport& forwarded);
   /// The node that is to forward this worker's reports from now on, or none.
   std::string forwarder_for(const wire::Report& report);
-  /// Reports that come straight here take more of this node's share than they should.
+  std::vector<const base::Peer*> possible_forwarders(const std::string& zone) const;
+  /// Reports that come straight here take more of this node's processor or connections than they
+  /// should.
   bool reports_crowd();
+  /// Until the next worker may be handed on that could as well stay here.
+  double relief_interval();
   void note_leader(const store::ReadResult& found);
   bool reaches_state() const;
   bool cut_off_from_workers() const;
@@ -68,6 +77,7 @@
   Users users_;
   ReportForwarder forwarder_;
   ReportForwarder::Send send_;
+  std::function<double()> connection_load_;
   regions::RegionNetwork* region_network_ = nullptr;
   net::Signal lost_;
   peer::Roster roster_;
--- a/src/control/pool_scaler.cpp
+++ b/src/control/pool_scaler.cpp
@@ -125,10 +125,9 @@
     least->second += weight(least->first);
     ++plan[{pool.type, least->first, pool.spot}];
   }
-  constexpr int kMostAtOnce = 50;
   for (const auto& [kind, n] : plan) {
-    for (int left = n; left > 0; left -= kMostAtOnce) {
-      scope_.spawn(rent(kind, std::min(left, kMostAtOnce)));
+    for (int left = n; left > 0; left -= cloud::kMostRented) {
+      scope_.spawn(rent(kind, std::min(left, cloud::kMostRented)));
     }
   }
 }
--- a/src/control/report_forwarder.cpp
+++ b/src/control/report_forwarder.cpp
@@ -33,22 +33,20 @@
 // Guards the leader's timing of leases: it counts on no answer of ours while it is heard here, and
 // on none after what it allowed. A worker that has seen a newer token would drop the answer anyway.
 bool ReportForwarder::answers_alone(const wire::Report& report) const {
-  const auto it = trusted_.find(report.machine);
-  return it != trusted_.end() && it->second.token == token_ && report.token <= token_ &&
-         !reaches_leader() && reactor_.now() < it->second.until;
+  const Trust* trust = trusted_.find(report.machine);
+  return trust != nullptr && trust->token == token_ && report.token <= token_ &&
+         !reaches_leader() && reactor_.now() < trust->until;
 }
 
 void ReportForwarder::sent_away(const std::string& machine) {
-  constexpr std::size_t kMost = 4096;
-  if (sent_away_.size() >= kMost) sent_away_.clear();
-  sent_away_[machine] = reactor_.now();
+  sent_away_.put(machine, reactor_.now());
 }
 
 // Guards against workers sent to and fro until their leases end: one that is back so soon has found
 // that the leader, which this node hears, can't be reached from there.
 bool ReportForwarder::came_back(const std::string& machine) const {
-  const auto it = sent_away_.find(machine);
-  return it != sent_away_.end() && reactor_.now() - it->second < settings_.lease_s;
+  const double* at = sent_away_.find(machine);
+  return at != nullptr && reactor_.now() - *at < settings_.lease_s;
 }
 
 void ReportForwarder::answered(const peer::ForwardedAnswer& answer) {
@@ -87,8 +85,7 @@
     if (pending.done && pending.answer.status == 200) {
       const auto& answer = pending.answer;
       // Counted from the sending, which came before the leader's answer.
-      if (trusted_.size() > 4096) trusted_.clear();
-      trusted_[report.machine] = {answer.token, sent + answer.answer_alone_ms / 1000.0};
+      trusted_.put(report.machine, {answer.token, sent + answer.answer_alone_ms / 1000.0});
       response.body = answer.body;
       co_return response;
     }
--- a/src/control/report_forwarder.hpp
+++ b/src/control/report_forwarder.hpp
@@ -1,6 +1,7 @@
 // A node that does not lead serves its own zone's workers: it forwards their reports to the leader,
 // and when the zone is cut off it answers them in the leader's stead, for as long as that is safe.
-// Workers of other zones it sends to the leader, and forwards for those that can't reach it.
+// It forwards for zones without a controller too. Workers of other zones it sends to the leader,
+// and forwards for those that can't reach it.
 #pragma once
 
 #include <algorithm>
@@ -10,6 +11,7 @@
 #include <memory>
 #include <string>
 
+#include "base/recent_map.hpp"
 #include "base/settings.hpp"
 #include "net/http.hpp"
 #include "net/reactor.hpp"
@@ -28,7 +30,9 @@
         settings_(settings),
         // Guards against an answer to a former run, whose question was held up on the way, being
         // taken for one to ours: the time of day goes faster than reports come.
-        next_id_(static_cast<std::uint64_t>(reactor.wall_ms()) << 16) {}
+        next_id_(static_cast<std::uint64_t>(reactor.wall_ms()) << 16),
+        trusted_(kMostWorkers),
+        sent_away_(kMostWorkers) {}
 
   /// Without it nothing is forwarded.
   void set_send(Send send) { send_ = std::move(send); }
@@ -48,7 +52,7 @@
   bool may_forward(const wire::Report& report) const {
     if (!send_) return false;
     if (report.zone == settings_.zone) return reaches_leader() || answers_alone(report);
-    return reaches_leader() && came_back(report.machine);
+    return reaches_leader() && (!settings_.has_node(report.zone) || came_back(report.machine));
   }
   /// The worker of another zone was told to report to the leader.
   void sent_away(const std::string& machine);
@@ -70,6 +74,10 @@
     std::uint64_t token = 0;
     double until = 0;
   };
+  /// Workers of which something is remembered, some 150 bytes each; many times the machines of the
+  /// fleets in service.
+  static constexpr std::size_t kMostWorkers = 32'768;
+
   bool answers_alone(const wire::Report& report) const;
   bool came_back(const std::string& machine) const;
 
@@ -83,8 +91,8 @@
   double answered_alone_at_ = -1;
   std::uint64_t next_id_;
   std::map<std::uint64_t, Pending*> pending_;
-  std::map<std::string, Trust> trusted_;  ///< by worker, as the leader last allowed
-  std::map<std::string, double> sent_away_;
+  base::RecentMap<Trust> trusted_;  ///< by worker, as the leader last allowed
+  base::RecentMap<double> sent_away_;
 };
 
 }  // namespace cranklock::control
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -36,8 +36,8 @@
         }
         break;
       }
-      if (open_.size() >= limits_.connections) make_room();
-      if (open_.size() >= limits_.connections + limits_.connections / 8) continue;
+      if (connection_budget_.is_full()) make_room();
+      if (!connection_budget_.may_accept()) continue;
       connections_.spawn(serve(std::move(fd)));
     }
   }
@@ -87,11 +87,15 @@
 
 Task<void> HttpServer::serve(Fd fd) {
   struct Entry {
-    std::list<Connection>& list;
+    HttpServer& server;
     std::list<Connection>::iterator it;
-    ~Entry() { list.erase(it); }
+    ~Entry() {
+      server.open_.erase(it);
+      server.connection_budget_.closed();
+    }
   };
-  Entry entry{open_, open_.insert(open_.end(), {fd.get(), true})};
+  connection_budget_.opened();
+  Entry entry{*this, open_.insert(open_.end(), {fd.get(), true})};
   HttpParser parser(HttpParser::Kind::request, limits_.http);
   BufferBudget::Share held(budget_);
   for (;;) {
@@ -99,7 +103,8 @@
     const auto received = co_await receiving;
     if (received == Received::closed) co_return;
     auto answering = answer(parser, received);
-    const auto response = co_await answering;
+    auto response = co_await answering;
+    response.keep_alive = response.keep_alive && connection_budget_.keeps_answered();
     const std::string out = serialize(response);
     auto writing = write_all(reactor_, fd.get(), out, reactor_.now() + limits_.request_s);
     if (!co_await writing) co_return;
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -6,6 +6,7 @@
 #include <string>
 
 #include "net/buffer_budget.hpp"
+#include "net/connection_budget.hpp"
 #include "net/http.hpp"
 #include "net/reactor.hpp"
 #include "net/socket.hpp"
@@ -29,11 +30,14 @@
       : reactor_(reactor),
         limits_(limits),
         handler_(std::move(handler)),
-        budget_(limits.request_bytes) {}
+        budget_(limits.request_bytes),
+        connection_budget_(limits.connections) {}
 
   /// Binds and listens; false when the address can't be had.
   bool listen(const std::string& address);
   Task<void> run();
+  /// Share of the connections it may have that are open.
+  double connection_load() const { return connection_budget_.load(); }
 
  private:
   struct Connection {
@@ -52,6 +56,7 @@
   ServerLimits limits_;
   Handler handler_;
   BufferBudget budget_;
+  ConnectionBudget connection_budget_;
   Fd listener_;
   std::list<Connection> open_;  ///< idle ones that waited longest first
   Scope connections_;
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -627,14 +627,13 @@
 }  // namespace
 
 std::size_t most_live_tasks(const base::Settings& settings) {
-  constexpr std::size_t kMost = 1000;
   constexpr double kTaskBytes = 44;   // its number, attempt and machine, and a range of done tasks
   constexpr double kValueBytes = 80;  // what stands around the lists, and does not fill up, in each
   constexpr double kTxnBytes = 60.0 * 1024;
   const double value = settings.value_kb * 1024 - kValueBytes;
   // The description takes up to a value's worth.
   const double room = std::min(value * (settings.txn_ops - 1), kTxnBytes - value);
-  return std::clamp<std::size_t>(static_cast<std::size_t>(room / kTaskBytes), 1, kMost);
+  return static_cast<std::size_t>(std::max(room / kTaskBytes, 1.0));
 }
 
 bool within_limit(const ClusterState& cluster, const std::string& team, const Room& more) {
--- a/src/sched/scaler.cpp
+++ b/src/sched/scaler.cpp
@@ -51,7 +51,9 @@
     }
     if (since_scale <= settings_.up_cooldown_s) return 0;
     // What boots already counts: the step is what is still missing, up to its cap.
-    const int room = std::min(settings_.most_step, settings_.most_machines - reading.machines);
+    const int by_share = static_cast<int>(settings_.most_step_share * reading.machines);
+    const int most_step = std::max(settings_.most_step, by_share);
+    const int room = std::min(most_step, settings_.most_machines - reading.machines);
     return std::clamp(std::max(reading.wanted, reading.missing), 0, std::max(room, 0));
   }
   if (reading.score < settings_.low) {
--- a/tests/report_forwarder_test.cpp
+++ b/tests/report_forwarder_test.cpp
@@ -18,6 +18,7 @@
   double state_heard = 0;
 
   Carrier() {
+    settings.others = {{"n9", "b", "peer"}};
     reactor.run_until(100);
     forwarder.set_send([this](const std::string& to, const peer::Frame& frame) {
       EXPECT_EQ(to, "n9");
@@ -72,6 +73,40 @@
   EXPECT_EQ(c.forward(), 421);
 }
 
+TEST(ReportForwarder, ForwardsForAZoneWithoutAControllerAndNeverAnswersItAlone) {
+  Carrier c;
+  const auto exposed = report("n-2", 1, 1, {}, 7, "c");
+  EXPECT_FALSE(c.forwarder.may_forward(exposed));  // no leader is heard
+  c.hear();
+  EXPECT_TRUE(c.forwarder.may_forward(exposed));
+  c.reactor.run_until(c.reactor.now() + 5);
+  EXPECT_FALSE(c.forwarder.may_forward(exposed));
+}
+
+// 4,200 workers at one node: what is remembered of each must not go with the 4,097th.
+TEST(ReportForwarder, RemembersEveryWorkerOfALargeFleet) {
+  constexpr int kWorkers = 4200;
+  Carrier c;
+  const auto name = [](int i) { return "n-" + std::to_string(i); };
+  c.hear();
+  for (int i = 0; i < kWorkers; ++i) {
+    const auto own = report(name(i), 1, 1);
+    auto task = c.forwarder.forward(own, "{}", [&c] { return c.state_heard; });
+    task.start();
+    c.forwarder.answered({c.sent.back().id, 200, 7, 20'000, "{}"});
+    c.reactor.run_until(c.reactor.now() + 0.0001);
+    ASSERT_TRUE(task.done());
+    c.forwarder.sent_away("b-" + name(i));
+  }
+  for (int i = 0; i < kWorkers; ++i) {
+    ASSERT_TRUE(c.forwarder.may_forward(report("b-" + name(i), 1, 2, {}, 7, "b"))) << i;
+  }
+  c.reactor.run_until(c.reactor.now() + 5);  // the leader is not heard any more
+  for (int i = 0; i < kWorkers; ++i) {
+    ASSERT_TRUE(c.forwarder.may_forward(report(name(i), 1, 2))) << i;
+  }
+}
+
 // Guards against a leader that counts on its forwarders' silence: while it is heard they keep it.
 TEST(ReportForwarder, NeverAnswersAloneWhileTheLeaderIsHeard) {
   Carrier c;
--- a/tests/scaler_test.cpp
+++ b/tests/scaler_test.cpp
@@ -94,6 +94,22 @@
   EXPECT_EQ(s.steps(5, 5, 12, 40), 0);
 }
 
+// No limit of the scaler's own stands below the fleets in service, and steps grow with the pool.
+TEST(Scaler, ByItsDefaultsAPoolReachesFourThousandMachinesInTwoMinutes) {
+  constexpr int kWanted = 4200;
+  PoolScenario s;
+  s.settings = base::ScalerSettings();
+  int machines = 0;
+  while (machines < kWanted && s.now < 120) machines += s.step(5, machines, kWanted - machines);
+  EXPECT_EQ(machines, kWanted);
+  // The share does not lift the cap of a small pool.
+  PoolScenario small;
+  small.settings = base::ScalerSettings();
+  int first = 0;
+  while (first == 0 && small.now < 120) first = small.step(5, 100, kWanted);
+  EXPECT_EQ(first, small.settings.most_step);
+}
+
 // Guards against renting again and again, for as long as a machine boots, what is on its way.
 TEST(Scaler, WhatBootsAlreadyIsNotRentedAgain) {
   testing::Fleet fleet;
--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -313,6 +313,82 @@
   }
 }
 
+// One name that the cloud does not take must not keep hundreds of other machines from being
+// returned.
+TEST(Scenario, AMachineThatTheCloudRefusesToDeleteHoldsUpNoOther) {
+  auto settings = small_settings();
+  settings.cloud_rps = 20;
+  TestCluster w(3, {}, settings);
+  w.run(1);
+  constexpr int kMachines = 250, kStay = 20;
+  for (int i = 0; i < kMachines; ++i) w.add_worker();
+  w.run(3);
+  w.undeletable = {w.workers.begin()->first};
+  int hung = 0;
+  for (auto& [name, worker] : w.workers) worker->hangs = hung++ < kMachines - kStay;
+  w.run(4 * settings.lease_s);
+  EXPECT_GE(w.deleted.size(), static_cast<std::size_t>(kMachines - kStay - 1));
+}
+
+// The list of a large fleet has many pages: it leaves half of the calls for deletions and types.
+TEST(Scenario, ReadingTheListOfALargeFleetLeavesCallsToTheCloudForOthers) {
+  constexpr int kMachines = 4200;
+  constexpr double kSpan = 30;
+  auto settings = small_settings();
+  settings.operators.scaler.least_machines = kMachines;
+  TestCluster w(1, {}, settings);
+  w.run(2);
+  for (int i = 0; i < kMachines; ++i) w.add_worker();
+  w.run(10);
+  w.list_requests = 0;
+  w.run(kSpan);
+  const double calls = kSpan * settings.cloud_rps / 2;
+  EXPECT_LE(w.list_requests, 0.5 * calls + 1);
+  EXPECT_GE(w.list_requests, kMachines / cloud::kMostListed);  // it is read all the same
+}
+
+// 4,200 workers, half of them in a zone without a controller, and five nodes that have connections
+// for three quarters of them. All come to a new leader at once: nobody is refused, no connection
+// breaks, no lease ends, and the leader hands most of them on.
+TEST(Scenario, FourThousandWorkersComeToANewLeaderWithFewerSocketsThanWorkers) {
+  constexpr int kWorkers = 4200, kNodes = 5;
+  auto settings = small_settings();
+  settings.report_s = 4;
+  settings.lease_s = 22;
+  settings.cancel_s = 52;
+  settings.fd_limit = 1100;
+  settings.cloud_rps = 12;
+  settings.operators.scaler.least_machines = kWorkers;
+  const auto limit = base::public_connections(settings);
+  TestCluster w(kNodes, std::vector<std::string>(kNodes, "a"), settings);
+  w.report_spread = 0.25;
+  w.run(1);
+  for (int i = 0; i < kWorkers; ++i) {
+    w.add_worker(i % 2 == 0 ? "a" : "b");
+    w.workers.at("n-" + std::to_string(i + 1))->target = i % kNodes;
+  }
+  w.run(20);
+  w.crash_node(w.leader());
+  for (int node = 0; node < kNodes; ++node) w.cut_from_workers.insert(node);
+  while (w.leader() < 0) w.run(0.1);
+  w.cut_from_workers.clear();
+  w.refused_connections = w.broken_connections = 0;
+  const auto at_leader = [&w] {
+    return std::count_if(w.workers.begin(), w.workers.end(),
+                         [&](const auto& entry) { return entry.second->target == w.leader(); });
+  };
+  w.run(5);
+  const auto came = at_leader();
+  for (int i = 0; i < 40; ++i) {
+    w.run(1);
+    for (int node = 0; node < kNodes; ++node) EXPECT_LE(w.connections(node), limit) << node;
+  }
+  EXPECT_EQ(w.refused_connections, 0);
+  EXPECT_EQ(w.broken_connections, 0);
+  EXPECT_LT(at_leader(), came / 2);
+  for (const auto& [id, worker] : w.workers) EXPECT_EQ(worker->session, 1U) << id;
+}
+
 // A zone that is cut off works on inside: what runs there outlives its workers' lease, is started
 // nowhere else meanwhile, and goes on when the cut ends.
 TEST(Scenario, ReplicasInAZoneThatIsCutOffRunOnAndRunOnce) {
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -3,6 +3,9 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <list>
+
+#include "net/connection_budget.hpp"
 
 namespace cranklock::testing {
 
@@ -37,14 +40,20 @@
   store::Client store;
   cloud::Client cloud;
   control::Node node;
-  net::Scope scope;  // last: its routines end first
+  int run;  ///< another one each time it starts
+  net::ConnectionBudget connections;
+  std::list<Worker*> idle;  ///< connected workers, the longest idle first
+  net::Scope scope;         // last: its routines end first
 
-  Host(TestCluster& w, int i, base::Settings s)
+  Host(TestCluster& w, int i, base::Settings s, int number)
       : settings(std::move(s)),
         transport(w, i),
         store(w.reactor, transport, settings),
         cloud(w.reactor, transport, settings),
-        node({w.reactor, transport, settings, store, cloud}) {
+        node({w.reactor, transport, settings, store, cloud}),
+        run(number),
+        connections(base::public_connections(settings)) {
+    node.set_connection_load([this] { return connections.load(); });
     scope.spawn(node.learn_types());
     scope.spawn(node.probe_state_service());
     scope.spawn(node.run());
@@ -133,7 +142,7 @@
     settings.txn_ops = known->second.txn_ops;
   }
   auto& host = hosts_[static_cast<std::size_t>(i)];
-  host = std::make_unique<Host>(*this, i, std::move(settings));
+  host = std::make_unique<Host>(*this, i, std::move(settings), ++last_run_);
   if (host->settings.operators.regions.enabled()) host->node.set_region_network(region_network);
   if (zones_.empty()) return;
   host->node.set_send([this, i](const std::string& to, const peer::Frame& frame) {
@@ -448,8 +457,10 @@
   };
   const UnderWay one{++calls_under_way};
   most_calls_under_way = std::max(most_calls_under_way, calls_under_way);
-  for (auto& [id, w] : workers) {
-    if (w->address != address) continue;
+  constexpr std::size_t kPrefix = std::string_view("worker:").size();
+  const auto [begin, end] = workers.equal_range(address.substr(kPrefix));
+  for (auto it = begin; it != end; ++it) {
+    auto& w = it->second;
     if (w->gone || w->cannot_receive || cut_from_workers.contains(node)) break;
     if (apart(zone_of(node), w->kind.zone)) break;
     if (w->commands_late_s > 0) {
@@ -483,6 +494,9 @@
   const JsonDocument document(r.body.empty() ? "{}" : r.body);
   if (r.path == "/rentals/delete") {
     deletions.push_back(reactor.now());
+    for (const auto& m : document.root()["Rigs"].GetArray()) {
+      if (undeletable.contains(m.GetString())) return answer(400);
+    }
     for (const auto& m : document.root()["Rigs"].GetArray()) {
       const auto it = workers.find(m.GetString());
       if (it == workers.end()) continue;
@@ -506,14 +520,20 @@
     }
     return answer(200, it->second);
   }
+  ++list_requests;
+  const std::size_t most = std::stoul(net::query_field(r.query, "Most"));
+  std::size_t listed = 0;
+  auto next = workers.upper_bound(net::query_field(r.query, "Since"));
   w.begin().key("Rigs").list();
-  for (const auto& [id, worker] : workers) {
+  for (; next != workers.end() && listed < most; ++next) {
+    const auto& [id, worker] = *next;
     if (worker->gone || reactor.now() - worker->began < unlisted_s) continue;
+    ++listed;
     w.begin().key("Id").text(id).key("Address").text(worker->address).key("Frame").text("g8");
     w.key("Yard").text(worker->kind.zone).key("Loaners").flag(false).key("Stance").text("running");
     w.key("HeldS").amount(1).end();
   }
-  w.list_end().key("HasNext").flag(false).end();
+  w.list_end().key("HasNext").flag(next != workers.end()).end();
   return answer(200, w.take());
 }
 
@@ -605,10 +625,61 @@
   }
 }
 
+std::size_t TestCluster::connections(int node) const {
+  const auto& host = hosts_[static_cast<std::size_t>(node)];
+  return host ? host->connections.open() : 0;
+}
+
+bool TestCluster::connect(Worker& w, int node) {
+  Host& host = *hosts_[static_cast<std::size_t>(node)];
+  if (w.connected_to == host.run) {
+    host.idle.remove(&w);
+    return true;
+  }
+  for (const auto& other : hosts_) {
+    if (!other || other->run != w.connected_to) continue;
+    other->idle.remove(&w);
+    other->connections.closed();
+  }
+  w.connected_to = 0;
+  if (host.connections.is_full() && !host.idle.empty()) {
+    host.idle.front()->connected_to = 0;
+    host.idle.pop_front();
+    host.connections.closed();
+    ++broken_connections;
+  }
+  if (!host.connections.may_accept()) {
+    ++refused_connections;
+    return false;
+  }
+  host.connections.opened();
+  w.connected_to = host.run;
+  return true;
+}
+
+void TestCluster::keep_or_close(Worker& w, int node, bool answered) {
+  const auto& host = hosts_[static_cast<std::size_t>(node)];
+  if (!host || host->run != w.connected_to) {
+    w.connected_to = 0;  // it went with the node
+  } else if (answered && host->connections.keeps_answered()) {
+    host->idle.push_back(&w);
+  } else {
+    host->connections.closed();
+    w.connected_to = 0;
+  }
+}
+
 net::Task<void> TestCluster::work(Worker& w) {
+  if (report_spread > 0) {
+    Sleep begin(reactor, base_settings.report_s * chance());
+    co_await begin;
+  }
   for (;;) {
-    Sleep pause(reactor, base_settings.report_s);
+    const double spread = report_spread > 0 ? report_spread * (2 * chance() - 1) : 0;
+    const double interval = base_settings.report_s * (1 + spread);
+    Sleep pause(reactor, w.turned_away ? std::min(interval, 1.0) : interval);
     co_await pause;
+    w.turned_away = true;  // until it is answered
     if (w.gone) co_return;
     if (w.hangs) continue;
     progress(w);
@@ -625,6 +696,10 @@
       w.target = next;
       continue;
     }
+    if (!connect(w, target)) {
+      w.target = next;
+      continue;
+    }
     const std::string body = w.report();
     if (chance() < late_reports) {
       const double after = 2 + chance() * (1.5 * base_settings.lease_s - 2);
@@ -634,6 +709,7 @@
     const auto session = w.session;
     auto asking = exchange(target, {"POST", "/checkin", "", body, true}, 4);
     const auto response = co_await asking;
+    keep_or_close(w, target, response && response->status == 200);
     if (w.cannot_receive) {
       Sleep patience(reactor, std::max(sent + 4 - reactor.now(), 0.0));
       co_await patience;
@@ -653,6 +729,7 @@
       w.target = next;
     } else if (document.root()["KeyTurn"].GetUint64() >= w.token) {
       w.token = document.root()["KeyTurn"].GetUint64();
+      w.turned_away = false;
       w.answered_sent = sent;
       w.execute(document.root()["Orders"], *surroundings_, reactor.now());
     }
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -114,10 +114,15 @@
   std::vector<double> deletions;               ///< when requests of it came
   std::map<std::string, std::string> rentals;  ///< by request name
   std::vector<std::string> deleted;
+  std::set<std::string> undeletable;  ///< a deletion that names one of them is malformed
+  int list_requests = 0;
 
   /// What troubles a worker may have.
   struct Worker : WorkerStandIn {
     int target = 0;
+    /// The run of a node that holds this worker's connection; 0: none does.
+    int connected_to = 0;
+    bool turned_away = false;     ///< last time; it tries the next node a second later
     bool gone = false;            ///< deleted
     bool hangs = false;           ///< neither reports nor executes
     bool cannot_receive = false;  ///< reports arrive, answers and commands don't
@@ -131,6 +136,12 @@
   std::map<std::string, std::unique_ptr<Worker>> workers;
   /// A machine that hangs goes on.
   void wake(Worker& w);
+  /// Reports come so much of their interval sooner or later, and not all at the same moment.
+  double report_spread = 0;
+  /// Connections that workers could not open, or that were closed under them unannounced.
+  int refused_connections = 0, broken_connections = 0;
+  /// Of workers to this node.
+  std::size_t connections(int node) const;
   double run_s = 5;                        ///< of tasks
   std::map<std::string, double> run_s_of;  ///< of single tasks, where it differs
   /// Of reports, this share comes once more from 2 s to one and a half leases later.
@@ -161,6 +172,10 @@
                                     double timeout_s);
   net::Response cloud(const net::Request& r);
   net::Task<void> work(Worker& w);
+  /// Opens a connection to the node, or takes the one that is open; false when it has no room.
+  bool connect(Worker& w, int node);
+  /// What the node does with the connection after an answer.
+  void keep_or_close(Worker& w, int node, bool answered);
   net::Task<void> serve(int node, net::Request request, std::shared_ptr<Exchange> exchange);
   net::Task<void> arrive_late(Worker& w, net::Request request, double after);
   net::Task<void> apply_late(net::Request request, double after);
@@ -184,6 +199,7 @@
   std::vector<std::unique_ptr<Host>> hosts_;
   std::map<std::string, std::string> kept_reports_;  ///< by machine
   int last_leader_ = -1;
+  int last_run_ = 0;  ///< of any node
   net::Scope scope_;
 };
 
--- a/tests/versions_test.cpp
+++ b/tests/versions_test.cpp
@@ -135,7 +135,7 @@
 // As many live tasks as are allowed fit one transaction, with as many ranges of done ones between.
 TEST(Versions, TheRecordOfAsManyLiveTasksAsAllowedFitsATransaction) {
   for (const auto& [value_kb, txn_ops] :
-       {std::pair(2.0, 4), std::pair(2.0, 8), std::pair(8.0, 12)}) {
+       {std::pair(2.0, 4), std::pair(2.0, 8), std::pair(8.0, 12), std::pair(8.0, 24)}) {
     auto settings = small_settings();
     settings.value_kb = value_kb;
     settings.txn_ops = txn_ops;
