Sockets of connections that are over are closed at once, not with the next connection

Scope looked for ended routines only when it had doubled, on the next spawn: their frames kept the parameter that owns the socket.

Change: the frame of a routine that nobody awaits goes in its final suspension. Tests: what a thousand routines hold goes with their ends, with no further spawn (fails without the change); one that ends at once; cancelling.

--- a/src/net/task.hpp
+++ b/src/net/task.hpp
@@ -3,8 +3,10 @@
 #pragma once
 
 #include <coroutine>
+#include <cstdint>
 #include <exception>
-#include <list>
+#include <iterator>
+#include <map>
 #include <optional>
 #include <utility>
 
@@ -12,18 +14,19 @@
 
 template <typename T>
 class Task;
+class Scope;
 
 namespace detail {
 
 struct PromiseBase {
   std::coroutine_handle<> continuation = std::noop_coroutine();
+  Scope* owner = nullptr;          ///< of a routine that nobody awaits
+  std::uint64_t number_there = 0;  ///< by which its owner knows it
 
   struct Final {
     bool await_ready() noexcept { return false; }
     template <typename P>
-    std::coroutine_handle<> await_suspend(std::coroutine_handle<P> h) noexcept {
-      return h.promise().continuation;
-    }
+    std::coroutine_handle<> await_suspend(std::coroutine_handle<P> h) noexcept;
     void await_resume() noexcept {}
   };
   std::suspend_always initial_suspend() noexcept { return {}; }
@@ -85,6 +88,7 @@
   }
 
  private:
+  friend Scope;
   Handle handle_;
 };
 
@@ -96,8 +100,9 @@
   return Task<void>(std::coroutine_handle<Promise<void>>::from_promise(*this));
 }
 
-/// Owns routines that nobody awaits. Destroying the scope cancels them all; it must not be
-/// destroyed by one of its own routines.
+/// Owns routines that nobody awaits. A routine's frame goes as soon as the routine has ended, and
+/// with it whatever its parameters hold. Destroying the scope cancels all routines; it must not be
+/// destroyed by one of its own.
 class Scope {
  public:
   Scope() = default;
@@ -106,32 +111,38 @@
   ~Scope() { clear(); }
 
   void spawn(Task<void> task) {
-    // Looked through only when it has doubled, so that a thousand connections coming at once cost
-    // a thousand steps and not a million.
-    if (tasks_.size() >= reap_at_) {
-      reap();
-      reap_at_ = 2 * tasks_.size() + 16;
-    }
-    tasks_.push_back(std::move(task));
-    tasks_.back().start();
+    const auto number = next_number_++;
+    const auto handle = task.handle_;
+    handle.promise().owner = this;
+    handle.promise().number_there = number;
+    routines_.emplace(number, std::move(task));
+    handle.resume();  // it may have ended, and be gone, when this returns
   }
   void clear() {
-    while (!tasks_.empty()) {
-      auto last = std::move(tasks_.back());
-      tasks_.pop_back();
+    while (!routines_.empty()) {
+      // The newest first; whatever it ends in its turn is found gone.
+      auto last = routines_.extract(std::prev(routines_.end()));
     }
   }
-  std::size_t size() {
-    reap();
-    return tasks_.size();
-  }
+  std::size_t size() const { return routines_.size(); }
 
  private:
-  void reap() {
-    tasks_.remove_if([](const Task<void>& t) { return t.done(); });
-  }
-  std::list<Task<void>> tasks_;
-  std::size_t reap_at_ = 16;
+  friend detail::PromiseBase::Final;
+  // Guards against sockets held by the frames of connections that are over: once all sockets are
+  // held so, no connection comes whose routine would be the occasion to let go of them.
+  void ended(std::uint64_t number) noexcept { auto gone = routines_.extract(number); }
+
+  std::map<std::uint64_t, Task<void>> routines_;
+  std::uint64_t next_number_ = 0;
 };
 
+template <typename P>
+std::coroutine_handle<> detail::PromiseBase::Final::await_suspend(
+    std::coroutine_handle<P> h) noexcept {
+  const auto next = h.promise().continuation;
+  Scope* owner = h.promise().owner;
+  if (owner != nullptr) owner->ended(h.promise().number_there);  // destroys this frame
+  return next;
+}
+
 }  // namespace cranklock::net
