Calls and kept connections share one bound; the lab kills the leader and times the take-over

Need: of a node's sockets, six tenths and an eighth of that for the public, a sixth for kept connections and two eighths for calls of commands and users came to more than all. Kept connections now give way to calls under way. Where accept fails for want of a descriptor, one idle connection after the other goes at once, not 20 a second.

--- a/lab/controllers.cpp
+++ b/lab/controllers.cpp
@@ -172,8 +172,11 @@
 }
 
 void Controllers::crash(const std::string& region) {
+  const auto leading = serving_token(region);
   for (auto& controller : controllers_) {
-    if (controller.region == region) return end(controller, SIGKILL);
+    if (controller.region == region && serving_token(controller) == leading) {
+      return end(controller, SIGKILL);
+    }
   }
 }
 
@@ -200,6 +203,25 @@
   return {std::istreambuf_iterator<char>(in), {}};
 }
 
+std::uint64_t Controllers::serving_token(const Controller& controller) const {
+  static const std::regex line_format("serving with token ([0-9]+)");
+  const std::string log = log_of(controller);
+  std::uint64_t token = 0;
+  for (std::sregex_iterator match(log.begin(), log.end(), line_format), end; match != end;
+       ++match) {
+    token = std::max<std::uint64_t>(token, std::stoull((*match)[1]));
+  }
+  return token;
+}
+
+std::uint64_t Controllers::serving_token(const std::string& region) const {
+  std::uint64_t token = 0;
+  for (const auto& controller : controllers_) {
+    if (controller.region == region) token = std::max(token, serving_token(controller));
+  }
+  return token;
+}
+
 std::vector<Controllers::Usage> Controllers::usage() const {
   std::vector<Usage> out;
   for (const auto& controller : controllers_) {
--- a/lab/region.cpp
+++ b/lab/region.cpp
@@ -254,7 +254,9 @@
   stand_in.answered_sent = reactor_.now();
   while (!worker.gone) {
     worker.changed = stand_in.progress(surroundings_, reactor_.now()) || worker.changed;
+    const auto session = stand_in.session;
     stand_in.end_lease(plan_.lease_s, reactor_.now());
+    ended_leases_ += stand_in.session == session ? 0 : 1;
     if (worker.changed || reactor_.now() >= worker.next_report) {
       auto reporting = report(worker);
       co_await reporting;
@@ -273,6 +275,11 @@
   auto calling =
       worker.client.call(controller_address(worker.target, 0), std::move(request), kAnswerTimeout);
   const auto reply = co_await calling;
+  if (reply.status() == 200) {
+    report_s_.push_back(reactor_.now() - sent);
+  } else {
+    ++failed_reports_;
+  }
   if (worker.gone || session != worker.stand_in.session) co_return;
   if (reply.answered()) {
     take_answer(worker, reply.response, sent);
--- a/lab/region.hpp
+++ b/lab/region.hpp
@@ -59,6 +59,10 @@
   void set_state_down(bool down);
   testing::StateStandIn& state() { return state_; }
   int workers() const;
+  /// How long workers' reports took to be answered 200, in seconds, and how many were not.
+  const std::vector<double>& report_seconds() const { return report_s_; }
+  int failed_reports() const { return failed_reports_; }
+  int ended_leases() const { return ended_leases_; }
   /// What it holds, for the rule checker.
   template <typename Use>
   void each_worker(Use use) const {
@@ -100,6 +104,8 @@
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::map<std::string, std::string> rentals_;
   int rented_ = 0;
+  std::vector<double> report_s_;
+  int failed_reports_ = 0, ended_leases_ = 0;
   std::unique_ptr<net::HttpServer> state_server_, cloud_server_;
 };
 
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -279,12 +279,24 @@
     }
   };
   set(true);
+  if (fault.kind == FaultPlan::Kind::controller_crash) scope_.spawn(time_takeover(fault.region));
   Sleep during(reactor_, fault.for_s);
   co_await during;
   set(false);
   ++faults_played_;
 }
 
+Task<void> Run::time_takeover(std::string region) {
+  constexpr double kPoll = 0.02;
+  const double crashed = now();
+  const auto before = controllers_.serving_token(region);
+  while (controllers_.serving_token(region) == before) {
+    Sleep pause(reactor_, kPoll);
+    co_await pause;
+  }
+  takeover_s_.push_back(now() - crashed);
+}
+
 // ---- shares ----
 
 regions::Amounts Run::under_way_to(const std::string& region, const std::string& team) {
@@ -387,6 +399,7 @@
     seconds.push_back(shortage.seconds);
     requests.push_back(shortage.requests);
   }
+  write_percentiles(w, "takeover_s", takeover_s_);
   write_percentiles(w, "shortage_s", seconds);
   write_percentiles(w, "shortage_requests", requests);
   w.key("teams_with_wrong_sums").integer(wrong_sums_);
@@ -398,6 +411,10 @@
     w.key("state_requests").count(state.requests).key("state_writes").count(state.writes);
     w.key("state_writes_refused").integer(state.refused_writes);
     w.key("state_keys").count(state.values.size());
+    write_percentiles(w, "report_s", region->report_seconds());
+    w.key("reports").count(region->report_seconds().size());
+    w.key("reports_not_answered").integer(region->failed_reports());
+    w.key("leases_ended").integer(region->ended_leases());
     const auto held = held_gpus_.find(region->plan().name);
     if (held != held_gpus_.end()) write_percentiles(w, "share_gpus", held->second);
     w.end();
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -60,6 +60,8 @@
                      std::string* state);
   net::Task<void> watch_fleet();
   net::Task<void> play_fault(const FaultPlan& fault);
+  /// Notes how long after now another controller of the region leads.
+  net::Task<void> time_takeover(std::string region);
   net::Task<void> finish();
   wire::JobSpec next_job(const ClassPlan& plan);
   int pick_region();
@@ -87,6 +89,7 @@
   std::map<int, int> starts_by_second_;
   std::size_t most_running_ = 0, running_ = 0;
   int faults_played_ = 0, next_id_ = 0;
+  std::vector<double> takeover_s_;
   bool played_ = false;
   std::vector<Controllers::Usage> usage_;
   std::map<std::string, std::vector<double>> held_gpus_;  ///< by region, of each team, at the end
--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -55,16 +55,16 @@
 int serve(const Settings& settings) {
   using namespace cranklock;
   net::EvReactor reactor;
+  // Of the sockets that are not public: a sixth and an eighth for calls, to workers for the most
+  // part, and the connections kept for them. The rest is for the other controllers.
   net::HttpClient client(reactor, most_answer(settings),
-                         static_cast<std::size_t>(settings.fd_limit) / 6);
+                         static_cast<std::size_t>(settings.fd_limit) * 7 / 24);
   store::Client store(reactor, client, settings);
   cloud::Client cloud(reactor, client, settings);
   const control::Services services{reactor, client, settings, store, cloud};
   control::Node node(services);
 
   net::ServerLimits limits;
-  // Of the sockets that are not public: a sixth for kept connections to workers, an eighth for calls
-  // under way. The rest is for the other controllers, the state service and the cloud.
   limits.connections = base::public_connections(settings);
   limits.request_bytes = most_request_bytes(settings);
   limits.idle_s = 4 * settings.lease_s;
--- a/src/cloud/client.cpp
+++ b/src/cloud/client.cpp
@@ -65,8 +65,8 @@
   constexpr double kLeast = 1.0;
   constexpr double kListShare = 0.5;  // of the calls for other things than rentals
   const double calls_per_s = settings.cloud_rps / 2 * kListShare;
-  const double pages = 1 + static_cast<double>(machines / kMostListed);
-  return std::max({settings.list_lag_s / 4, kLeast, pages / calls_per_s});
+  const std::size_t pages = 1 + machines / kMostListed;
+  return std::max({settings.list_lag_s / 4, kLeast, static_cast<double>(pages) / calls_per_s});
 }
 
 net::Task<std::optional<std::vector<wire::ListedMachine>>> Client::list() {
--- a/src/net/client.cpp
+++ b/src/net/client.cpp
@@ -34,7 +34,11 @@
 
 void HttpClient::keep(const std::string& address, int fd) {
   idle_.push_back({address, fd, reactor_.now()});
-  if (idle_.size() > max_idle_) {
+  close_surplus();
+}
+
+void HttpClient::close_surplus() {
+  while (!idle_.empty() && idle_.size() + under_way_ > max_connections_) {
     ::close(idle_.front().fd);
     idle_.pop_front();
   }
@@ -43,7 +47,13 @@
 Task<Reply> HttpClient::call(std::string address, Request request, double timeout_s) {
   const double until = reactor_.now() + timeout_s;
   Reply reply;
+  struct UnderWay {
+    std::size_t& count;
+    ~UnderWay() { --count; }
+  };
+  const UnderWay one{++under_way_};
   Fd fd(take_idle(address));
+  close_surplus();
   if (!fd.valid()) {
     auto connecting = connect_to(reactor_, address, until);
     fd = co_await connecting;
--- a/src/net/client.hpp
+++ b/src/net/client.hpp
@@ -29,9 +29,10 @@
 
 class HttpClient : public Transport {
  public:
-  /// `max_body` bounds what an answer may hold, `max_idle` the kept connections in all.
-  HttpClient(EvReactor& reactor, std::size_t max_body, std::size_t max_idle)
-      : reactor_(reactor), max_body_(max_body), max_idle_(max_idle) {}
+  /// `max_body` bounds what an answer may hold. Connections are kept as long as there are no more
+  /// than `max_connections` with those of calls under way, which are not bounded here.
+  HttpClient(EvReactor& reactor, std::size_t max_body, std::size_t max_connections)
+      : reactor_(reactor), max_body_(max_body), max_connections_(max_connections) {}
   ~HttpClient() override;
   Task<Reply> call(std::string address, Request request, double timeout_s) override;
 
@@ -43,10 +44,13 @@
   };
   int take_idle(const std::string& address);
   void keep(const std::string& address, int fd);
+  /// Closes the connections that were kept longest, as far as there are too many in all.
+  void close_surplus();
 
   EvReactor& reactor_;
   std::size_t max_body_;
-  std::size_t max_idle_;
+  std::size_t max_connections_;
+  std::size_t under_way_ = 0;  ///< calls
   std::list<Idle> idle_;
 };
 
--- a/src/net/server.cpp
+++ b/src/net/server.cpp
@@ -11,15 +11,16 @@
   return listener_.valid();
 }
 
-void HttpServer::make_room() {
+bool HttpServer::make_room() {
   // Guards against slow or silent clients using up the sockets that workers need: the connection
   // that has been idle longest goes. Its routine sees the end and cleans up.
   for (auto& c : open_) {
     if (!c.idle) continue;
     ::shutdown(c.fd, SHUT_RDWR);
     c.idle = false;
-    return;
+    return true;
   }
+  return false;
 }
 
 Task<void> HttpServer::run() {
@@ -30,9 +31,11 @@
       Fd fd = accept_from(listener_.get());
       if (!fd.valid()) {
         if (errno == EMFILE || errno == ENFILE) {
-          make_room();
-          Sleep pause(reactor_, 0.05);
+          // The routine whose connection goes needs a turn to close it.
+          constexpr double kTurn = 0.001, kNothingToClose = 0.05;
+          Sleep pause(reactor_, make_room() ? kTurn : kNothingToClose);
           co_await pause;
+          continue;
         }
         break;
       }
--- a/src/net/server.hpp
+++ b/src/net/server.hpp
@@ -50,7 +50,8 @@
   Task<Received> receive(int fd, HttpParser& parser, Connection& connection,
                          BufferBudget::Share& held);
   Task<Response> answer(HttpParser& parser, Received received);
-  void make_room();
+  /// Closes the connection that has been idle longest; false when none is idle.
+  bool make_room();
 
   EvReactor& reactor_;
   ServerLimits limits_;
--- a/src/net/task.hpp
+++ b/src/net/task.hpp
@@ -20,8 +20,8 @@
 
 struct PromiseBase {
   std::coroutine_handle<> continuation = std::noop_coroutine();
-  Scope* owner = nullptr;          ///< of a routine that nobody awaits
-  std::uint64_t number_there = 0;  ///< by which its owner knows it
+  Scope* scope = nullptr;             ///< of a routine that nobody awaits
+  std::uint64_t number_in_scope = 0;  ///< by which its scope knows it
 
   struct Final {
     bool await_ready() noexcept { return false; }
@@ -113,8 +113,8 @@
   void spawn(Task<void> task) {
     const auto number = next_number_++;
     const auto handle = task.handle_;
-    handle.promise().owner = this;
-    handle.promise().number_there = number;
+    handle.promise().scope = this;
+    handle.promise().number_in_scope = number;
     routines_.emplace(number, std::move(task));
     handle.resume();  // it may have ended, and be gone, when this returns
   }
@@ -140,8 +140,8 @@
 std::coroutine_handle<> detail::PromiseBase::Final::await_suspend(
     std::coroutine_handle<P> h) noexcept {
   const auto next = h.promise().continuation;
-  Scope* owner = h.promise().owner;
-  if (owner != nullptr) owner->ended(h.promise().number_there);  // destroys this frame
+  Scope* owner = h.promise().scope;
+  if (owner != nullptr) owner->ended(h.promise().number_in_scope);  // destroys this frame
   return next;
 }
 
