--- /dev/null
+++ b/src/control/job_follower.cpp
@@ -0,0 +1,174 @@
+#include "control/job_follower.hpp"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+#include "control/record.hpp"
+
+namespace cranklock::control {
+
+using net::Sleep;
+using net::Task;
+using sched::Job;
+using store::Outcome;
+
+JobFollower::JobFollower(Services services, LeaderLease& lease, sched::ClusterState& cluster,
+                         RecordReloader& reloader, net::Signal& work, Term term)
+    : services_(services),
+      leader_lease_(lease),
+      cluster_(cluster),
+      reloader_(reloader),
+      work_(work),
+      term_(std::move(term)) {}
+
+// ---- take-over ----
+
+Task<bool> JobFollower::load() {
+  const double sent = now();
+  auto reading = services_.store.read_all(kJobsPrefix, kStoreTimeout);
+  const auto jobs = co_await reading;
+  if (jobs.outcome != Outcome::ok) co_return false;
+  loaded_revision_ = jobs.page.revision;
+  leader_lease_.caught_up(sent);
+  for (const auto& item : jobs.page.items) {
+    auto loading = load_one(item);
+    if (!co_await loading) co_return false;
+  }
+  known_before_ = sent;
+  co_return true;
+}
+
+Task<bool> JobFollower::load_one(const wire::StoredValue& item) {
+  int parts = 0;
+  auto job = read_record(item.data, parts);
+  if (!job) {
+    spdlog::error("record {} is malformed and left alone", item.key);
+    co_return true;
+  }
+  job->revision = item.revision;
+  if (parts > 0) {
+    auto reading = reloader_.read_parts(*job, item.revision, parts);
+    if (!co_await reading) {
+      // It changed while it was read: read it again by itself.
+      auto reloading = reloader_.reload(job->spec.id);
+      co_return co_await reloading;
+    }
+  }
+  put(std::move(*job));
+  co_return true;
+}
+
+// Guards against a deletion put off by every change of leader: the record tells when its user
+// cancelled, as well as two clocks of the day agree. What came with the changes was not stored yet
+// when all was known last.
+double JobFollower::cancelled_since(std::int64_t at_ms) const {
+  const double age = static_cast<double>(services_.reactor.wall_ms() - at_ms) / 1000 +
+                     2 * services_.settings.clock_error_s;
+  return std::min(std::max(now() - std::max(age, 0.0), known_before_), now());
+}
+
+void JobFollower::put(Job job) {
+  if (job.withdrawn()) job.withdrawn_since = cancelled_since(job.withdrawn_ms);
+  cluster_.put_job(std::move(job), now());
+}
+
+// ---- changes ----
+
+Task<void> JobFollower::follow() {
+  std::uint64_t since = loaded_revision_;
+  // As long as the pause between renewals: what an answer proves is as old as its question.
+  const double wait = LeaderLease::lease_life(services_.settings) / 4;
+  int unclear = 0;  // answers in a row
+  for (;;) {
+    const double sent = now();
+    auto watching = services_.store.watch(kJobsPrefix, since, wait);
+    auto result = co_await watching;
+    if (result.outcome == Outcome::ok) {
+      unclear = 0;
+      since = std::max(since, result.page.revision);
+      note_changes(std::move(result.page.items), sent);
+      continue;
+    }
+    leader_lease_.fell_behind();
+    // Guards against an answer that is too long to be read, and so would be asked for for ever. In
+    // an outage renewals are not answered either.
+    const bool served = leader_lease_.confirmed_sent() > sent;
+    unclear = result.outcome == Outcome::unknown && served ? unclear + 1 : 0;
+    if (result.outcome == Outcome::failed || unclear >= 3) {
+      // Too far behind: read everything again, as changes.
+      const double asked = now();
+      auto reading = services_.store.read_all(kJobsPrefix, kStoreTimeout);
+      auto all = co_await reading;
+      if (all.outcome == Outcome::ok) {
+        unclear = 0;
+        since = all.page.revision;
+        note_changes(std::move(all.page.items), asked);
+        continue;
+      }
+    }
+    Sleep pause(services_.reactor, std::min(services_.settings.report_s, wait) / 4);
+    co_await pause;
+  }
+}
+
+// Cancellations are acted on as they come: other changes wait until no transaction of ours is under
+// way, which may take as long as the state service pleases.
+void JobFollower::note_changes(std::vector<wire::StoredValue> items, double sent) {
+  bool stops = false;
+  for (auto& item : items) {
+    Job* known = cluster_.job(item.key.substr(std::string(kJobsPrefix).size()));
+    if (known != nullptr && item.revision > known->revision && !known->withdrawn()) {
+      if (const auto at_ms = read_withdrawn(item.data); at_ms != 0) {
+        cluster_.withdraw(*known, at_ms, cancelled_since(at_ms));
+        stops = true;
+      }
+    }
+    pending_.push_back(std::move(item));
+  }
+  leader_lease_.caught_up(sent);
+  known_before_ = std::max(known_before_, sent);
+  if (!pending_.empty()) work_.set();
+  if (stops) term_.job_cancelled();
+}
+
+void JobFollower::apply_changes() {
+  while (!pending_.empty()) {
+    const auto item = std::move(pending_.front());
+    pending_.pop_front();
+    apply_change(item);
+  }
+}
+
+void JobFollower::apply_change(const wire::StoredValue& item) {
+  const auto id = item.key.substr(std::string(kJobsPrefix).size());
+  const Job* known = cluster_.job(id);
+  if (known != nullptr && item.revision <= known->revision) return;
+  if (item.data.empty()) {
+    if (known != nullptr) cluster_.drop_job(id);
+    return;
+  }
+  int parts = 0;
+  auto job = read_record(item.data, parts);
+  if (!job) {
+    spdlog::error("record {} is malformed and left alone", item.key);
+    return;
+  }
+  if (parts > 0) {
+    reloader_.request(id);
+    return;
+  }
+  job->revision = item.revision;
+  if (known == nullptr) {
+    term_.job_accepted();
+    spdlog::info("job {} accepted: {} of team {}, {} tasks", id, job->spec.job_class,
+                 job->spec.team, job->spec.tasks);
+  } else if (job->withdrawn()) {
+    spdlog::info("job {} cancelled by its user", id);
+  }
+  put(std::move(*job));
+}
+
+}  // namespace cranklock::control
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -30,7 +30,8 @@
       endings_(services.reactor, services.store, cluster_, work_),
       reloader_(
           services.reactor, services.settings, services.store, cluster_,
-          [this](Job job) { put_job(std::move(job)); }, work_),
+          [this](Job job) { jobs_.put(std::move(job)); }, work_),
+      jobs_(services, lease, cluster_, reloader_, work_, job_duties()),
       writer_(services.reactor, services.settings, services.store, cluster_, reloader_,
               lease.token()),
       commands_(services, lease, cluster_, work_, command_duties()),
@@ -55,6 +56,10 @@
   return now() > last_heard_ + span;
 }
 
+JobFollower::Term Term::job_duties() {
+  return {[this] { pass_awaited_ = true; }, [this] { commands_.send_orders(); }};
+}
+
 CommandSender::Term Term::command_duties() {
   return {[this] { return is_lost_; }, [this](const char* why) { lose(why); },
           [this] { last_heard_ = now(); },
@@ -115,53 +120,14 @@
   }
   auto loading_pools = scaler_.load();
   if (!co_await loading_pools) co_return false;
-  const double sent = now();
-  auto reading_jobs = services_.store.read_all(kJobsPrefix, kStoreTimeout);
-  auto jobs = co_await reading_jobs;
-  if (jobs.outcome != Outcome::ok) co_return false;
-  loaded_revision_ = jobs.page.revision;
-  leader_lease_.caught_up(sent);
-  for (const auto& item : jobs.page.items) {
-    int parts = 0;
-    auto job = read_record(item.data, parts);
-    if (!job) {
-      spdlog::error("record {} is malformed and left alone", item.key);
-      continue;
-    }
-    job->revision = item.revision;
-    if (parts > 0) {
-      auto reading = reloader_.read_parts(*job, item.revision, parts);
-      if (!co_await reading) {
-        // It changed while it was read: read it again by itself.
-        auto reloading = reloader_.reload(job->spec.id);
-        if (!co_await reloading) co_return false;
-        continue;
-      }
-    }
-    put_job(std::move(*job));
-  }
-  known_before_ = sent;
-  co_return true;
-}
-
-// Guards against a deletion put off by every change of leader: the record tells when its user
-// cancelled, as well as two clocks of the day agree. What came with the changes was not stored yet
-// when all was known last.
-double Term::cancelled_since(std::int64_t at_ms) const {
-  const double age = static_cast<double>(services_.reactor.wall_ms() - at_ms) / 1000 +
-                     2 * services_.settings.clock_error_s;
-  return std::min(std::max(now() - std::max(age, 0.0), known_before_), now());
-}
-
-void Term::put_job(Job job) {
-  if (job.withdrawn()) job.withdrawn_since = cancelled_since(job.withdrawn_ms);
-  cluster_.put_job(std::move(job), now());
+  auto loading_jobs = jobs_.load();
+  co_return co_await loading_jobs;
 }
 
 void Term::start(net::Scope& scope) {
   scope.spawn(decide());
   scope.spawn(reloader_.run());
-  scope.spawn(follow_jobs());
+  scope.spawn(jobs_.follow());
   machines_.start(scope);
   scope.spawn(scaler_.run());
   scope.spawn(commands_.announce_token());
@@ -262,97 +228,4 @@
   return true;
 }
 
-// ---- changes of jobs ----
-
-Task<void> Term::follow_jobs() {
-  std::uint64_t since = loaded_revision_;
-  // As long as the pause between renewals: what an answer proves is as old as its question.
-  const double wait = LeaderLease::lease_life(services_.settings) / 4;
-  int unclear = 0;  // answers in a row
-  for (;;) {
-    const double sent = now();
-    auto watching = services_.store.watch(kJobsPrefix, since, wait);
-    auto result = co_await watching;
-    if (result.outcome == Outcome::ok) {
-      unclear = 0;
-      since = std::max(since, result.page.revision);
-      note_changes(std::move(result.page.items), sent);
-      continue;
-    }
-    leader_lease_.fell_behind();
-    // Guards against an answer that is too long to be read, and so would be asked for for ever. In
-    // an outage renewals are not answered either.
-    const bool served = leader_lease_.confirmed_sent() > sent;
-    unclear = result.outcome == Outcome::unknown && served ? unclear + 1 : 0;
-    if (result.outcome == Outcome::failed || unclear >= 3) {
-      // Too far behind: read everything again, as changes.
-      const double asked = now();
-      auto reading = services_.store.read_all(kJobsPrefix, kStoreTimeout);
-      auto all = co_await reading;
-      if (all.outcome == Outcome::ok) {
-        unclear = 0;
-        since = all.page.revision;
-        note_changes(std::move(all.page.items), asked);
-        continue;
-      }
-    }
-    Sleep pause(services_.reactor, std::min(services_.settings.report_s, wait) / 4);
-    co_await pause;
-  }
-}
-
-// Cancellations are acted on as they come: other changes wait until no transaction of ours is under
-// way, which may take as long as the state service pleases.
-void Term::note_changes(std::vector<wire::StoredValue> items, double sent) {
-  bool stops = false;
-  for (auto& item : items) {
-    Job* known = cluster_.job(item.key.substr(std::string(kJobsPrefix).size()));
-    if (known != nullptr && item.revision > known->revision && !known->withdrawn()) {
-      if (const auto at_ms = read_withdrawn(item.data); at_ms != 0) {
-        cluster_.withdraw(*known, at_ms, cancelled_since(at_ms));
-        stops = true;
-      }
-    }
-    pending_changes_.push_back(std::move(item));
-  }
-  leader_lease_.caught_up(sent);
-  known_before_ = std::max(known_before_, sent);
-  if (!pending_changes_.empty()) work_.set();
-  if (stops) commands_.send_orders();
-}
-
-void Term::apply_changes() {
-  // Only between transactions of our own, so that a record is never compared with one in flight.
-  while (!pending_changes_.empty()) {
-    auto item = std::move(pending_changes_.front());
-    pending_changes_.pop_front();
-    const auto id = item.key.substr(std::string(kJobsPrefix).size());
-    Job* known = cluster_.job(id);
-    if (known != nullptr && item.revision <= known->revision) continue;
-    if (item.data.empty()) {
-      if (known != nullptr) cluster_.drop_job(id);
-      continue;
-    }
-    int parts = 0;
-    auto job = read_record(item.data, parts);
-    if (!job) {
-      spdlog::error("record {} is malformed and left alone", item.key);
-      continue;
-    }
-    if (parts > 0) {
-      reloader_.request(id);
-      continue;
-    }
-    job->revision = item.revision;
-    if (known == nullptr) {
-      pass_awaited_ = true;
-      spdlog::info("job {} accepted: {} of team {}, {} tasks", id, job->spec.job_class,
-                   job->spec.team, job->spec.tasks);
-    } else if (job->withdrawn()) {
-      spdlog::info("job {} cancelled by its user", id);
-    }
-    put_job(std::move(*job));
-  }
-}
-
 }  // namespace cranklock::control
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -2,8 +2,6 @@
 // leadership until it is lost. Destroying it cancels its routines.
 #pragma once
 
-#include <deque>
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -11,6 +9,7 @@
 #include "base/settings.hpp"
 #include "control/command_sender.hpp"
 #include "control/ending_reader.hpp"
+#include "control/job_follower.hpp"
 #include "control/leader_lease.hpp"
 #include "control/machine_lifecycle.hpp"
 #include "control/pool_scaler.hpp"
@@ -57,20 +56,14 @@
   sched::ClusterState& cluster() { return cluster_; }
 
  private:
-  // Duties, each a routine.
-  net::Task<void> decide();       // changes, placement, writing, starts
-  net::Task<void> follow_jobs();  // other nodes' acceptances and cancellations
+  /// Changes, placement, writing and starts, for ever.
+  net::Task<void> decide();
 
   net::Task<void> write_jobs();
-  /// The earliest time at which a job may have been cancelled that was marked so at this time of
-  /// day.
-  double cancelled_since(std::int64_t at_ms) const;
-  void put_job(sched::Job job);
-  void note_changes(std::vector<wire::StoredValue> items, double sent);
-  void apply_changes();
   /// Whether shares of other regions bind this node, and it knows them.
   net::Task<bool> load_shares();
   regions::ShareService::Term share_duties();
+  JobFollower::Term job_duties();
   CommandSender::Term command_duties();
   PoolScaler::Term scaler_duties();
   double now() const { return services_.reactor.now(); }
@@ -83,13 +76,11 @@
   sched::ClusterState cluster_;
   net::Signal work_;
   double last_heard_;
-  std::uint64_t loaded_revision_ = 0;
 
-  std::deque<wire::StoredValue> pending_changes_;
-  double known_before_ = -1e9;  ///< when the changes last taken in were asked for
   MachineLifecycle machines_;
   EndingReader endings_;
   RecordReloader reloader_;
+  JobFollower jobs_;
   RecordWriter writer_;
   CommandSender commands_;
   PoolScaler scaler_;
--- a/src/control/term_decide.cpp
+++ b/src/control/term_decide.cpp
@@ -29,7 +29,7 @@
       co_await pause;
     }
     if (is_lost_) co_return;
-    apply_changes();
+    jobs_.apply_changes();
     endings_.read_unknown();
     const bool overdue = now() - last_pass > services_.settings.report_s;
     if (!cluster_.types().empty() && (cluster_.take_changed() || overdue)) {
@@ -65,7 +65,7 @@
     if (written == RecordWriter::Written::leadership_lost) lose("the leader's key has changed");
     if (written != RecordWriter::Written::stored) co_return;
     commands_.send_orders();
-    apply_changes();
+    jobs_.apply_changes();
     if (writer_.take_needed_job_done()) pass_awaited_ = true;
     if (pass_awaited_ && now() >= next_pass_at_) {
       // Guards against new jobs, and next stages of pipelines, that wait for hundreds of other
