Test of refused deletions: all machines are due at once

With the guard that halves a refused request taken out the test still passed, since machines became due one after the other; now the cloud is down until all are due.

--- a/tests/scenarios_test.cpp
+++ b/tests/scenarios_test.cpp
@@ -326,7 +326,10 @@
   w.undeletable = {w.workers.begin()->first};
   int hung = 0;
   for (auto& [name, worker] : w.workers) worker->hangs = hung++ < kMachines - kStay;
+  w.cloud_down = true;  // until all are due
   w.run(4 * settings.lease_s);
+  w.cloud_down = false;
+  w.run(2 * settings.lease_s);
   EXPECT_GE(w.deleted.size(), static_cast<std::size_t>(kMachines - kStay - 1));
 }
 
