--- /dev/null
+++ b/tests/planner_benchmark.cpp
@@ -0,0 +1,41 @@
+// How long a plan takes, by machines and by tasks that wait. Not part of the tests:
+//   cmake -S . -B target-bench -DCRANKLOCK_BENCHMARKS=ON && cmake --build target-bench -j8 --target
+//   planner_benchmark
+#include <benchmark/benchmark.h>
+
+#include "fragmented_fleet.hpp"
+
+namespace {
+
+using cranklock::testing::FragmentedFleet;
+
+void plan(benchmark::State& state) {
+  const FragmentedFleet fleet({static_cast<int>(state.range(0)), 6, 3, 4}, 1);
+  auto spec = *fleet.demand.spec;
+  spec.room = {96, 8, 768};  // a whole machine
+  spec.one_zone = spec.spread = false;
+  const cranklock::defrag::Demand demand{&spec, static_cast<std::size_t>(state.range(1))};
+  cranklock::defrag::PlanLimits limits;
+  limits.most_moves = 1000;
+  limits.most_looks = static_cast<std::size_t>(state.range(2));
+  std::size_t moves = 0;
+  bool found = false;
+  for (auto _ : state) {
+    auto planned = plan_moves(fleet.hosts, demand, limits);
+    found = planned.plan.has_value();
+    moves = found ? planned.plan->moves.size() : 0;
+    benchmark::DoNotOptimize(planned);
+  }
+  state.counters["found"] = found ? 1 : 0;
+  state.counters["moves"] = static_cast<double>(moves);
+}
+
+}  // namespace
+
+BENCHMARK(plan)
+    ->ArgNames({"machines", "tasks", "looks"})
+    ->ArgsProduct({{100, 800, 2600, 4200}, {1, 8, 32}, {10'000'000}})
+    ->Args({4200, 32, 100'000})
+    ->Unit(benchmark::kMillisecond);
+
+BENCHMARK_MAIN();
