--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -50,6 +50,7 @@
 
 struct OperatorSettings {
   ScalerSettings scaler;
+  double advise_every_s = 0;   ///< between two looks for moves that would make room; 0: none
   double boot_patience = 3.0;  ///< times ReadyS after which a boot is given up
   RegionSettings regions;
 };
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -36,6 +36,8 @@
               lease.token()),
       commands_(services, lease, cluster_, work_, command_duties()),
       scaler_(services, lease, cluster_, work_, scaler_duties()) {
+  const double advise_every_s = services.settings.operators.advise_every_s;
+  if (advise_every_s > 0) advisor_ = std::make_unique<defrag::Advisor>(cluster_, advise_every_s);
   if (regions == nullptr) return;
   shares_ = std::make_unique<regions::ShareService>(
       services.reactor, services.settings, services.store, *regions,
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -16,6 +16,7 @@
 #include "control/record_reloader.hpp"
 #include "control/record_writer.hpp"
 #include "control/services.hpp"
+#include "defrag/advisor.hpp"
 #include "net/reactor.hpp"
 #include "net/task.hpp"
 #include "peer/frames.hpp"
@@ -60,6 +61,7 @@
   net::Task<void> decide();
 
   net::Task<void> write_jobs();
+  void advise_on_moves();
   /// Whether shares of other regions bind this node, and it knows them.
   net::Task<bool> load_shares();
   regions::ShareService::Term share_duties();
@@ -85,7 +87,8 @@
   CommandSender commands_;
   PoolScaler scaler_;
   std::unique_ptr<regions::ShareService> shares_;
-  double next_pass_at_ = 0;  ///< no placement pass before
+  std::unique_ptr<defrag::Advisor> advisor_;  ///< where the operator asks for advice
+  double next_pass_at_ = 0;                   ///< no placement pass before
   /// Since the last pass a job has come, or one that others need has ended.
   bool pass_awaited_ = false;
 };
--- a/src/control/term_decide.cpp
+++ b/src/control/term_decide.cpp
@@ -51,12 +51,18 @@
         spdlog::debug("placed {} tasks, stopping {}", result.placed, result.stopped);
       }
     }
+    advise_on_moves();
     auto writing = write_jobs();
     co_await writing;
     commands_.send_orders();
   }
 }
 
+void Term::advise_on_moves() {
+  if (!advisor_ || cluster_.types().empty()) return;
+  if (const auto advice = advisor_->look(now())) spdlog::info("{}", defrag::to_string(*advice));
+}
+
 Task<void> Term::write_jobs() {
   for (;;) {
     if (is_lost_) co_return;
--- /dev/null
+++ b/tests/advisor_test.cpp
@@ -0,0 +1,97 @@
+// Which moves the leader would advise, by its cluster state.
+#include "defrag/advisor.hpp"
+
+#include <gtest/gtest.h>
+
+#include "defrag/fleet_view.hpp"
+#include "fixtures.hpp"
+
+namespace cranklock::defrag {
+namespace {
+
+using testing::kToken;
+using testing::make_job;
+
+/// Two machines of eight GPUs, each half full with a running task that saves, and a job of the same
+/// team and rank that wants a whole machine.
+struct Halves {
+  testing::Fleet fleet{{"n-1", "a"}, {"n-2", "a"}};
+  sched::Job& array = put("j-000001", wire::Shape::array, 4);
+  sched::Job& second = put("j-000002", wire::Shape::array, 4);
+  sched::Job& large = put("j-000003", wire::Shape::service, 8);
+  Advisor advisor{fleet.cluster, 30};
+
+  sched::Job& put(const std::string& id, wire::Shape shape, double gpus) {
+    auto job = make_job(id, shape, 1, gpus);
+    job.spec.checkpoint_s = shape == wire::Shape::array ? 10 : 0;
+    job.spec.save_s = 3;
+    return fleet.add(std::move(job));
+  }
+  Halves() {
+    fleet.settings.teams = {{"red", 0, 0, 64, 64}};
+    run(array, "n-1");
+    run(second, "n-2");
+  }
+  void run(sched::Job& job, const std::string& machine) {
+    auto& placement = fleet.cluster.add_placement(job, 0, 1, machine, 0);
+    placement.durable = placement.seen = true;
+    placement.state = wire::TaskState::running;
+    placement.running_since = 0;
+  }
+};
+
+TEST(Advisor, NamesTheMoveThatMakesRoom) {
+  Halves halves;
+  const auto advice = halves.advisor.look(60);
+  ASSERT_TRUE(advice);
+  EXPECT_EQ(advice->job, "j-000003");
+  ASSERT_EQ(advice->moves.size(), 1U);
+  EXPECT_NE(advice->moves[0].from, advice->moves[0].to);
+  EXPECT_NE(to_string(*advice).find("1 moves would make room for job j-000003"), std::string::npos);
+  // It moves nothing, and looks again only when it is time.
+  EXPECT_FALSE(halves.array.placements[0].stop || halves.second.placements[0].stop);
+  EXPECT_FALSE(halves.advisor.look(89));
+  EXPECT_TRUE(halves.advisor.look(90));
+}
+
+TEST(Advisor, NoAdviceForWhatDoesNotWaitForRoomAlone) {
+  Halves young;
+  EXPECT_FALSE(young.advisor.look(44));  // a machine boots in 45 s
+  Halves limited;
+  limited.fleet.settings.teams = {{"red", 0, 0, 64, 12}};
+  EXPECT_FALSE(limited.advisor.look(60));
+  Halves cancelled;
+  cancelled.fleet.cluster.withdraw(cancelled.large, 1, 1);
+  EXPECT_FALSE(cancelled.advisor.look(60));
+}
+
+TEST(Advisor, WhatMayNotPauseOrCostsMoreThanABootStays) {
+  Halves dear;
+  dear.array.spec.checkpoint_s = dear.second.spec.checkpoint_s = 0;
+  EXPECT_FALSE(dear.advisor.look(60));  // a minute's work each
+  Halves services;
+  services.array.spec.shape = services.second.spec.shape = wire::Shape::service;
+  EXPECT_FALSE(services.advisor.look(60));
+  Halves leaving;
+  for (auto* job : {&leaving.array, &leaving.second}) {
+    sched::ClusterState::request_stop(job->placements[0], 3, 50);
+  }
+  EXPECT_FALSE(leaving.advisor.look(60));
+  Halves in_doubt;
+  for (auto* job : {&in_doubt.array, &in_doubt.second}) job->placements[0].outcome_unknown = true;
+  EXPECT_FALSE(in_doubt.advisor.look(60));
+}
+
+TEST(FleetView, CountsWhatIsUsedAndLeavesOutMachinesThatTakeNothingNew) {
+  Halves halves;
+  const auto hosts = view_fleet(halves.fleet.cluster, 60);
+  ASSERT_EQ(hosts.size(), 2U);
+  EXPECT_DOUBLE_EQ(hosts[0].free.gpus, 4);
+  ASSERT_EQ(hosts[0].residents.size(), 1U);
+  EXPECT_DOUBLE_EQ(*hosts[0].residents[0].move_cost_s, 3 + 2 * halves.fleet.settings.report_s);
+  halves.fleet.cluster.machine("n-1")->quarantined = true;
+  EXPECT_EQ(view_fleet(halves.fleet.cluster, 60).size(), 1U);
+}
+
+}  // namespace
+}  // namespace cranklock::defrag
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -125,6 +125,16 @@
             std::string::npos);
 }
 
+TEST(Settings, AdviceOnMovesIsOffUnlessTheOperatorAsksForIt) {
+  const File toml("advice.toml", kToml);
+  const File xml("advice.xml", "<cranklock><defrag advise_every_s='30'/></cranklock>");
+  EXPECT_DOUBLE_EQ(load_settings(toml.path(), "").operators.advise_every_s, 0);
+  EXPECT_DOUBLE_EQ(load_settings(toml.path(), xml.path()).operators.advise_every_s, 30);
+  EXPECT_NE(complaint(kToml, "<cranklock><defrag advise_every_s='0'/></cranklock>")
+                .find("defrag/advise_every_s: expected a number"),
+            std::string::npos);
+}
+
 const std::string kRegions =
     "<cranklock><regions self='east' founder='west'>"
     "<region name='east' share='0.25'><controller member='n0' address='127.0.0.1:5'/></region>"
