--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -338,22 +338,25 @@
   if (leads()) {
     direct_reports_.note(workers_heard_);
     const auto forwarder = forwarder_for(*report);
-    if (!forwarder.empty()) co_return plain_answer(421, wire::misdirected_answer(forwarder));
+    if (!forwarder.empty()) {
+      spdlog::debug("worker {} is handed over to {}", report->machine, forwarder);
+      co_return plain_answer(421, wire::misdirected_answer(forwarder));
+    }
     co_return term_->handle_report(*report);
   }
   if (term_ != nullptr) co_return come_back("taking over");
-  const std::string machine = report->machine;
   if (forwarder_.may_forward(*report)) {
-    auto forwarding = forwarder_.forward(std::move(*report), std::move(request.body),
-                                         [this] { return state_heard_; });
+    auto forwarding =
+        forwarder_.forward(*report, std::move(request.body), [this] { return state_heard_; });
     auto response = co_await forwarding;
     if (response.status == 200) {
-      forwarder_.sent_away(machine);  // for as long as it comes here, it may go on doing so
+      forwarder_.note_forwarded(*report);
       co_return response;
     }
   }
   const auto leader = believed_leader();
-  if (!leader.empty()) forwarder_.sent_away(machine);
+  if (!leader.empty()) forwarder_.note_sent_away(*report);
+  spdlog::debug("worker {} is sent to {}", report->machine, leader.empty() ? "nobody" : leader);
   co_return plain_answer(421, wire::misdirected_answer(leader));
 }
 
--- a/src/control/report_forwarder.cpp
+++ b/src/control/report_forwarder.cpp
@@ -38,15 +38,38 @@
          !reaches_leader() && reactor_.now() < trust->until;
 }
 
-void ReportForwarder::sent_away(const std::string& machine) {
-  sent_away_.put(machine, reactor_.now());
+ReportForwarder::Visit ReportForwarder::last_visit(const std::string& machine) const {
+  const Visit* visit = visits_.find(machine);
+  return visit != nullptr ? *visit : Visit{};
+}
+
+void ReportForwarder::note_forwarded(const wire::Report& report) {
+  if (!is_of_other_nodes(report)) return;
+  Visit visit = last_visit(report.machine);
+  // For as long as it comes here, it may go on doing so.
+  if (came_back(report.machine)) visit.sent_away_at = reactor_.now();
+  visit.forwarded_at = reactor_.now();
+  visits_.put(report.machine, visit);
+}
+
+void ReportForwarder::note_sent_away(const wire::Report& report) {
+  if (!is_of_other_nodes(report)) return;
+  Visit visit = last_visit(report.machine);
+  visit.sent_away_at = reactor_.now();
+  visits_.put(report.machine, visit);
+}
+
+// Guards against a lease that ends on the way: a worker that comes from a node which holds its
+// reports has lost half of a short lease, and one that is sent back there loses the rest.
+bool ReportForwarder::is_first_visit(const std::string& machine) const {
+  const Visit visit = last_visit(machine);
+  return reactor_.now() - std::max(visit.forwarded_at, visit.sent_away_at) >= settings_.lease_s;
 }
 
 // Guards against workers sent to and fro until their leases end: one that is back so soon has found
 // that the leader, which this node hears, can't be reached from there.
 bool ReportForwarder::came_back(const std::string& machine) const {
-  const double* at = sent_away_.find(machine);
-  return at != nullptr && reactor_.now() - *at < settings_.lease_s;
+  return reactor_.now() - last_visit(machine).sent_away_at < settings_.lease_s;
 }
 
 void ReportForwarder::answered(const peer::ForwardedAnswer& answer) {
--- a/src/control/report_forwarder.hpp
+++ b/src/control/report_forwarder.hpp
@@ -1,7 +1,9 @@
 // A node that does not lead serves its own zone's workers: it forwards their reports to the leader,
 // and when the zone is cut off it answers them in the leader's stead, for as long as that is safe.
-// It forwards for zones without a controller too. Workers of other zones it sends to the leader,
-// and forwards for those that can't reach it.
+// It forwards for zones without a controller too. A worker of another zone is answered by
+// forwarding when it first comes, so that it has a whole lease to find its place in; then it is
+// sent to the leader, and forwarded for good if it comes back, since the leader can't be reached
+// from there.
 #pragma once
 
 #include <algorithm>
@@ -32,7 +34,7 @@
         // taken for one to ours: the time of day goes faster than reports come.
         next_id_(static_cast<std::uint64_t>(reactor.wall_ms()) << 16),
         trusted_(kMostWorkers),
-        sent_away_(kMostWorkers) {}
+        visits_(kMostWorkers) {}
 
   /// Without it nothing is forwarded.
   void set_send(Send send) { send_ = std::move(send); }
@@ -52,10 +54,14 @@
   bool may_forward(const wire::Report& report) const {
     if (!send_) return false;
     if (report.zone == settings_.zone) return reaches_leader() || answers_alone(report);
-    return reaches_leader() && (!settings_.has_node(report.zone) || came_back(report.machine));
+    if (!reaches_leader()) return false;
+    return !is_of_other_nodes(report) || is_first_visit(report.machine) ||
+           came_back(report.machine);
   }
-  /// The worker of another zone was told to report to the leader.
-  void sent_away(const std::string& machine);
+  /// The worker was answered 200 here.
+  void note_forwarded(const wire::Report& report);
+  /// The worker was told to report to the leader.
+  void note_sent_away(const wire::Report& report);
 
   /// `state_heard` says when the state service last answered: that tells a zone that is cut off
   /// from a leader that has ended, whose workers had better look for its successor. An answer of
@@ -70,6 +76,11 @@
     bool done = false;
     peer::ForwardedAnswer answer;
   };
+  /// When a worker of another zone was last here.
+  struct Visit {
+    double forwarded_at = -1e9;
+    double sent_away_at = -1e9;
+  };
   struct Trust {
     std::uint64_t token = 0;
     double until = 0;
@@ -79,7 +90,13 @@
   static constexpr std::size_t kMostWorkers = 32'768;
 
   bool answers_alone(const wire::Report& report) const;
+  /// Whether its zone is another one, with a node to forward for it.
+  bool is_of_other_nodes(const wire::Report& report) const {
+    return report.zone != settings_.zone && settings_.has_node(report.zone);
+  }
+  bool is_first_visit(const std::string& machine) const;
   bool came_back(const std::string& machine) const;
+  Visit last_visit(const std::string& machine) const;
 
   net::Reactor& reactor_;
   const base::Settings& settings_;
@@ -92,7 +109,7 @@
   std::uint64_t next_id_;
   std::map<std::uint64_t, Pending*> pending_;
   base::RecentMap<Trust> trusted_;  ///< by worker, as the leader last allowed
-  base::RecentMap<double> sent_away_;
+  base::RecentMap<Visit> visits_;   ///< by worker
 };
 
 }  // namespace cranklock::control
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -101,6 +101,7 @@
   std::set<int> cut_from_state;    ///< nodes whose requests get no answer and are not executed
   std::set<int> cut_from_peers;
   std::set<int> cut_from_workers;
+  std::set<int> held_from_workers;  ///< the same, and workers wait in vain for their answers
   std::set<std::string> cut_zones;  ///< cut off from everything outside, and working inside
   int swallow_txn_answers = 0;      ///< so many transactions are executed, and not answered
   double late_txns = 0;             ///< this share is executed 2 to 12 s later, and not answered
