--- a/src/control/users.cpp
+++ b/src/control/users.cpp
@@ -15,12 +15,8 @@
 
 namespace {
 constexpr double kSlowAnswer = 0.1;
+constexpr double kLeastInProgress = 4;
 constexpr const char* kNoStateService = "the state service does not answer";
-
-JobState state_of(const sched::Job& job) {
-  if (job.withdrawn()) return JobState::withdrawn;
-  return job.placements.empty() ? JobState::queued : JobState::running;
-}
 }  // namespace
 
 Response plain_answer(int status, std::string body) {
@@ -40,17 +36,22 @@
     : services_(services),
       lookup_(services.store, std::move(state_reached)),
       needs_check_(services.reactor, services.settings.cancel_s, lookup_),
-      limiter_(4, services.settings.fd_limit / 8.0, kSlowAnswer) {}
+      status_cache_(services.reactor, services.settings, services.store),
+      limiter_(kLeastInProgress, services.settings.fd_limit / 8.0, kSlowAnswer),
+      // One that waits for a shared exchange is not slow.
+      question_limiter_(kLeastInProgress, services.settings.fd_limit / 8.0,
+                        kSlowAnswer + 2 * status_cache_.interval()) {}
 
 Task<Response> Users::handle(Request request) {
-  if (!limiter_.try_enter()) co_return come_back("too many requests in progress");
+  net::Limiter& limiter = is_question(request) ? question_limiter_ : limiter_;
+  if (!limiter.try_enter()) co_return come_back("too many requests in progress");
   struct Leave {
     net::Limiter& limiter;
     net::Reactor& reactor;
     double since;
     ~Leave() { limiter.leave(reactor.now() - since, reactor.now()); }
   };
-  Leave leave{limiter_, services_.reactor, services_.reactor.now()};
+  Leave leave{limiter, services_.reactor, services_.reactor.now()};
   auto routing = route(std::move(request));
   auto response = co_await routing;
   co_return response;
@@ -140,7 +141,7 @@
     if (found.kind != StoredJob::Kind::live) co_return std::nullopt;
     const std::string id = found.job.spec.id;
     const bool waits = !found.job.spec.needs.empty() && !found.started() && !found.cancelled();
-    if (!waits) co_return state_of(found.job);
+    if (!waits) co_return status_of(found.job).state;
     auto checking = needs_check_.check(found.job.spec.needs);
     const auto verdict = co_await checking;
     if (verdict == NeedsCheck::Verdict::unclear) co_return std::nullopt;
@@ -240,6 +241,16 @@
 Task<Response> Users::status(std::string id) {
   const auto no_such = [] { return plain_answer(404, wire::error_answer("no such job")); };
   if (!wire::valid_job_id(id)) co_return no_such();
+  const bool share = status_cache_.note_question();
+  if (share && lookup_.known_ending(id) == nullptr && lookup_.state_reached()) {
+    auto asking = status_cache_.find(id);
+    const auto found = co_await asking;
+    if (found.kind == StatusCache::Kind::unavailable) co_return come_back(kNoStateService);
+    if (found.kind == StatusCache::Kind::known) {
+      const auto& status = found.status;
+      co_return plain_answer(200, wire::job_status(id, status.state, status.done, status.running));
+    }
+  }
   auto looking = lookup_.find(id);
   auto found = co_await looking;
   if (found.kind == StoredJob::Kind::absent) co_return no_such();
--- a/src/control/users.hpp
+++ b/src/control/users.hpp
@@ -9,6 +9,7 @@
 
 #include "control/job_lookup.hpp"
 #include "control/needs_check.hpp"
+#include "control/status_cache.hpp"
 #include "control/term.hpp"
 #include "net/limiter.hpp"
 
@@ -27,6 +28,8 @@
 
  private:
   net::Task<net::Response> route(net::Request request);
+  /// Asks, and changes nothing.
+  static bool is_question(const net::Request& request) { return request.method == "GET"; }
   net::Task<net::Response> submit(std::string body);
   net::Task<net::Response> status(std::string id);
   net::Task<net::Response> withdraw(std::string id);
@@ -46,7 +49,9 @@
   Services services_;
   JobLookup lookup_;
   NeedsCheck needs_check_;
-  net::Limiter limiter_;
+  StatusCache status_cache_;
+  net::Limiter limiter_;           ///< of submissions and cancellations
+  net::Limiter question_limiter_;  ///< apart, so that questions hold up neither
   std::vector<wire::MachineType> types_;
 };
 
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -71,7 +71,7 @@
   if (charge.urgent) {
     requests_.force(1);
   } else {
-    for (double wait = 0; (wait = std::max(requests_.take(1), 0.0)) > 0;) {
+    for (double wait = 0; (wait = requests_.take(1, charge.request_overdraft)) > 0;) {
       if (reactor_.now() + wait >= until) co_return net::Reply{net::Reply::Kind::not_sent, {}};
       net::Sleep pause(reactor_, wait);
       co_await pause;
@@ -123,13 +123,21 @@
 }
 }  // namespace
 
+namespace {
+constexpr double kUserRequestOverdraft = 0.25;  ///< of a second's worth
+}
+
 net::Task<TxnResult> Client::transact(std::vector<wire::Condition> conditions,
                                       std::vector<wire::Change> changes, double timeout_s,
                                       Priority priority) {
   net::Request request{"POST", "/txn", "", wire::txn_request(conditions, changes), true};
   Charge charge;
   charge.writes = static_cast<double>(changes.size());
-  if (priority == Priority::user) charge.overdraft = user_overdraft_;
+  if (priority == Priority::user) {
+    charge.overdraft = user_overdraft_;
+    // Guards against a submission or cancellation that waits behind questions.
+    charge.request_overdraft = kUserRequestOverdraft * requests_.rate();
+  }
   auto sending = send(std::move(request), timeout_s, charge);
   const auto reply = co_await sending;
   TxnResult result;
@@ -169,43 +177,67 @@
   co_return result;
 }
 
+net::Task<RangeResult> Client::read_page(std::string prefix, std::string after, int most,
+                                         double timeout_s) {
+  net::Request request{"GET", "/store", wire::range_query(prefix, after, most), "", true};
+  auto sending = send(std::move(request), timeout_s, {});
+  const auto reply = co_await sending;
+  RangeResult result;
+  result.outcome = outcome_of(reply);
+  if (result.outcome != Outcome::ok) co_return result;
+  auto page = wire::parse_range(reply.response.body);
+  if (page) {
+    result.page = std::move(*page);
+  } else {
+    result.outcome = Outcome::unknown;
+  }
+  co_return result;
+}
+
 net::Task<RangeResult> Client::read_all(std::string prefix, double timeout_s) {
+  constexpr int kPageItems = 200;
   RangeResult result;
   std::string after;
   for (;;) {
-    net::Request request{"GET", "/store", wire::range_query(prefix, after, 200), "", true};
-    auto sending = send(std::move(request), timeout_s, {});
-    const auto reply = co_await sending;
-    result.outcome = outcome_of(reply);
+    auto reading = read_page(prefix, after, kPageItems, timeout_s);
+    auto read = co_await reading;
+    result.outcome = read.outcome;
     if (result.outcome != Outcome::ok) co_return result;
-    auto page = wire::parse_range(reply.response.body);
-    if (!page) {
-      result.outcome = Outcome::unknown;
-      co_return result;
-    }
-    if (after.empty()) result.page.revision = page->revision;
-    for (auto& item : page->items) result.page.items.push_back(std::move(item));
-    if (!page->more || page->items.empty()) co_return result;
+    if (after.empty()) result.page.revision = read.page.revision;
+    for (auto& item : read.page.items) result.page.items.push_back(std::move(item));
+    if (!read.page.more || read.page.items.empty()) co_return result;
     after = result.page.items.back().key;
   }
 }
 
+RangeResult Client::changes_in(const net::Reply& reply) {
+  RangeResult result;
+  result.outcome = outcome_of(reply);
+  if (result.outcome != Outcome::ok) return result;
+  auto page = wire::parse_watch(reply.response.body);
+  if (page) {
+    result.page = std::move(*page);
+  } else {
+    result.outcome = Outcome::unknown;
+  }
+  return result;
+}
+
 net::Task<RangeResult> Client::watch(std::string prefix, std::uint64_t since, double wait_s) {
   net::Request request{"GET", "/follow",
                        wire::watch_query(prefix, since, static_cast<int>(wait_s * 1000)), "", true};
   auto sending = send(std::move(request), wait_s * 1.5 + 1.0, {});
   const auto reply = co_await sending;
-  RangeResult result;
-  result.outcome = outcome_of(reply);
-  if (result.outcome == Outcome::ok) {
-    auto page = wire::parse_watch(reply.response.body);
-    if (!page) {
-      result.outcome = Outcome::unknown;
-    } else {
-      result.page = std::move(*page);
-    }
-  }
-  co_return result;
+  co_return changes_in(reply);
+}
+
+net::Task<RangeResult> Client::changes(std::string prefix, std::uint64_t since, double timeout_s) {
+  net::Request request{"GET", "/follow", wire::watch_query(prefix, since, 0), "", true};
+  Charge charge;
+  charge.urgent = true;
+  auto sending = send(std::move(request), timeout_s, charge);
+  const auto reply = co_await sending;
+  co_return changes_in(reply);
 }
 
 net::Task<std::optional<std::uint64_t>> Client::grant_lease(double life_s, double timeout_s) {
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -23,6 +23,7 @@
   double take(double amount, double overdraft = 0);
   /// Takes without asking; what is overdrawn delays the others.
   void force(double amount);
+  double rate() const { return rate_; }
   /// The service refused for its rate: what this bucket held is not there.
   void empty();
 
@@ -73,6 +74,14 @@
   /// Everything under a prefix, page by page; `revision` is that of the first page, so that a watch
   /// from there misses nothing.
   net::Task<RangeResult> read_all(std::string prefix, double timeout_s);
+  /// Up to `most` values after a key; `more` where there are others.
+  net::Task<RangeResult> read_page(std::string prefix, std::string after, int most,
+                                   double timeout_s);
+  /// Every change after the revision, at once. Does not wait for the budget, since many share the
+  /// answer: whoever asks keeps the pace. `failed` when the revision is too old.
+  net::Task<RangeResult> changes(std::string prefix, std::uint64_t since, double timeout_s);
+  /// Requests a second that this node may make.
+  double request_rate() const { return requests_.rate(); }
   /// `failed` when the revision is too old.
   net::Task<RangeResult> watch(std::string prefix, std::uint64_t since, double wait_s);
   net::Task<std::optional<std::uint64_t>> grant_lease(double life_s, double timeout_s);
@@ -89,9 +98,11 @@
   struct Charge {
     double writes = 0;
     double overdraft = 0;  ///< allowed for the writes
-    bool urgent = false;   ///< does not wait for the budgets
+    double request_overdraft = 0;
+    bool urgent = false;  ///< does not wait for the budgets
   };
   net::Task<net::Reply> send(net::Request request, double timeout_s, Charge charge);
+  static RangeResult changes_in(const net::Reply& reply);
 
   net::Reactor& reactor_;
   net::Transport& transport_;
