A leader that stood still asks for its lease before it deletes a machine

Standing still for part of a lease, it deleted a machine for a cancelled task that was long over, and with it what its successor had placed there (shown by a test on the in-memory cluster, which can now stop and wake a node; requests to the cloud that were sent there arrive though their sender is gone). Deletions without a valid leader lease need a renewal asked for within its life.

--- a/src/control/leader_lease.hpp
+++ b/src/control/leader_lease.hpp
@@ -13,13 +13,22 @@
 class LeaderLease {
  public:
   LeaderLease(const base::Settings& settings, std::uint64_t token, double confirmed_sent)
-      : settings_(settings), token_(token), confirmed_sent_(confirmed_sent) {}
+      : settings_(settings),
+        token_(token),
+        confirmed_sent_(confirmed_sent),
+        asked_sent_(confirmed_sent) {}
 
   static double lease_life(const base::Settings& settings) { return settings.lease_s / 5; }
 
   std::uint64_t token() const { return token_; }
   /// A renewal that was sent at this time has succeeded.
   void confirm(double sent) { confirmed_sent_ = std::max(confirmed_sent_, sent); }
+  /// A renewal that was sent at this time was not refused for an ended lease: it succeeded, or the
+  /// state service did not say.
+  void asked(double sent) { asked_sent_ = std::max(asked_sent_, sent); }
+  /// Nothing has lately told that another may lead. Judged by renewals, which are sent several
+  /// times in the life of the lease: a process that was held up for longer has to ask first.
+  bool may_still_lead(double now) const { return now < asked_sent_ + lease_life(settings_); }
   /// Every cancellation stored before this time has been taken in: it is when the exchange was sent
   /// whose answer held all changes of jobs up to its revision. A leader lease is not knowledge:
   /// after a refusal or an outage a renewal may well come through before the changes do.
@@ -47,6 +56,7 @@
   const base::Settings& settings_;
   std::uint64_t token_;
   double confirmed_sent_;
+  double asked_sent_;
   double caught_up_sent_ = -1e9;
   bool behind_ = false;
 };
--- a/src/control/machine_lifecycle.cpp
+++ b/src/control/machine_lifecycle.cpp
@@ -95,11 +95,18 @@
   deletions_.set();
 }
 
-// What was cancelled must be gone in time, also in an outage: no leader wants it to go on.
+// What was cancelled must be gone in time, also in an outage: no leader wants it to go on. Guards
+// against a leader that stood still, and knows neither that the task has ended since nor what its
+// successor has placed on the machine: it has to ask for its lease first.
+bool MachineLifecycle::may_delete(const Machine& m) const {
+  if (leader_lease_.valid(now())) return true;
+  return holds_cancelled(m) && leader_lease_.may_still_lead(now());
+}
+
 std::vector<std::string> MachineLifecycle::due_deletions() const {
   std::vector<std::string> names, from_start;
   for (const auto& [id, m] : cluster_.machines()) {
-    if (!m.removing || (!leader_lease_.valid(now()) && !holds_cancelled(m))) continue;
+    if (!m.removing || !may_delete(m)) continue;
     auto& list = id > deletions_after_ ? names : from_start;
     if (list.size() < most_deletions_) list.push_back(id);
   }
--- a/src/control/machine_lifecycle.hpp
+++ b/src/control/machine_lifecycle.hpp
@@ -38,6 +38,7 @@
 
   void take_in_list(const std::vector<wire::ListedMachine>& machines);
   /// Machines to be deleted next, no more than one request may name.
+  bool may_delete(const sched::Machine& machine) const;
   std::vector<std::string> due_deletions() const;
   void note_removal(const std::vector<std::string>& names, cloud::Removal removal);
   void note_deleted(const std::vector<std::string>& names);
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -302,6 +302,7 @@
     const double sent = services_.reactor.now();
     auto renewing = services_.store.renew_lease(taken.lease, life / 3);
     const auto renewed = co_await renewing;
+    if (renewed != Outcome::failed) leader_lease_->asked(sent);
     if (renewed == Outcome::ok) {
       leader_lease_->confirm(sent);
     } else if (renewed == Outcome::failed) {
--- a/src/control/status_cache.cpp
+++ b/src/control/status_cache.cpp
@@ -13,7 +13,7 @@
 using wire::JobState;
 
 namespace {
-constexpr double kShareOfRequests = 0.25;  ///< of this node's, for exchanges
+constexpr double kShareOfRequests = 0.25;            ///< of this node's, for exchanges
 constexpr double kLeastInterval = kUserTimeout / 8;  ///< seconds
 constexpr int kPageItems = 200;
 
--- a/tests/ops_troubles_test.cpp
+++ b/tests/ops_troubles_test.cpp
@@ -83,5 +83,167 @@
   zones.expect_undisturbed();
 }
 
+// ---- a controller that stands still ----
+
+constexpr double kStill = 70;  ///< longer than cancel_s, and than any lease
+
+/// Runs until it holds; false when that takes too long.
+template <typename Holds>
+bool wait_for(TestCluster& w, double most_s, Holds holds) {
+  for (double t = 0; t < most_s && !holds(); t += 0.25) w.run(0.25);
+  return holds();
+}
+
+bool is_deleted(const TestCluster& w, const std::string& machine) {
+  return std::find(w.deleted.begin(), w.deleted.end(), machine) != w.deleted.end();
+}
+
+std::string holder_of(const TestCluster& w, const std::string& job) {
+  for (const auto& [id, worker] : w.workers) {
+    for (const auto& [task, held] : worker->tasks) {
+      if (task.starts_with(job + "/") && held.state != wire::TaskState::exited) return id;
+    }
+  }
+  return "";
+}
+
+// A leader that stood still wakes with a leader lease, timers and news of more than a minute ago.
+// Whatever it believes of silent workers and missing machines, nothing may come of it.
+TEST(OpsTroubles, ALeaderThatStoodStillDisturbsNothingWhenItWakes) {
+  TwoZones zones;
+  auto& w = zones.w;
+  zones.serve();
+  const int old = w.leader();
+  w.stop_node(old);
+  ASSERT_TRUE(wait_for(w, 10, [&] { return w.leader() >= 0; }));
+  w.run(kStill);
+  const auto deleted = w.deleted.size();
+  const auto rented = w.rented;
+  const int successor = w.leader();
+  w.wake_node(old);
+  w.run(15);
+  EXPECT_EQ(w.leader(), successor);
+  EXPECT_EQ(w.deleted.size(), deleted);
+  EXPECT_EQ(w.rented, rented);
+  zones.expect_undisturbed();
+}
+
+// The same for a node that does not lead, the only one of its zone that is up, while another fails.
+TEST(OpsTroubles, AZonesOnlyNodeThatStandsStillCostsNoLease) {
+  TestCluster w(4, {"a", "b", "a", "a"});
+  w.run_s = 10'000;
+  for (const char* zone : {"a", "b"}) w.add_worker(zone);
+  w.run(1);
+  ASSERT_NE(w.leader(), 1);
+  w.submit(0, service_in("j-000001", "a", 4));
+  w.submit(0, service_in("j-000002", "b", 4));
+  w.run(15);
+  ASSERT_EQ(w.running("j-000002"), 4);
+  w.stop_node(1);
+  w.run(20);
+  const int other = w.leader() == 2 ? 3 : 2;
+  w.crash_node(other);
+  w.run(kStill);
+  w.wake_node(1);
+  w.start_node(other);
+  w.run(15);
+  EXPECT_EQ(most_sessions(w), 1U);
+  EXPECT_EQ(w.running("j-000001"), 4);
+  EXPECT_EQ(w.running("j-000002"), 4);
+}
+
+// Guards against a machine deleted on the word of a leader that stood still: it knows of a
+// cancelled task there and not of its end, and not of the work that its successor put there since.
+TEST(OpsTroubles, ALeaderThatStoodStillDeletesNoMachineForWhatIsLongOver) {
+  auto settings = small_settings();
+  settings.report_s = 3;
+  settings.lease_s = 29;
+  settings.cancel_s = 49;
+  settings.cloud_rps = 20;  // a deletion waits for nothing
+  TestCluster w(3, {"a", "a", "a"}, settings);
+  w.run_s = 10'000;
+  w.add_worker("a");
+  w.run(1);
+  w.submit(0, service_in("j-000001", "a", 4));
+  w.run(15);
+  const auto machine = holder_of(w, "j-000001");
+  ASSERT_FALSE(machine.empty());
+  auto& worker = *w.workers.at(machine);
+  const int old = w.leader();
+  worker.hangs = true;
+  w.cancel((old + 1) % 3, "j-000001");
+  w.run(1);
+  w.stop_node(old);
+  w.wake(worker);
+  const double stopped = w.reactor.now();
+  ASSERT_TRUE(wait_for(w, 10, [&] { return w.leader() >= 0; }));
+  ASSERT_TRUE(wait_for(w, 5, [&] { return w.held("j-000001") == 0; }));
+  w.submit(w.leader(), service_in("j-000002", "a", 8));
+  ASSERT_TRUE(wait_for(w, 10, [&] { return w.running("j-000002") == 8; }));
+  ASSERT_FALSE(is_deleted(w, machine));
+  ASSERT_EQ(holder_of(w, "j-000002"), machine);
+  // The cancellation is overdue as the former leader knows it, and no lease is over yet.
+  w.run(stopped + 0.85 * w.base_settings.lease_s - w.reactor.now());
+  w.state_slow_s = 0.5;
+  w.wake_node(old);
+  w.run(15);
+  EXPECT_FALSE(is_deleted(w, machine));
+  EXPECT_EQ(w.running("j-000002"), 8);
+}
+
+// Who asks a node that has just woken hears nothing older than was told meanwhile, be the question
+// from before it woke.
+TEST(OpsTroubles, ANodeThatStoodStillTellsNothingOlder) {
+  TestCluster w(3, {"a", "a", "a"});
+  w.run_s = 10'000;
+  w.run(1);
+  for (int i = 1; i <= 3; ++i) w.submit(0, service_in("j-00000" + std::to_string(i), "a", 1));
+  w.run(15);
+  for (const int node : {w.leader(), (w.leader() + 1) % 3}) {
+    const auto job = "j-00000" + std::to_string(node == w.leader() ? 1 : 2);
+    const int other = (node + 2) % 3;
+    w.state_of(node, job);
+    w.stop_node(node);
+    std::vector<net::Task<std::optional<net::Response>>> asked;
+    for (int i = 0; i < 5; ++i) {
+      asked.push_back(w.user_asks(node, "GET", "/v1/jobs/" + job, ""));
+      asked.back().start();
+    }
+    w.run(kStill);
+    w.cancel(other, job);
+    w.wake_node(node);
+    const auto told = w.state_of(node, job);
+    EXPECT_TRUE(told == "withdrawn" || told == "503") << told;
+    w.run(5);
+    EXPECT_EQ(w.state_of(node, job), "withdrawn");
+  }
+}
+
+// Its rental and its transactions were under way, their answers lost to it: the rental's name is
+// asked for again, or its machines are found, and nothing runs twice.
+TEST(OpsTroubles, ALeaderStandsStillWithRequestsInDoubt) {
+  for (const double moment : {2.2, 3.1, 4.3, 6.5}) {
+    TestCluster w(3, {"a", "a", "a"});
+    w.run_s = 10'000;
+    w.swallow_rental_answers = 1;
+    w.run(1);
+    w.submit(0, service_in("j-000001", "a", 8));
+    w.run(moment);
+    const int old = w.leader();
+    w.submit((old + 1) % 3, service_in("j-000002", "a", 4));
+    w.swallow_txn_answers = 1;
+    w.run(0.1);
+    w.stop_node(old);
+    w.run(kStill);
+    EXPECT_EQ(w.running("j-000001"), 8);
+    EXPECT_EQ(w.running("j-000002"), 4);
+    w.wake_node(old);
+    w.run(15);
+    EXPECT_EQ(w.running("j-000001"), 8);
+    EXPECT_EQ(w.running("j-000002"), 4);
+    EXPECT_EQ(w.ran_twice, 0);
+  }
+}
+
 }  // namespace
 }  // namespace cranklock::testing
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -19,12 +19,21 @@
 
 namespace {
 
+constexpr double kWay = 0.003;  ///< of a message
+constexpr double kLook = 0.02;  ///< how often it is looked whether a node still stands still
+
 struct NodeTransport : net::Transport {
   TestCluster& cluster;
   int node;
   NodeTransport(TestCluster& w, int n) : cluster(w), node(n) {}
   net::Task<Reply> call(std::string address, Request request, double timeout_s) override {
-    return cluster.call(node, std::move(address), std::move(request), timeout_s);
+    auto calling = cluster.call(node, std::move(address), std::move(request), timeout_s);
+    auto reply = co_await calling;
+    while (cluster.stands_still(node)) {
+      Sleep pause(cluster.reactor, kLook);
+      co_await pause;
+    }
+    co_return reply;
   }
 };
 
@@ -36,6 +45,7 @@
 
 struct TestCluster::Host {
   base::Settings settings;
+  FakeReactor::Loop reactor;
   NodeTransport transport;
   store::Client store;
   cloud::Client cloud;
@@ -47,10 +57,11 @@
 
   Host(TestCluster& w, int i, base::Settings s, int number)
       : settings(std::move(s)),
+        reactor(w.reactor),
         transport(w, i),
-        store(w.reactor, transport, settings),
-        cloud(w.reactor, transport, settings),
-        node({w.reactor, transport, settings, store, cloud}),
+        store(reactor, transport, settings),
+        cloud(reactor, transport, settings),
+        node({reactor, transport, settings, store, cloud}),
         run(number),
         connections(base::public_connections(settings)) {
     node.set_connection_load([this] { return connections.load(); });
@@ -66,6 +77,12 @@
   std::optional<Response> response;
 };
 
+struct TestCluster::CloudCall {
+  explicit CloudCall(net::Reactor& reactor) : answered(reactor) {}
+  net::Signal answered;
+  Reply reply;
+};
+
 class TestCluster::Surroundings : public WorkerStandIn::Surroundings {
  public:
   explicit Surroundings(TestCluster& cluster) : cluster_(cluster) {}
@@ -161,6 +178,10 @@
 
 net::Task<void> TestCluster::link(int node) {
   for (;;) {
+    while (stands_still(node)) {
+      Sleep pause(reactor, kLook);
+      co_await pause;
+    }
     const auto hello = hosts_[static_cast<std::size_t>(node)]->node.hello();
     for (int other = 0; other < static_cast<int>(hosts_.size()); ++other) {
       if (other != node) scope_.spawn(deliver(node, other, hello));
@@ -171,8 +192,12 @@
 }
 
 net::Task<void> TestCluster::deliver(int from, int to, peer::Frame frame) {
-  Sleep there(reactor, 0.003);
+  Sleep there(reactor, kWay);
   co_await there;
+  while (stands_still(to)) {
+    Sleep pause(reactor, kLook);
+    co_await pause;
+  }
   const auto& host = hosts_[static_cast<std::size_t>(to)];
   if (cut_from_peers.contains(from) || cut_from_peers.contains(to)) co_return;
   if (host && !apart(zone_of(from), zone_of(to))) {
@@ -190,9 +215,23 @@
   hosts_[static_cast<std::size_t>(i)].reset();
 }
 
+void TestCluster::stop_node(int i) {
+  hosts_[static_cast<std::size_t>(i)]->reactor.stands_still = true;
+}
+
+void TestCluster::wake_node(int i) {
+  hosts_[static_cast<std::size_t>(i)]->reactor.stands_still = false;
+}
+
+bool TestCluster::stands_still(int node) const {
+  const auto& host = hosts_[static_cast<std::size_t>(node)];
+  return host && host->reactor.stands_still;
+}
+
 int TestCluster::leader() const {
   for (std::size_t i = 0; i < hosts_.size(); ++i) {
-    if (hosts_[i] && hosts_[i]->node.leads()) return static_cast<int>(i);
+    const auto& host = hosts_[i];
+    if (host && !host->reactor.stands_still && host->node.leads()) return static_cast<int>(i);
   }
   return -1;
 }
@@ -345,6 +384,19 @@
   exchange->answered.set();
 }
 
+net::Task<void> TestCluster::serve_when_awake(int node, Request request,
+                                              std::shared_ptr<Exchange> exchange) {
+  const auto& host = hosts_[static_cast<std::size_t>(node)];
+  const int run = host->run;
+  while (stands_still(node)) {
+    Sleep pause(reactor, kLook);
+    co_await pause;
+  }
+  if (host && host->run == run) {
+    host->scope.spawn(serve(node, std::move(request), std::move(exchange)));
+  }
+}
+
 net::Task<std::optional<Response>> TestCluster::exchange(int node, Request request,
                                                          double timeout_s) {
   Sleep there(reactor, 0.001);
@@ -352,7 +404,11 @@
   const auto& host = hosts_[static_cast<std::size_t>(node)];
   if (!host) co_return std::nullopt;
   auto pending = std::make_shared<Exchange>(reactor);
-  host->scope.spawn(serve(node, std::move(request), pending));
+  if (stands_still(node)) {
+    scope_.spawn(serve_when_awake(node, std::move(request), pending));
+  } else {
+    host->scope.spawn(serve(node, std::move(request), pending));
+  }
   net::Signal::Wait wait(pending->answered, timeout_s);
   co_await wait;
   co_return std::move(pending->response);
@@ -360,12 +416,29 @@
 
 // ---- what passes between ----
 
+// What was sent arrives, though its sender has given up meanwhile.
+net::Task<void> TestCluster::serve_cloud(Request request, double timeout_s,
+                                         std::shared_ptr<CloudCall> call) {
+  Sleep there(reactor, kWay);
+  co_await there;
+  auto calling = call_cloud(std::move(request), timeout_s);
+  call->reply = co_await calling;
+  call->answered.set();
+}
+
 net::Task<Reply> TestCluster::call(int node, std::string address, Request request,
                                    double timeout_s) {
-  Sleep there(reactor, 0.003);
+  if (address == "cloud" && !cut_zones.contains(zone_of(node))) {
+    auto pending = std::make_shared<CloudCall>(reactor);
+    scope_.spawn(serve_cloud(std::move(request), timeout_s, pending));
+    net::Signal::Wait wait(pending->answered, timeout_s + kWay);
+    co_await wait;
+    co_return pending->reply;
+  }
+  Sleep there(reactor, kWay);
   co_await there;
   Reply lost;  // unknown
-  if (cut_zones.contains(zone_of(node)) && (address == "state" || address == "cloud")) {
+  if (address == "cloud" || (address == "state" && cut_zones.contains(zone_of(node)))) {
     Sleep wait(reactor, timeout_s);
     co_await wait;
     co_return lost;
@@ -375,11 +448,6 @@
     auto reply = co_await calling;
     co_return reply;
   }
-  if (address == "cloud") {
-    auto calling = call_cloud(std::move(request), timeout_s);
-    auto reply = co_await calling;
-    co_return reply;
-  }
   auto calling = call_worker(node, std::move(address), std::move(request), timeout_s);
   auto reply = co_await calling;
   co_return reply;
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -2,6 +2,7 @@
 // with no sockets. It plays PROTOCOL's troubles, and its rule checker counts what breaks the rules.
 #pragma once
 
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
@@ -20,21 +21,47 @@
 
 class FakeReactor : public net::Reactor {
  public:
+  /// A loop that runs on this one's clock.
+  class Loop : public net::Reactor {
+   public:
+    explicit Loop(FakeReactor& clock) : clock_(clock) { clock_.loops_.push_back(this); }
+    ~Loop() override { std::erase(clock_.loops_, this); }
+    double now() const override { return clock_.now(); }
+    std::int64_t wall_ms() const override { return clock_.wall_ms(); }
+    bool stands_still = false;  ///< nothing of it runs meanwhile
+
+   private:
+    friend class FakeReactor;
+    double due() const {
+      return stands_still || timers().empty() ? kNever : timers().begin()->first.first;
+    }
+    void rearm() override {}
+    FakeReactor& clock_;
+  };
+
   double now() const override { return now_; }
   std::int64_t wall_ms() const override {
     return 1'000'000 + static_cast<std::int64_t>(now_ * 1000);
   }
   void run_until(double t) {
-    while (!timers().empty() && timers().begin()->first.first <= t) {
-      now_ = std::max(now_, timers().begin()->first.first);
-      run_due();
+    for (;;) {
+      Loop* next = nullptr;
+      double due = timers().empty() ? kNever : timers().begin()->first.first;
+      for (Loop* loop : loops_) {
+        if (loop->due() < due) next = loop, due = loop->due();
+      }
+      if (due > t) break;
+      now_ = std::max(now_, due);
+      next != nullptr ? next->run_due() : run_due();
     }
     now_ = t;
   }
 
  private:
+  static constexpr double kNever = std::numeric_limits<double>::infinity();
   void rearm() override {}
   double now_ = 0;
+  std::vector<Loop*> loops_;
 };
 
 /// A user submits, asks about twice a second at any node, and may cancel after a while or at the
@@ -58,7 +85,12 @@
   void run(double seconds) { reactor.run_until(reactor.now() + seconds); }
   void start_node(int i);
   void crash_node(int i);
-  /// The index of the node that serves as leader, or -1.
+  /// The node stands still, as when its machine is held up: none of its timers, answers or requests
+  /// comes through. It wakes with all that it believed, and what waits for it comes then.
+  void stop_node(int i);
+  void wake_node(int i);
+  bool stands_still(int node) const;
+  /// The index of the node that serves as leader, or -1. One that stands still does not.
   int leader() const;
   int nodes() const { return static_cast<int>(hosts_.size()); }
   bool is_up(int node) const { return hosts_[static_cast<std::size_t>(node)] != nullptr; }
@@ -166,8 +198,11 @@
  private:
   struct Host;
   struct Exchange;
+  struct CloudCall;
   class Surroundings;
   net::Task<net::Reply> call_state(int node, net::Request request, double timeout_s);
+  net::Task<void> serve_cloud(net::Request request, double timeout_s,
+                              std::shared_ptr<CloudCall> call);
   net::Task<net::Reply> call_cloud(net::Request request, double timeout_s);
   net::Task<net::Reply> call_worker(int node, std::string address, net::Request request,
                                     double timeout_s);
@@ -178,6 +213,8 @@
   /// What the node does with the connection after an answer.
   void keep_or_close(Worker& w, int node, bool answered);
   net::Task<void> serve(int node, net::Request request, std::shared_ptr<Exchange> exchange);
+  net::Task<void> serve_when_awake(int node, net::Request request,
+                                   std::shared_ptr<Exchange> exchange);
   net::Task<void> arrive_late(Worker& w, net::Request request, double after);
   net::Task<void> apply_late(net::Request request, double after);
   net::Task<void> report_late(int node, std::string body, double after);
