Jobs that fail everywhere cost no sound machine, and their retries stay spaced out

Two jobs with a mistake that met on a machine quarantined it; each failing task counted as a round, so that a burst of failures was spaced out by 32 reports at once, and a sound job that had met two faulty machines never rented again; a new leader began anew. Now jobs that fail on two machines and completed nowhere clear the machines they failed on, rounds are counted, a completed task (or a replica up for a lease) clears the job, and the record's attempts tell a new leader. A machine that fails a job which works elsewhere is quarantined for certain; otherwise its return waits three reports.

--- a/src/control/machine_lifecycle.cpp
+++ b/src/control/machine_lifecycle.cpp
@@ -185,7 +185,8 @@
   // Its deletion proves what its lease would prove only later: its work starts elsewhere the
   // sooner.
   if (sched::surely_taken(cluster_, m, zones, at)) return retire(m, "it is taken");
-  if (m.quarantined && m.idle()) return retire(m, "it fails what it starts");
+  const bool tried = m.surely_faulty || at - m.quarantined_since > cluster_.quarantine_trial();
+  if (m.quarantined && m.idle() && tried) return retire(m, "it fails what it starts");
   if (!m.taken_at) return;
   // Its work moves while it still runs: what saves is told to save.
   for (const auto& held : m.tasks) {
--- a/src/sched/cluster_state.cpp
+++ b/src/sched/cluster_state.cpp
@@ -166,6 +166,17 @@
   }
 }
 
+// Guards against a job with a mistake that every change of leader starts anew at full pace. The
+// record tells how often its tasks were started, and that none of them has come to anything.
+void ClusterState::note_earlier_rounds(Job& job, double now) const {
+  constexpr std::uint64_t kMostRounds = 5;
+  const bool shares_attempts = job.spec.shape == wire::Shape::gang;
+  const auto rounds = shares_attempts ? job.last_attempt : job.last_attempt / job.spec.tasks;
+  if (rounds < 2 || job.done.size() > 0 || job.live() > 0) return;
+  job.earlier_rounds = static_cast<int>(std::min(rounds - 1, kMostRounds));
+  job.backoff_until = now + settings_.report_s * job.earlier_rounds;
+}
+
 Job& ClusterState::put_job(Job job, double now) {
   changed_ = true;
   const auto id = job.spec.id;
@@ -174,6 +185,7 @@
     job.known_since = old->known_since;
     job.backoff_until = old->backoff_until;
     job.failures = old->failures;
+    job.earlier_rounds = old->earlier_rounds;
     job.failed_on = old->failed_on;
     job.succeeded = old->succeeded;
     // Cancelled is cancelled, be the record that is put here from before.
@@ -204,6 +216,7 @@
     jobs_.erase(id);
   } else {
     job.known_since = now;
+    note_earlier_rounds(job, now);
   }
   if (job.withdrawn() && job.withdrawn_since == 0) job.withdrawn_since = now;
   Job& put = jobs_.emplace(id, std::move(job)).first->second;
@@ -387,21 +400,50 @@
   }
 }
 
+// Jobs of several users fail on one machine, or a job that works elsewhere: the machine is at
+// fault. One job fails on several machines: the job is.
 void ClusterState::task_failed(Job& job, Machine& machine, double now) {
-  machine.failed_jobs.insert(job.spec.id);
   job.failed_on.insert(machine.id);
-  // Jobs of several users fail on one machine, or a job that works elsewhere: the machine is at
-  // fault. One job fails on several machines: the job is, and its retries are spaced out.
-  if (machine.failed_jobs.size() >= 2 || job.succeeded) {
+  machine.surely_faulty = machine.surely_faulty || job.succeeded;
+  if (job.at_fault()) {
+    clear_machines_of(job);
+  } else {
+    machine.failed_jobs.insert(job.spec.id);
+  }
+  if (!machine.quarantined && (machine.surely_faulty || machine.failed_jobs.size() >= 2)) {
     machine.quarantined = true;
+    machine.quarantined_since = now;
   }
-  if (job.failed_on.size() >= 2) {
-    ++job.failures;
-    const double pause = settings_.report_s * (1 << std::min(job.failures, 5));
-    job.backoff_until = now + pause;
+  if (job.failed_on.size() >= 2) space_out_retries(job, now);
+}
+
+// Guards against sound machines that are given back because two jobs with a mistake met there.
+void ClusterState::clear_machines_of(const Job& job) {
+  for (const auto& id : job.failed_on) {
+    Machine* m = machine(id);
+    if (m == nullptr) continue;
+    m->failed_jobs.erase(job.spec.id);
+    if (m->quarantined && !m->surely_faulty && m->failed_jobs.size() < 2) {
+      m->quarantined = false;
+      changed_ = true;
+    }
   }
 }
 
+// Counts rounds, not tasks: hundreds that were started together fail together.
+void ClusterState::space_out_retries(Job& job, double now) {
+  constexpr int kMostRounds = 5;
+  if (now < job.backoff_until) return;
+  ++job.failures;
+  const int rounds = std::min(job.failures + job.earlier_rounds, kMostRounds);
+  job.backoff_until = now + settings_.report_s * (1 << rounds);
+}
+
+void ClusterState::note_works(Job& job) {
+  job.failures = job.earlier_rounds = 0;
+  job.failed_on.clear();
+}
+
 void ClusterState::task_exited(Job& job, Placement& placement, const wire::TaskReport& t,
                                Machine& m, double now) {
   placement.seen = true;
@@ -411,6 +453,7 @@
     case Cause::done:
       job.done.add(placement.task);
       job.succeeded = true;
+      note_works(job);
       m.failed_jobs.clear();
       break;
     case Cause::error:
@@ -525,6 +568,12 @@
     used_image(m, job.spec);
     if (t.state == TaskState::running) placement.running_since = now;
   }
+  // A replica never completes: one that has run for so long works.
+  const bool runs = t.state == TaskState::running && placement.running_since > 0;
+  if (runs && job.spec.shape == wire::Shape::service && !job.failed_on.empty() &&
+      now - placement.running_since > settings_.lease_s) {
+    note_works(job);
+  }
   placement.seen = true;
   placement.state = t.state;
 }
--- a/src/sched/cluster_state.hpp
+++ b/src/sched/cluster_state.hpp
@@ -90,9 +90,10 @@
   std::uint64_t generation = 0;
   double known_since = 0;
   double backoff_until = 0;
-  int failures = 0;                 ///< in a row, on machines not known as faulty
-  std::set<std::string> failed_on;  ///< machines where a task of it failed
-  bool succeeded = false;           ///< a task of it ran or completed somewhere
+  int failures = 0;  ///< rounds of starts in a row that failed, on machines not known as faulty
+  int earlier_rounds = 0;           ///< under former leaders, by its attempts
+  std::set<std::string> failed_on;  ///< machines where a task of it failed, since it last worked
+  bool succeeded = false;           ///< a task of it completed somewhere
   double withdrawn_since = 0;
   bool guaranteed = false;  ///< as of the last placement pass
   /// All jobs that it needs are known to have been done; until then none of its tasks is placed or
@@ -103,6 +104,8 @@
   std::int64_t ready_ms = 0;
   Urgency urgency;
 
+  /// It fails wherever it is started: no machine is to blame for that.
+  bool at_fault() const { return failed_on.size() >= 2 && !succeeded; }
   bool withdrawn() const { return withdrawn_ms != 0; }
   bool complete() const { return done.size() == spec.tasks; }
   std::size_t live() const;
@@ -155,9 +158,12 @@
   double unresponsive_until = 0;     ///< what it is told does not reach it; 0: it does
   int unacknowledged = 0;            ///< answers after which it still did not show our token
   bool quarantined = false;
+  double quarantined_since = 0;
+  /// A job that works elsewhere failed there; otherwise several jobs did, which may be at fault.
+  bool surely_faulty = false;
   bool removing = false;  ///< to be deleted; nothing is placed on it
   double idle_since = 0;
-  std::set<std::string> failed_jobs;  ///< since something last worked there
+  std::set<std::string> failed_jobs;  ///< since something last worked there, but those at fault
   int unknown_tasks = 0;              ///< reported tasks without a placement, not yet exited
   std::vector<std::pair<std::string, double>> images;  ///< most recently used last
   wire::Room used;
@@ -201,6 +207,8 @@
   /// A write of the record has succeeded that does not name it.
   void resolve_dropped(Job& job, Placement& placement, double now);
   static void request_stop(Placement& placement, double grace_s, double now);
+  /// How long the evidence against a quarantined machine is waited for that would clear it.
+  double quarantine_trial() const { return 3 * settings_.report_s; }
   /// Ends everything a machine holds; what it held of gangs is stopped elsewhere too.
   void end_all(Machine& machine, double now);
   /// Erases ended placements that a durable record no longer names.
@@ -289,6 +297,10 @@
   void task_exited(Job& job, Placement& placement, const wire::TaskReport& report, Machine& machine,
                    double now);
   void task_failed(Job& job, Machine& machine, double now);
+  void note_earlier_rounds(Job& job, double now) const;
+  void space_out_retries(Job& job, double now);
+  void clear_machines_of(const Job& job);
+  static void note_works(Job& job);
   void allow_silence(const std::string& zone, double until);
   void break_gang(Job& job, std::uint64_t attempt, double now);
   void used_image(Machine& machine, const wire::JobSpec& spec);
--- a/tests/cluster_state_test.cpp
+++ b/tests/cluster_state_test.cpp
@@ -256,6 +256,117 @@
   EXPECT_EQ(s.pass(2.1).placed, 0);
 }
 
+/// Starts whatever may be started, and lets all that runs of these jobs fail; returns how many.
+int fail_all(Fleet& s, const std::set<std::string>& jobs, std::uint64_t tick, double now) {
+  s.pass(now);
+  std::map<std::string, std::vector<wire::TaskReport>> reports;
+  int failed = 0;
+  for (auto& [id, job] : s.cluster.jobs()) {
+    s.written(job);
+    for (const auto& p : job.placements) {
+      const bool fails = jobs.contains(id);
+      failed += fails ? 1 : 0;
+      reports[p.machine].push_back(task(id, p.task, p.attempt,
+                                        fails ? TaskState::exited : TaskState::running,
+                                        fails ? Cause::error : Cause::none));
+    }
+  }
+  for (const auto& [machine, tasks] : reports) {
+    s.cluster.apply_report(report(machine, 1, tick, tasks), true, now + 0.1);
+  }
+  return failed;
+}
+
+// Two jobs with a mistake meet on the same machines: these are sound, and none stays quarantined.
+TEST(ClusterState, JobsThatFailEverywhereCostNoMachine) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}});
+  for (const char* id : {"j-000001", "j-000002", "j-000003"}) {
+    s.add(make_job(id, wire::Shape::array, 4, 1));
+  }
+  int failed = 0;
+  for (int i = 0; i < 400; ++i) {
+    const double now = 2 + 0.5 * i;
+    failed +=
+        fail_all(s, {"j-000001", "j-000002", "j-000003"}, 2 + static_cast<std::uint64_t>(i), now);
+  }
+  EXPECT_GE(failed, 12);
+  EXPECT_FALSE(s.cluster.machine("n-1")->quarantined);
+  EXPECT_FALSE(s.cluster.machine("n-2")->quarantined);
+  // Spread out: two of each, and then a round every 32 reports at most.
+  EXPECT_LE(failed, 3 * 4 * (5 + 200 / 32 + 1));
+  EXPECT_TRUE(s.pass(210).shortfall.wanted.empty());
+}
+
+// The opposite beside it: a machine that fails a job which works elsewhere is found all the same.
+TEST(ClusterState, AFaultyMachineIsFoundAmongJobsThatFailEverywhere) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}});
+  Job& sound = s.add(make_job("j-000001", wire::Shape::array, 6, 2));
+  s.add(make_job("j-000002", wire::Shape::array, 2, 2, "blue"));
+  s.pass(2);
+  for (auto& [id, job] : s.cluster.jobs()) s.written(job);
+  std::map<std::string, std::vector<wire::TaskReport>> reports;
+  for (const auto& [id, job] : s.cluster.jobs()) {
+    for (const auto& p : job.placements) {
+      const bool works = id == "j-000001" && p.machine == "n-2";
+      reports[p.machine].push_back(
+          task(id, p.task, p.attempt, TaskState::exited, works ? Cause::done : Cause::error));
+    }
+  }
+  ASSERT_EQ(reports.size(), 2U);
+  s.cluster.apply_report(report("n-2", 1, 2, reports["n-2"]), true, 3);
+  ASSERT_TRUE(sound.succeeded);
+  s.cluster.apply_report(report("n-1", 1, 2, reports["n-1"]), true, 3);
+  ASSERT_TRUE(s.cluster.machine("n-1")->quarantined);
+  // The other job turns out to be at fault, which clears nothing that was proven otherwise.
+  for (std::uint64_t tick = 3; tick < 6; ++tick) {
+    fail_all(s, {"j-000002"}, tick, 10 * static_cast<double>(tick));
+  }
+  EXPECT_TRUE(s.cluster.job("j-000002")->at_fault());
+  EXPECT_TRUE(s.cluster.machine("n-1")->quarantined);
+  EXPECT_FALSE(s.cluster.machine("n-2")->quarantined);
+}
+
+// Hundreds of tasks that were started together fail within a report or two: that is one round.
+TEST(ClusterState, TasksThatFailTogetherAreOneRound) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}});
+  Job& job = s.add(make_job("j-000001", wire::Shape::array, 16, 1));
+  EXPECT_EQ(fail_all(s, {"j-000001"}, 2, 2), 16);
+  EXPECT_EQ(job.failures, 1);
+}
+
+// Guards against a job that lacks machines for ever because it once met two faulty ones.
+TEST(ClusterState, AJobThatWorksAgainMayRentAgain) {
+  Fleet s({{"n-1", "a"}, {"n-2", "a"}});
+  Job& job = s.add(make_job("j-000001", wire::Shape::array, 2, 8));
+  ASSERT_EQ(fail_all(s, {"j-000001"}, 2, 2), 2);
+  ASSERT_GT(job.failures, 0);
+  s.pass(10);
+  s.written(job);
+  ASSERT_EQ(job.live(), 2U);
+  const auto p = job.placements.front();
+  s.cluster.apply_report(
+      report(p.machine, 1, 3,
+             {task("j-000001", p.task, p.attempt, TaskState::exited, Cause::done)}),
+      true, 11);
+  EXPECT_EQ(job.failures, 0);
+  EXPECT_TRUE(job.failed_on.empty());
+}
+
+// A new leader finds in the record that its tasks were started again and again for nothing.
+TEST(ClusterState, RetriesStaySpacedOutAfterAChangeOfLeader) {
+  Fleet s;
+  auto failing = make_job("j-000001", wire::Shape::array, 4, 1);
+  failing.last_attempt = 16;
+  auto fresh = make_job("j-000002", wire::Shape::array, 4, 1);
+  fresh.last_attempt = 4;
+  Job& spaced = s.add(failing);
+  s.add(fresh);
+  EXPECT_EQ(s.pass(1).placed, 4);
+  EXPECT_EQ(spaced.live(), 0U);
+  EXPECT_EQ(s.pass(0.1 + spaced.backoff_until).placed, 4);
+  EXPECT_GE(spaced.earlier_rounds, 3);
+}
+
 TEST(ClusterState, AGangThatLosesATaskIsStoppedWhole) {
   Fleet s({{"n-1", "a"}, {"n-2", "a"}});
   Job& job = s.add(make_job("j-000001", wire::Shape::gang, 2, 8));
