--- a/tests/ops_troubles_test.cpp
+++ b/tests/ops_troubles_test.cpp
@@ -313,5 +313,275 @@
   EXPECT_TRUE(wait_for(w, 20, [&] { return w.running("j-000001") == 4; }));
 }
 
+// ---- questions many times as often ----
+
+/// Users who ask about jobs at one node, each job so many times a second, until told to stop.
+struct Storm {
+  TestCluster& w;
+  int node;
+  int answered = 0, refused_with_retry = 0, refused = 0;
+  bool over = false;
+  net::Scope scope;
+
+  Storm(TestCluster& cluster, int at) : w(cluster), node(at) {}
+  void ask_about(const std::string& job, double a_second) { scope.spawn(ask(job, 1 / a_second)); }
+  net::Task<void> ask(std::string job, double every) {
+    net::Sleep begin(w.reactor, every * w.chance());
+    co_await begin;
+    while (!over) {
+      scope.spawn(ask_once(job));
+      net::Sleep pause(w.reactor, every);
+      co_await pause;
+    }
+  }
+  net::Task<void> ask_once(std::string job) {
+    auto asking = w.user_asks(node, "GET", "/v1/jobs/" + job, "");
+    const auto response = co_await asking;
+    if (!response) co_return;
+    if (response->status == 200) {
+      ++answered;
+    } else {
+      ++(response->retry_after_s > 0 ? refused_with_retry : refused);
+    }
+  }
+};
+
+std::string name(int i) {
+  return "j-" + std::to_string(100'000 + i);
+}
+
+/// A small state service, and forty jobs that run and are asked about four times a second each.
+struct Questions {
+  static constexpr int kJobs = 40;
+  static base::Settings settings() {
+    auto s = small_settings();
+    s.state_rps = 100;
+    s.teams = {{"red", 0, 0, 16, 64}};
+    return s;
+  }
+  TestCluster w{3, {"a", "a", "a"}, settings()};
+
+  void serve() {
+    w.run_s = 10'000;
+    w.run(1);
+    for (int i = 0; i < kJobs; ++i) w.submit(i % 3, service_in(name(i), "a", 1));
+    ASSERT_TRUE(wait_for(w, 60, [&] {
+      for (int i = 0; i < kJobs; ++i) {
+        if (w.running(name(i)) != 1) return false;
+      }
+      return true;
+    }));
+  }
+};
+
+// 160 questions a second at one node, of a state service that takes 100 requests from all: nearly
+// all are answered, those refused are told when to come back, and reports and cancellations go on.
+TEST(OpsTroubles, AStormOfQuestionsAtOneNodeIsAnswered) {
+  for (const bool at_leader : {true, false}) {
+    Questions questions;
+    auto& w = questions.w;
+    questions.serve();
+    Storm storm(w, at_leader ? w.leader() : (w.leader() + 1) % 3);
+    for (int i = 0; i < Questions::kJobs; ++i) storm.ask_about(name(i), 4);
+    w.run(10);
+    const int before = w.state_requests;
+    const int answered = storm.answered;
+    w.run(10);
+    EXPECT_LT(w.state_requests - before, 0.5 * 10 * w.base_settings.state_rps);
+    EXPECT_GT(storm.answered - answered, 0.95 * 10 * 4 * Questions::kJobs);
+    EXPECT_EQ(storm.refused, 0);
+    const double asked = w.reactor.now();
+    w.cancel(storm.node, name(0));
+    EXPECT_LT(w.reactor.now() - asked, 1);
+    EXPECT_EQ(w.state_of(storm.node, name(0)), "withdrawn");
+    EXPECT_TRUE(wait_for(w, 5, [&] { return w.held(name(0)) == 0; }));
+    EXPECT_EQ(most_sessions(w), 1U);
+    storm.over = true;
+    w.run(5);
+  }
+}
+
+// The same at a node that has just begun, while the leader stands still and the state service is
+// slow: no lease ends for it, and afterwards every job is known.
+TEST(OpsTroubles, AStormOfQuestionsMeetsASilentLeaderAndASlowStateService) {
+  Questions questions;
+  auto& w = questions.w;
+  questions.serve();
+  const int old = w.leader(), fresh = (old + 1) % 3;
+  w.crash_node(fresh);
+  w.run(8);
+  w.start_node(fresh);
+  Storm storm(w, fresh);
+  for (int i = 0; i < Questions::kJobs; ++i) storm.ask_about(name(i), 4);
+  w.state_slow_s = 0.3;
+  w.run(5);
+  w.stop_node(old);
+  w.run(30);
+  w.cancel((old + 2) % 3, name(1));
+  w.wake_node(old);
+  w.run(20);
+  w.state_slow_s = 0;
+  EXPECT_EQ(storm.refused, 0);
+  EXPECT_GT(storm.answered, 0.5 * 55 * 4 * Questions::kJobs);
+  storm.over = true;
+  w.run(5);
+  for (int node = 0; node < 3; ++node) {
+    for (int i = 0; i < Questions::kJobs; ++i) {
+      EXPECT_EQ(w.state_of(node, name(i)), i == 1 ? "withdrawn" : "running");
+    }
+  }
+}
+
+// ---- guests, a great array, a swarm ----
+
+/// A home team with a guarantee, and a guest team without.
+base::Settings with_guests() {
+  auto s = small_settings();
+  s.teams = {{"red", 0, 16, 0, 32}, {"blue", 0, 0, 0, 64}};
+  s.state_rps = 250;
+  return s;
+}
+
+wire::JobSpec array_of(const std::string& id, std::uint32_t tasks, const std::string& team) {
+  auto spec = make_job(id, Shape::array, tasks, 0, team).spec;
+  spec.room = {0.25, 0, 1};
+  spec.rank = wire::Rank::best_effort;
+  return spec;
+}
+
+bool all_over(const TestCluster& w) {
+  const auto accepted = w.rules.accepted();
+  return std::all_of(accepted.begin(), accepted.end(),
+                     [&](const std::string& id) { return !w.rules.ending(id).empty(); });
+}
+
+// Guest work fills the fleet; guaranteed work that comes then stops it and starts at once, and the
+// guests are served all the same.
+TEST(OpsTroubles, GuestsMakeRoomForAGuaranteeAndAreServedAfterwards) {
+  TestCluster w(3, {"a", "a", "a"}, with_guests());
+  for (int i = 0; i < 2; ++i) w.add_worker("a");
+  w.run_s = 20;
+  w.run(3);
+  auto guest = make_job("j-000001", Shape::array, 24, 1, "blue").spec;
+  guest.rank = wire::Rank::best_effort;
+  w.add_user(guest);
+  w.run(8);
+  ASSERT_GE(w.running("j-000001"), 12);
+  auto home = make_job("j-000002", Shape::array, 12, 1, "red").spec;
+  w.add_user(home);
+  EXPECT_TRUE(wait_for(w, 8, [&] { return w.running("j-000002") == 12; }));
+  EXPECT_TRUE(wait_for(w, 240, [&] { return all_over(w); }));
+  EXPECT_EQ(w.rules.ending("j-000001"), "done");
+}
+
+/// An array of thousands of short tasks, a quarter of a processor each, among other teams' work.
+struct GreatArray {
+  static constexpr std::uint32_t kTasks = 4'000;
+  TestCluster w{3, {"a", "a", "a"}, with_guests()};
+
+  GreatArray() {
+    w.run_s = 4;
+    w.report_spread = 0.25;
+    for (int i = 0; i < 4; ++i) w.add_worker("a");
+    w.run(3);
+    w.add_user(array_of("j-000001", kTasks, "blue"));
+    w.run(10);
+  }
+  int done() {
+    const auto response = w.ask(w.leader() >= 0 ? w.leader() : 0, "GET", "/v1/jobs/j-000001");
+    const wire::JsonDocument document(response.body);
+    return static_cast<int>(wire::read_amount(document.root(), "done").value_or(0));
+  }
+};
+
+TEST(OpsTroubles, AGreatArrayIsServedThroughTwoChangesOfLeader) {
+  GreatArray array;
+  auto& w = array.w;
+  for (int times = 0; times < 2; ++times) {
+    const int old = w.leader();
+    ASSERT_GE(old, 0);
+    w.crash_node(old);
+    w.run(8);
+    w.start_node(old);
+    w.run(8);
+  }
+  w.add_user(make_job("j-000002", Shape::array, 4, 1, "red").spec);
+  EXPECT_TRUE(wait_for(
+      w, 8, [&] { return w.rules.is_completed("j-000002", 3) || w.running("j-000002") == 4; }));
+  EXPECT_TRUE(wait_for(w, 400, [&] { return all_over(w); }));
+  EXPECT_EQ(w.rules.ending("j-000001"), "done");
+}
+
+TEST(OpsTroubles, AGreatArrayIsCancelledAtHalf) {
+  GreatArray array;
+  auto& w = array.w;
+  ASSERT_TRUE(wait_for(w, 200, [&] { return array.done() > 1'500; }));
+  ASSERT_GT(w.held("j-000001"), 50);
+  w.cancel((w.leader() + 1) % 3, "j-000001");
+  EXPECT_TRUE(wait_for(w, w.base_settings.cancel_s, [&] { return w.held("j-000001") == 0; }));
+  EXPECT_TRUE(w.deleted.empty());
+}
+
+// The state service is slow, and then takes half of what it took without notice.
+TEST(OpsTroubles, AGreatArrayMeetsASlowStateServiceThatLowersItsLimits) {
+  GreatArray array;
+  auto& w = array.w;
+  w.state_slow_s = 0.3;
+  w.run(20);
+  w.state_service.limits.value_bytes = 4096;
+  w.state_service.limits.txn_changes = 6;
+  w.run(20);
+  w.state_slow_s = 0;
+  EXPECT_TRUE(wait_for(w, 600, [&] { return all_over(w); }));
+  EXPECT_EQ(w.rules.ending("j-000001"), "done");
+}
+
+// Four jobs of one task a second for a minute, a quarter of them cancelled, the leader killed: none
+// is lost, and another team's submission is accepted and started as if they were not there.
+TEST(OpsTroubles, ASwarmHoldsUpNobodysAcceptance) {
+  auto settings = with_guests();
+  settings.state_write_rps = 30;
+  TestCluster w(5, {"a", "a", "a", "a", "a"}, settings);
+  w.state_service.limits_writes = true;
+  w.run_s = 6;
+  for (int i = 0; i < 4; ++i) w.add_worker("a");
+  w.run(3);
+  for (int i = 0; i < 240; ++i) {
+    UserHabits habits;
+    if (i % 4 == 0) habits.cancels_after = 3;
+    auto one = make_job(name(i), Shape::array, 1, 0.25, "blue").spec;
+    one.rank = wire::Rank::best_effort;
+    w.add_user(one, habits);
+    w.run(0.25);
+    if (i == 80) {
+      const int old = w.leader();
+      w.crash_node(old);
+      w.run(8);
+      w.start_node(old);
+    }
+    if (i % 40 == 39) {
+      const double asked = w.reactor.now();
+      const auto home = make_job(name(1000 + i), Shape::array, 1, 1, "red").spec;
+      w.submit((w.leader() + 1) % 5, home);
+      EXPECT_LT(w.reactor.now() - asked, 1) << i;
+      EXPECT_TRUE(wait_for(w, 8, [&] { return w.starts[name(1000 + i) + "/0"] > 0; })) << i;
+    }
+  }
+  for (int i = 0; i < 240; i += 40)
+    w.add_user(make_job(name(1039 + i), Shape::array, 1, 1, "red").spec);
+  EXPECT_TRUE(wait_for(w, 200, [&] { return all_over(w); }));
+}
+
+// Late machines meet a burst: everybody is served, and no more is rented than twice what it takes.
+TEST(OpsTroubles, LateMachinesMeetABurst) {
+  TestCluster w(3, {"a", "a", "a"}, with_guests());
+  w.run_s = 20;
+  w.boot_s = 1.8 * machine_type().ready_s;
+  w.run(1);
+  for (int i = 0; i < 12; ++i) w.add_user(make_job(name(i), Shape::array, 2, 2, "red").spec);
+  EXPECT_TRUE(wait_for(w, 400, [&] { return all_over(w); }));
+  EXPECT_LE(w.rented, 2 * 5);
+}
+
 }  // namespace
 }  // namespace cranklock::testing
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -456,6 +456,7 @@
 
 net::Task<Reply> TestCluster::call_state(int node, Request request, double timeout_s) {
   Reply lost;  // unknown
+  ++state_requests;
   const bool watch = request.path == "/follow";
   const double until = reactor.now() + timeout_s;
   const double hold_s = watch ? std::stod(net::query_field(request.query, "HoldMs")) / 1000 : 0;
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -128,6 +128,7 @@
   StateStandIn state_service{reactor};
   bool state_down = false;
   double state_slow_s = 0;
+  int state_requests = 0;          ///< that nodes have made, a watch counted once
   std::set<int> refused_by_state;  ///< 503 for these alone; what they watch hangs
   std::set<int> hanging_watches;   ///< nodes whose watches hang while all else is served
   std::set<int> cut_from_state;    ///< nodes whose requests get no answer and are not executed
