Jobs in files of their own; placements are kept in order and found by halves

Looking up a reported task went through all live placements of its job, forgetting ended ones through all pairs, and each pass built a set of all placed tasks: with 1,212 live tasks of an array of 25,000 some 18 million steps a second. Placements are kept sorted by task and attempt instead; lookups, forgetting and pending tasks follow.

--- a/src/sched/cluster_state.cpp
+++ b/src/sched/cluster_state.cpp
@@ -11,79 +11,6 @@
 constexpr int kUnacknowledged = 2;  ///< answers in a row; one may be lost
 }
 
-void TaskSet::add(std::uint32_t task) {
-  auto it = std::lower_bound(ranges_.begin(), ranges_.end(), task,
-                             [](const Range& r, std::uint32_t t) { return r.second < t; });
-  if (it != ranges_.end() && it->first <= task && task < it->second) return;
-  if (it != ranges_.end() && it->second == task) {
-    ++it->second;
-    if (auto next = it + 1; next != ranges_.end() && next->first == it->second) {
-      it->second = next->second;
-      ranges_.erase(next);
-    }
-  } else if (it != ranges_.end() && it->first == task + 1) {
-    it->first = task;
-  } else {
-    ranges_.insert(it, {task, task + 1});
-  }
-}
-
-void TaskSet::merge(const TaskSet& other) {
-  for (const auto& [from, to] : other.ranges_) {
-    for (std::uint32_t t = from; t < to; ++t) add(t);
-  }
-}
-
-bool TaskSet::contains(std::uint32_t task) const {
-  const auto it = std::upper_bound(ranges_.begin(), ranges_.end(), task,
-                                   [](std::uint32_t t, const Range& r) { return t < r.second; });
-  return it != ranges_.end() && it->first <= task;
-}
-
-std::uint32_t TaskSet::size() const {
-  std::uint32_t n = 0;
-  for (const auto& [from, to] : ranges_) n += to - from;
-  return n;
-}
-
-std::size_t Job::live() const {
-  return static_cast<std::size_t>(std::count_if(placements.begin(), placements.end(),
-                                                [](const Placement& p) { return !p.ended; }));
-}
-
-Placement* Job::find(std::uint32_t task, std::uint64_t attempt) {
-  for (auto& p : placements) {
-    if (p.task == task && p.attempt == attempt) return &p;
-  }
-  return nullptr;
-}
-
-std::vector<std::uint32_t> Job::pending(std::size_t most) const {
-  std::set<std::uint32_t> placed;
-  for (const auto& p : placements) {
-    if (!p.ended) placed.insert(p.task);
-  }
-  std::vector<std::uint32_t> out;
-  std::uint32_t next = 0;
-  auto range = done.ranges().begin();
-  while (next < spec.tasks && out.size() < most) {
-    if (range != done.ranges().end() && next >= range->first) {
-      next = std::max(next, range->second);
-      ++range;
-      continue;
-    }
-    if (!placed.contains(next)) out.push_back(next);
-    ++next;
-  }
-  return out;
-}
-
-std::uint32_t Job::pending_count() const {
-  std::uint32_t placed = 0;
-  for (const auto& p : placements) placed += !p.ended && !done.contains(p.task) ? 1 : 0;
-  return spec.tasks - std::min(spec.tasks, done.size() + placed);
-}
-
 bool Machine::holds_image(const std::string& image) const {
   return std::any_of(images.begin(), images.end(),
                      [&](const auto& held) { return held.first == image; });
@@ -219,6 +146,7 @@
     note_earlier_rounds(job, now);
   }
   if (job.withdrawn() && job.withdrawn_since == 0) job.withdrawn_since = now;
+  job.sort_placements();
   Job& put = jobs_.emplace(id, std::move(job)).first->second;
   for (auto& p : put.placements) {
     if (p.decided_at == 0) p.decided_at = now;  // by a former leader, who knows when
@@ -310,9 +238,10 @@
   placement.decided_at = now;
   job.last_attempt = std::max(job.last_attempt, attempt);
   job.dirty = true;
-  job.placements.push_back(std::move(placement));
-  attach(job, job.placements.back());
-  return job.placements.back();
+  // Nearly always the last, since tasks are placed in their order.
+  const auto put = job.placements.insert(job.position(task, attempt), std::move(placement));
+  attach(job, *put);
+  return *put;
 }
 
 void ClusterState::end_placement(Job& job, Placement& placement, double now) {
@@ -343,9 +272,9 @@
 
 void ClusterState::forget_ended(Job& job,
                                 const std::vector<std::pair<std::uint32_t, std::uint64_t>>& which) {
+  const std::set<std::pair<std::uint32_t, std::uint64_t>> written(which.begin(), which.end());
   std::erase_if(job.placements, [&](const Placement& p) {
-    return p.ended &&
-           std::find(which.begin(), which.end(), std::make_pair(p.task, p.attempt)) != which.end();
+    return p.ended && written.contains({p.task, p.attempt});
   });
 }
 
--- a/src/sched/cluster_state.hpp
+++ b/src/sched/cluster_state.hpp
@@ -13,108 +13,12 @@
 #include "base/settings.hpp"
 #include "sched/boot_times.hpp"
 #include "sched/dependencies.hpp"
+#include "sched/job.hpp"
 #include "sched/team_shares.hpp"
 #include "wire/messages.hpp"
 
 namespace cranklock::sched {
 
-/// Task numbers, kept as ordered ranges [from, to).
-class TaskSet {
- public:
-  using Range = std::pair<std::uint32_t, std::uint32_t>;
-  void add(std::uint32_t task);
-  void add_range(Range range) { ranges_.push_back(range); }
-  void merge(const TaskSet& other);
-  bool contains(std::uint32_t task) const;
-  std::uint32_t size() const;
-  const std::vector<Range>& ranges() const { return ranges_; }
-
- private:
-  std::vector<Range> ranges_;
-};
-
-/// One attempt of one task on one machine, from the decision until it is proven gone.
-struct Placement {
-  std::uint32_t task = 0;
-  std::uint64_t attempt = 0;
-  std::string machine;
-  bool durable = false;  ///< the stored record names it; before that no start may be sent
-  /// Proven free, and counted nowhere; kept until a record without it is durable, since only then
-  /// may the worker forget the task.
-  bool ended = false;
-  /// A write that names it was not answered, and may yet be carried out: until a later write of the
-  /// record succeeds, or is found to have been forestalled, its room is not free for others.
-  bool outcome_unknown = false;
-  bool dropped = false;  ///< not wanted any more, its outcome being unknown
-  bool stop = false;     ///< to be stopped, saving if grace_s allows
-  double grace_s = 0;
-  double stop_since = 0;
-  bool stop_sent = false;  ///< straight to the worker; its reports' answers repeat it
-  bool seen = false;       ///< a report showed it
-  wire::TaskState state = wire::TaskState::fetching;
-  double running_since = 0;
-  double decided_at = 0;
-  /// The newest report whose answer carried the start; an absence counts only in a newer report.
-  std::uint64_t start_session = 0, start_tick = 0;
-  int unacknowledged = 0;  ///< reports that came after such an answer and did not show it
-  /// A start sent straight to the worker in this session that was never answered: it may still be
-  /// executed there. 0: none.
-  std::uint64_t unconfirmed_session = 0;
-};
-
-inline constexpr std::int64_t kNoDeadline = INT64_MAX;
-
-/// How urgent a job is, by itself and by the jobs that need it, as of the last placement pass.
-struct Urgency {
-  wire::Rank rank = wire::Rank::standard;  ///< the highest of all
-  /// Time of day by which it has to start, so that each of them meets its deadline if all take as
-  /// long as their owners estimate.
-  std::int64_t start_by_ms = kNoDeadline;
-};
-
-struct Job {
-  wire::JobSpec spec;
-  std::int64_t created_ms = 0;
-  std::int64_t withdrawn_ms = 0;  ///< 0: not cancelled
-  std::uint64_t last_attempt = 0;
-  TaskSet done;
-  std::vector<Placement> placements;
-  // Known to this leader only.
-  std::uint64_t revision = 0;
-  int stored_parts = 0;
-  bool dirty = false;
-  double dirty_since = 0;  ///< when it was first looked at for writing; 0: not yet
-  bool too_long = false;   ///< for any transaction
-  /// Of the write that made the record, the same in its parts; a cancellation leaves both as they
-  /// are. 0: written before there were any.
-  std::uint64_t generation = 0;
-  double known_since = 0;
-  double backoff_until = 0;
-  int failures = 0;  ///< rounds of starts in a row that failed, on machines not known as faulty
-  int earlier_rounds = 0;           ///< under former leaders, by its attempts
-  std::set<std::string> failed_on;  ///< machines where a task of it failed, since it last worked
-  bool succeeded = false;           ///< a task of it completed somewhere
-  double withdrawn_since = 0;
-  bool guaranteed = false;  ///< as of the last placement pass
-  /// All jobs that it needs are known to have been done; until then none of its tasks is placed or
-  /// started (invariant 14). Kept by ClusterState.
-  bool needs_met = true;
-  /// Time of day from which its waiting counts: its submission, or the end of the last job that it
-  /// needs if that came later.
-  std::int64_t ready_ms = 0;
-  Urgency urgency;
-
-  /// It fails wherever it is started: no machine is to blame for that.
-  bool at_fault() const { return failed_on.size() >= 2 && !succeeded; }
-  bool withdrawn() const { return withdrawn_ms != 0; }
-  bool complete() const { return done.size() == spec.tasks; }
-  std::size_t live() const;
-  Placement* find(std::uint32_t task, std::uint64_t attempt);
-  /// Up to `most` tasks that are neither done nor on any machine.
-  std::vector<std::uint32_t> pending(std::size_t most) const;
-  std::uint32_t pending_count() const;
-};
-
 /// A live placement as its machine knows it: an index over the jobs' placements, kept by
 /// ClusterState alone.
 struct PlacementRef {
