--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -22,6 +22,11 @@
       direct_reports_(2 * services.settings.report_s),
       run_(static_cast<std::uint64_t>(services.reactor.wall_ms())) {}
 
+void Node::set_connection_load(std::function<double()> load) {
+  connection_load_ = std::move(load);
+  forwarder_.set_may_wait([this] { return !connections_crowd(); });
+}
+
 Node::~Node() {
   duties_.clear();
 }
@@ -72,16 +77,19 @@
   if (send_) send_(from, answer);
 }
 
+bool Node::connections_crowd() const {
+  constexpr double kMostLoad = 0.5;  // the rest is for users and newcomers
+  return connection_load_ && connection_load_() > kMostLoad;
+}
+
 // A report that comes straight here costs two packets and a connection; forwarded ones come and go
 // together with others, at the expense of a node that has more to spare.
 bool Node::reports_crowd() {
   constexpr double kMostShare = 0.1;  // of this node's own, for reports of its own zone
   constexpr double kPackets = 2;      // a report and its answer
-  constexpr double kMostLoad = 0.5;   // of its connections; the rest is for users and newcomers
   const double cost =
       direct_reports_.per_second(services_.reactor.now()) * kPackets * base::kPacketCost;
-  return cost > kMostShare * services_.settings.core_share ||
-         (connection_load_ && connection_load_() > kMostLoad);
+  return cost > kMostShare * services_.settings.core_share || connections_crowd();
 }
 
 // One after the other, and no more than a tenth of them in the time between two reports: the rate
--- a/src/control/node.hpp
+++ b/src/control/node.hpp
@@ -37,7 +37,7 @@
   void set_send(ReportForwarder::Send send);
   /// Tells the share of this node's connections that is in use; without it nobody is handed on for
   /// want of connections.
-  void set_connection_load(std::function<double()> load) { connection_load_ = std::move(load); }
+  void set_connection_load(std::function<double()> load);
   /// How leaders of other regions are reached, where the settings name regions.
   void set_region_network(regions::RegionNetwork* network) { region_network_ = network; }
   /// Takes what the leader of another region says; ignored while this node does not lead.
@@ -65,6 +65,7 @@
   std::vector<const base::Peer*> possible_forwarders(const std::string& zone) const;
   /// Reports that come straight here take more of this node's processor or connections than they
   /// should.
+  bool connections_crowd() const;
   bool reports_crowd();
   /// Until the next worker may be handed on that could as well stay here.
   double relief_interval();
--- a/src/control/report_forwarder.cpp
+++ b/src/control/report_forwarder.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "control/leader_lease.hpp"
+
 namespace cranklock::control {
 
 using net::Response;
@@ -30,6 +32,14 @@
   return token_ > 0 && reactor_.now() - heard_at_ < patience(settings_);
 }
 
+bool ReportForwarder::leader_expected() const {
+  if (reaches_leader()) return true;
+  constexpr double kTakeOver = 1.5;  // of the leader lease's life: it ends, and another is taken
+  const double silent = reactor_.now() - heard_at_;
+  return token_ > 0 && may_wait_() &&
+         silent < patience(settings_) + kTakeOver * LeaderLease::lease_life(settings_);
+}
+
 // Guards the leader's timing of leases: it counts on no answer of ours while it is heard here, and
 // on none after what it allowed. A worker that has seen a newer token would drop the answer anyway.
 bool ReportForwarder::answers_alone(const wire::Report& report) const {
@@ -80,6 +90,30 @@
   it->second->arrived.set();
 }
 
+/// One report on its way to whoever leads.
+struct ReportForwarder::Forwarding {
+  ReportForwarder& forwarder;
+  std::string body;
+  Pending pending;
+  std::uint64_t id = 0;     ///< 0: not sent yet
+  std::uint64_t token = 0;  ///< of the leader that it was sent to
+
+  Forwarding(ReportForwarder& by, std::string text)
+      : forwarder(by), body(std::move(text)), pending(by.reactor_) {}
+  Forwarding(const Forwarding&) = delete;
+  Forwarding& operator=(const Forwarding&) = delete;
+  ~Forwarding() { forwarder.pending_.erase(id); }
+};
+
+// What the former leader answers from now on counts no more: its successor is asked.
+void ReportForwarder::send_to_leader(Forwarding& forwarding) {
+  pending_.erase(forwarding.id);
+  forwarding.id = ++next_id_;
+  forwarding.token = token_;
+  pending_[forwarding.id] = &forwarding.pending;
+  send_(leader_, peer::ForwardedReport{forwarding.id, forwarding.body});
+}
+
 Task<Response> ReportForwarder::forward(wire::Report report, std::string body,
                                         std::function<double()> state_heard) {
   constexpr double kWorkersPatience = 4.0;  // PROTOCOL: then it tries the next node
@@ -88,26 +122,22 @@
   // What came last from outside is the leader's, give or take what lies between two hellos.
   const auto cut_off = [&] { return state_heard() < heard_at_ + settings_.report_s / 2; };
   Response response;
-  if (reaches_leader() && body.size() < peer::kMostText) {
-    Pending pending(reactor_);
-    const auto id = ++next_id_;
-    struct Listed {
-      std::map<std::uint64_t, Pending*>& in;
-      std::uint64_t id;
-      ~Listed() { in.erase(id); }
-    };
-    const Listed listed{pending_, id};
-    pending_[id] = &pending;
-    send_(leader_, peer::ForwardedReport{id, std::move(body)});
+  if (body.size() < peer::kMostText) {
+    Forwarding forwarding(*this, std::move(body));
+    auto& pending = forwarding.pending;
     while (!pending.done && reactor_.now() < until) {
-      // Looked at again and again: the leader may have ended, and its successor be known.
-      if (!reaches_leader() && !cut_off()) break;
-      net::Signal::Wait wait(pending.arrived, settings_.report_s / 4);
+      // Guards against workers sent to a leader that stands still: its successor is waited for.
+      if (reaches_leader() && forwarding.token != token_) send_to_leader(forwarding);
+      // One that is cut off may answer by itself, unless the leader has the report.
+      const bool lost = cut_off() ? forwarding.id == 0 : !leader_expected();
+      if (!reaches_leader() && lost) break;
+      net::Signal::Wait wait(pending.arrived,
+                             std::min(settings_.report_s / 4, until - reactor_.now()));
       co_await wait;
     }
     if (pending.done && pending.answer.status == 200) {
       const auto& answer = pending.answer;
-      // Counted from the sending, which came before the leader's answer.
+      // Counted from the coming of the report, which was before the leader's answer.
       trusted_.put(report.machine, {answer.token, sent + answer.answer_alone_ms / 1000.0});
       response.body = answer.body;
       co_return response;
--- a/src/control/report_forwarder.hpp
+++ b/src/control/report_forwarder.hpp
@@ -38,6 +38,8 @@
 
   /// Without it nothing is forwarded.
   void set_send(Send send) { send_ = std::move(send); }
+  /// Whether there are connections to spare for workers that wait for a leader's successor.
+  void set_may_wait(std::function<bool()> may_wait) { may_wait_ = std::move(may_wait); }
 
   /// A leader that has not been heard for so long can't be reached. Only then does a forwarder
   /// answer in its stead; until then, so the leader knows, no forwarder that it heard from has.
@@ -51,10 +53,12 @@
   void describe(peer::Hello& hello) const;
   /// A leader is heard that may have reports forwarded to it.
   bool reaches_leader() const;
+  /// One is, or was so lately that its successor should be heard before long.
+  bool leader_expected() const;
   bool may_forward(const wire::Report& report) const {
     if (!send_) return false;
-    if (report.zone == settings_.zone) return reaches_leader() || answers_alone(report);
-    if (!reaches_leader()) return false;
+    if (report.zone == settings_.zone) return leader_expected() || answers_alone(report);
+    if (!leader_expected()) return false;
     return !is_of_other_nodes(report) || is_first_visit(report.machine) ||
            came_back(report.machine);
   }
@@ -81,6 +85,7 @@
     double forwarded_at = -1e9;
     double sent_away_at = -1e9;
   };
+  struct Forwarding;
   struct Trust {
     std::uint64_t token = 0;
     double until = 0;
@@ -89,6 +94,7 @@
   /// fleets in service.
   static constexpr std::size_t kMostWorkers = 32'768;
 
+  void send_to_leader(Forwarding& forwarding);
   bool answers_alone(const wire::Report& report) const;
   /// Whether its zone is another one, with a node to forward for it.
   bool is_of_other_nodes(const wire::Report& report) const {
@@ -101,6 +107,7 @@
   net::Reactor& reactor_;
   const base::Settings& settings_;
   Send send_;
+  std::function<bool()> may_wait_ = [] { return true; };
   std::string leader_;
   std::uint64_t token_ = 0;  ///< the highest that a leader was heard with
   std::uint64_t leader_ms_ = 0;
--- a/tests/ops_troubles_test.cpp
+++ b/tests/ops_troubles_test.cpp
@@ -152,6 +152,33 @@
   EXPECT_EQ(w.running("j-000002"), 4);
 }
 
+// Guards against workers sent from their zone's node to a leader that stands still, and on from
+// there to nodes that are down: their node waits for the successor, and forwards to it.
+TEST(OpsTroubles, WorkersWaitForTheSuccessorOfALeaderThatStandsStill) {
+  auto settings = small_settings();
+  settings.nodes = 5;
+  for (const double moment : {0.0, 0.3, 0.6, 0.9}) {
+    TestCluster w(5, {"a", "b", "c", "a", "b"}, settings);
+    w.run_s = 10'000;
+    w.report_spread = 0.25;
+    for (int i = 0; i < 4; ++i) w.add_worker("b");
+    w.run(1);
+    ASSERT_EQ(w.leader(), 0);
+    w.submit(0, service_in("j-000001", "b", 8));
+    w.run(15 + moment);
+    ASSERT_EQ(w.running("j-000001"), 8);
+    w.crash_node(1);
+    w.crash_node(2);
+    w.run(3);
+    w.stop_node(0);
+    w.run(30);
+    EXPECT_GE(w.leader(), 3);
+    EXPECT_EQ(most_sessions(w), 1U) << moment;
+    EXPECT_EQ(w.running("j-000001"), 8);
+    for (const auto& [task, starts] : w.starts) EXPECT_EQ(starts, 1) << task;
+  }
+}
+
 // Guards against a machine deleted on the word of a leader that stood still: it knows of a
 // cancelled task there and not of its end, and not of the work that its successor put there since.
 TEST(OpsTroubles, ALeaderThatStoodStillDeletesNoMachineForWhatIsLongOver) {
--- a/tests/report_forwarder_test.cpp
+++ b/tests/report_forwarder_test.cpp
@@ -153,6 +153,33 @@
   EXPECT_EQ(c.forward(), 421);
 }
 
+// A leader that is not heard any more, and its successor before the worker's patience is over: the
+// same report is answered by the successor, and what the former leader says late counts no more.
+TEST(ReportForwarder, AReportWaitsForTheLeadersSuccessor) {
+  Carrier c;
+  c.hear();
+  c.state_heard = 200;  // this node is not cut off
+  auto task = c.forwarder.forward(report("n-1", 1, 1), "{}", [&] { return c.state_heard; });
+  task.start();
+  ASSERT_EQ(c.sent.size(), 1U);
+  const auto first = c.sent[0].id;
+  for (int i = 0; i < 20; ++i) c.reactor.run_until(c.reactor.now() + 0.1);
+  ASSERT_FALSE(task.done());
+  EXPECT_EQ(c.sent.size(), 1U);
+  c.hear(9);
+  c.reactor.run_until(c.reactor.now() + 0.5);
+  ASSERT_EQ(c.sent.size(), 2U);
+  c.forwarder.answered({first, 200, 7, 20'000, "old"});
+  c.reactor.run_until(c.reactor.now() + 0.1);
+  ASSERT_FALSE(task.done());
+  c.forwarder.answered({c.sent[1].id, 200, 9, 20'000, "new"});
+  c.reactor.run_until(c.reactor.now() + 0.1);
+  ASSERT_TRUE(task.done());
+  const auto response = task.take();
+  EXPECT_EQ(response.status, 200);
+  EXPECT_EQ(response.body, "new");
+}
+
 // Guards against prolonging what is to be stopped: an answer that forwards a stop allows nothing.
 TEST(ReportForwarder, AnAnswerThatAllowsNothingEndsWhatAnEarlierOneAllowed) {
   Carrier c;
