--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -283,7 +283,7 @@
   w->answered_sent = w->began = reactor.now();
   Worker& ref = *w;
   workers[w->id] = std::move(w);
-  scope_.spawn(work(ref));
+  scope_.spawn(boots_for > 0 ? boot_and_work(ref) : work(ref));
 }
 
 int TestCluster::running(const std::string& job) const {
@@ -748,13 +748,16 @@
   }
 }
 
+net::Task<void> TestCluster::boot_and_work(Worker& w) {
+  Sleep boot(reactor, w.up_at - reactor.now());
+  co_await boot;
+  if (w.gone) co_return;
+  w.answered_sent = reactor.now();
+  auto working = work(w);
+  co_await working;
+}
+
 net::Task<void> TestCluster::work(Worker& w) {
-  if (w.up_at > reactor.now()) {
-    Sleep boot(reactor, w.up_at - reactor.now());
-    co_await boot;
-    if (w.gone) co_return;
-    w.answered_sent = reactor.now();
-  }
   if (report_spread > 0) {
     Sleep begin(reactor, base_settings.report_s * chance());
     co_await begin;
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -211,6 +211,7 @@
   net::Task<net::Reply> call_worker(int node, std::string address, net::Request request,
                                     double timeout_s);
   net::Response cloud(const net::Request& r);
+  net::Task<void> boot_and_work(Worker& w);
   net::Task<void> work(Worker& w);
   /// Opens a connection to the node, or takes the one that is open; false when it has no room.
   bool connect(Worker& w, int node);
