--- a/tests/ops_troubles_test.cpp
+++ b/tests/ops_troubles_test.cpp
@@ -340,6 +340,31 @@
   EXPECT_TRUE(wait_for(w, 20, [&] { return w.running("j-000001") == 4; }));
 }
 
+// The list lags by a changing time while machines boot, are used and the leader changes: nothing
+// that it does not show yet, or shows as gone again, is lost or rented twice.
+TEST(OpsTroubles, ACloudListOfChangingLagLosesNoMachine) {
+  TestCluster w(3, {"a", "a", "a"});
+  w.run_s = 10'000;
+  w.boot_s = 2;
+  w.unlisted_s = 15;
+  w.run(1);
+  w.submit(0, service_in("j-000001", "a", 8));
+  ASSERT_TRUE(wait_for(w, 20, [&] { return w.running("j-000001") == 8; }));
+  const auto rented = w.rented;
+  for (const double lag : {30.0, 0.0, 60.0, 5.0}) {
+    w.unlisted_s = lag;
+    const int old = w.leader();
+    w.crash_node(old);
+    w.run(9);
+    w.start_node(old);
+    w.run(9);
+  }
+  EXPECT_EQ(w.running("j-000001"), 8);
+  EXPECT_LE(w.rented, rented + 1);
+  EXPECT_EQ(most_sessions(w), 1U);
+  for (const auto& [task, starts] : w.starts) EXPECT_EQ(starts, 1) << task;
+}
+
 // ---- questions many times as often ----
 
 /// Users who ask about jobs at one node, each job so many times a second, until told to stop.
