--- a/src/sched/cluster_state.cpp
+++ b/src/sched/cluster_state.cpp
@@ -668,7 +668,11 @@
   constexpr double kOverdue = 2;
   for (auto& [id, m] : machines_) {
     const auto* t = type(m.kind.type);
-    if (m.reported || m.overdue || t == nullptr || now <= m.silence_allowed_until) continue;
+    // Guards against a new leader that takes machines for late which have been up for long, and
+    // have only not reported to it yet.
+    const bool boots = m.listed ? m.booting : m.rented_here;
+    if (!boots || m.reported || m.overdue || t == nullptr) continue;
+    if (now <= m.silence_allowed_until) continue;
     if (now - m.rented_at <= kOverdue * expected_boot(*t, m.kind.zone, now)) continue;
     m.overdue = true;
     boot_times_.note_overdue({m.kind.type, m.kind.zone}, now);
--- a/tests/boot_times_test.cpp
+++ b/tests/boot_times_test.cpp
@@ -93,6 +93,18 @@
   EXPECT_EQ(fleet.cluster.machine("n-9")->tasks.size(), 1U);
 }
 
+// A new leader knows machines from the list, which have been up for long and have not reported to
+// it yet: they are not late, and nothing speaks against their zone.
+TEST(BootTimes, MachinesThatRunAlreadyAreNotOverdue) {
+  Rented fleet;
+  auto& machine = *fleet.cluster.machine("n-9");
+  machine.rented_here = machine.booting = false;
+  machine.rented_at = -20 * fleet.ready_s();
+  EXPECT_EQ(fleet.wanted(1), 0);
+  EXPECT_FALSE(machine.overdue);
+  EXPECT_EQ(fleet.cluster.boot_penalty(*fleet.cluster.type("g8"), "a", 1), 1);
+}
+
 // Where machines lately took long, they are waited for longer, and others are rented elsewhere.
 TEST(BootTimes, ABadZoneIsPassedOverForOneThatFitsAsWell) {
   Rented fleet;
