--- a/src/control/job_follower.cpp
+++ b/src/control/job_follower.cpp
@@ -119,7 +119,7 @@
 void JobFollower::note_changes(std::vector<wire::StoredValue> items, double sent) {
   bool stops = false;
   for (auto& item : items) {
-    Job* known = cluster_.job(item.key.substr(std::string(kJobsPrefix).size()));
+    Job* known = cluster_.job(job_of_key(item.key));
     if (known != nullptr && item.revision > known->revision && !known->withdrawn()) {
       if (const auto at_ms = read_withdrawn(item.data); at_ms != 0) {
         cluster_.withdraw(*known, at_ms, cancelled_since(at_ms));
@@ -143,7 +143,7 @@
 }
 
 void JobFollower::apply_change(const wire::StoredValue& item) {
-  const auto id = item.key.substr(std::string(kJobsPrefix).size());
+  const auto id = job_of_key(item.key);
   const Job* known = cluster_.job(id);
   if (known != nullptr && item.revision <= known->revision) return;
   if (item.data.empty()) {
--- a/src/control/machine_lifecycle.cpp
+++ b/src/control/machine_lifecycle.cpp
@@ -164,13 +164,12 @@
                                      double at) {
   const auto& s = services_.settings;
   const auto* type = cluster_.type(m.kind.type);
-  const double ready_s = type != nullptr ? type->ready_s : s.lease_s;
   if (m.failed) return retire(m, "it has stopped on its own");
   if (!m.reported) {
     // A list alone proves nothing; a machine that has not reported for several boot times, to a
     // leader who has been there for long enough, does no work.
     const double expected =
-        type != nullptr ? cluster_.expected_boot(*type, m.kind.zone, at) : ready_s;
+        type != nullptr ? cluster_.expected_boot(*type, m.kind.zone, at) : s.lease_s;
     const double patience = s.operators.boot_patience * expected;
     // Nor has one that its zone's cut keeps from reporting failed to come up.
     if (at - m.rented_at > patience && at - term_began_ > s.lease_s * 2 &&
--- a/src/control/node.cpp
+++ b/src/control/node.cpp
@@ -354,6 +354,7 @@
     co_return term_->handle_report(*report);
   }
   if (term_ != nullptr) co_return come_back("taking over");
+  report->tasks.clear();  // of no use here: the leader reads them from the text
   if (forwarder_.may_forward(*report)) {
     auto forwarding =
         forwarder_.forward(*report, std::move(request.body), [this] { return state_heard_; });
--- a/src/control/record.cpp
+++ b/src/control/record.cpp
@@ -11,6 +11,9 @@
 std::string job_key(const std::string& id) {
   return kJobsPrefix + id;
 }
+std::string job_of_key(const std::string& key) {
+  return key.substr(std::string_view(kJobsPrefix).size());
+}
 std::string ended_key(const std::string& id) {
   return "ended/" + id;
 }
--- a/src/control/record.hpp
+++ b/src/control/record.hpp
@@ -22,6 +22,8 @@
 inline constexpr const char* kJobsPrefix = "jobs/";
 inline constexpr const char* kPoolsPrefix = "pools/";
 std::string job_key(const std::string& id);
+/// The job whose live record stands under this key.
+std::string job_of_key(const std::string& key);
 std::string ended_key(const std::string& id);
 std::string part_key(const std::string& id, int part);
 
--- a/src/control/status_cache.cpp
+++ b/src/control/status_cache.cpp
@@ -16,10 +16,6 @@
 constexpr double kShareOfRequests = 0.25;            ///< of this node's, for exchanges
 constexpr double kLeastInterval = kUserTimeout / 8;  ///< seconds
 constexpr int kPageItems = 200;
-
-std::string id_of(const std::string& key) {
-  return key.substr(std::string_view(kJobsPrefix).size());
-}
 }  // namespace
 
 JobStatus status_of(const sched::Job& job) {
@@ -152,7 +148,7 @@
 // Pages and changes never overlap in time, but a page may be newer than the changes that follow it.
 void StatusCache::take_in(const std::vector<wire::StoredValue>& items) {
   for (const auto& item : items) {
-    const auto id = id_of(item.key);
+    const auto id = job_of_key(item.key);
     if (const Entry* known = jobs_.find(id); known != nullptr && known->revision >= item.revision) {
       continue;
     }
--- a/src/sched/boot_times.cpp
+++ b/src/sched/boot_times.cpp
@@ -38,8 +38,12 @@
 }
 
 double BootTimes::expected(const Place& place, double ready_s, double now) const {
+  return median(lately(place, ready_s, now), ready_s);
+}
+
+double BootTimes::median(const std::vector<Boot>& boots, double ready_s) {
   std::vector<double> seconds;
-  for (const Boot& boot : lately(place, ready_s, now)) {
+  for (const Boot& boot : boots) {
     if (boot.seconds) seconds.push_back(*boot.seconds);
   }
   if (seconds.size() < kFewestBoots) return ready_s;
@@ -53,7 +57,7 @@
   const auto overdue = static_cast<double>(std::count_if(
       boots.begin(), boots.end(), [](const Boot& boot) { return !boot.seconds.has_value(); }));
   const double up = static_cast<double>(boots.size()) - overdue;
-  return expected(place, ready_s, now) / ready_s * (1 + overdue / (up + 1));
+  return median(boots, ready_s) / ready_s * (1 + overdue / (up + 1));
 }
 
 }  // namespace cranklock::sched
--- a/src/sched/boot_times.hpp
+++ b/src/sched/boot_times.hpp
@@ -39,6 +39,8 @@
   };
   /// Those lately seen.
   std::vector<Boot> lately(const Place& place, double ready_s, double now) const;
+  /// The median of those that came, or what the cloud says.
+  static double median(const std::vector<Boot>& boots, double ready_s);
   void note(const Place& place, Boot boot);
 
   std::map<Place, std::deque<Boot>> boots_;  ///< the last few of each, the oldest first
--- a/tests/ops_troubles_test.cpp
+++ b/tests/ops_troubles_test.cpp
@@ -87,13 +87,6 @@
 
 constexpr double kStill = 70;  ///< longer than cancel_s, and than any lease
 
-/// Runs until it holds; false when that takes too long.
-template <typename Holds>
-bool wait_for(TestCluster& w, double most_s, Holds holds) {
-  for (double t = 0; t < most_s && !holds(); t += 0.25) w.run(0.25);
-  return holds();
-}
-
 bool is_deleted(const TestCluster& w, const std::string& machine) {
   return std::find(w.deleted.begin(), w.deleted.end(), machine) != w.deleted.end();
 }
@@ -398,10 +391,6 @@
   }
 };
 
-std::string name(int i) {
-  return "j-" + std::to_string(100'000 + i);
-}
-
 /// A small state service, and forty jobs that run and are asked about four times a second each.
 struct Questions {
   static constexpr int kJobs = 40;
@@ -501,12 +490,6 @@
   return spec;
 }
 
-bool all_over(const TestCluster& w) {
-  const auto accepted = w.rules.accepted();
-  return std::all_of(accepted.begin(), accepted.end(),
-                     [&](const std::string& id) { return !w.rules.ending(id).empty(); });
-}
-
 // Guest work fills the fleet; guaranteed work that comes then stops it and starts at once, and the
 // guests are served all the same.
 TEST(OpsTroubles, GuestsMakeRoomForAGuaranteeAndAreServedAfterwards) {
--- a/tests/pipelines_test.cpp
+++ b/tests/pipelines_test.cpp
@@ -12,10 +12,6 @@
 
 using wire::Shape;
 
-std::string name(int i) {
-  return "j-" + std::to_string(100'000 + i);
-}
-
 wire::JobSpec stage(int i, const std::vector<int>& needs = {}, std::uint32_t tasks = 1) {
   auto spec = make_job(name(i), Shape::array, tasks, 1).spec;
   for (const int needed : needs) spec.needs.push_back(name(needed));
@@ -28,13 +24,6 @@
   return w.take();
 }
 
-/// Runs until it holds; false when that takes too long.
-template <typename Holds>
-bool wait_for(TestCluster& w, double most_s, Holds holds) {
-  for (double t = 0; t < most_s && !holds(); t += 0.25) w.run(0.25);
-  return holds();
-}
-
 bool ended(const TestCluster& w, int i) {
   return w.state_service.values.contains("ended/" + name(i));
 }
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -2,6 +2,7 @@
 // with no sockets. It plays PROTOCOL's troubles, and its rule checker counts what breaks the rules.
 #pragma once
 
+#include <algorithm>
 #include <limits>
 #include <map>
 #include <memory>
@@ -248,4 +249,23 @@
   net::Scope scope_;
 };
 
+/// Runs until it holds; false when that takes too long.
+template <typename Holds>
+bool wait_for(TestCluster& w, double most_s, Holds holds) {
+  for (double t = 0; t < most_s && !holds(); t += 0.25) w.run(0.25);
+  return holds();
+}
+
+/// Whether every accepted job has ended, as users were told.
+inline bool all_over(const TestCluster& w) {
+  const auto accepted = w.rules.accepted();
+  return std::all_of(accepted.begin(), accepted.end(),
+                     [&](const std::string& id) { return !w.rules.ending(id).empty(); });
+}
+
+/// Ids of jobs by number.
+inline std::string name(int i) {
+  return "j-" + std::to_string(100'000 + i);
+}
+
 }  // namespace cranklock::testing
--- a/tests/two_troubles_test.cpp
+++ b/tests/two_troubles_test.cpp
@@ -16,10 +16,6 @@
   return make_job(id, shape, tasks, gpus, team).spec;
 }
 
-std::string name(int i) {
-  return "j-" + std::to_string(100'000 + i);
-}
-
 /// Figures of a deployment, by ratio: reports, leases and cancellations are what the bounds hang
 /// on.
 base::Settings figures(double report_s, double lease_s, double cancel_s) {
@@ -47,13 +43,6 @@
   return out;
 }
 
-/// Runs until it holds; false when that takes too long.
-template <typename Holds>
-bool wait_for(TestCluster& w, double most_s, Holds holds) {
-  for (double t = 0; t < most_s && !holds(); t += 0.25) w.run(0.25);
-  return holds();
-}
-
 /// Crashes the leader, and starts it again after a while.
 void change_leader(TestCluster& w, double back_s = 8) {
   const int old = w.leader();
@@ -68,13 +57,6 @@
   return (node + 1) % w.nodes();
 }
 
-bool all_over(TestCluster& w) {
-  for (const auto& id : w.rules.accepted()) {
-    if (w.rules.ending(id).empty()) return false;
-  }
-  return true;
-}
-
 // ---- the gap ----
 
 enum class Refusal { ends_inside, ends_after, with_a_moment_of_service };
