Plans of moves are stored and carried out where the operator turns them on

Need: free room is left in pieces when array work ends; large work then waits for a boot. The planner only advised.

Change: a plan is a record under moves/record, written under the leader's key before the first stop. A pure executor (defrag::MoveExecutor) takes each move through reserved, stopping, freed, restarting; how far it is follows from placements, so a successor comes to the same step. Reservations (sched::Reservations) come from the stored plan alone and are honoured by work of equal or lower entitlement. What a job has moved in an hour is kept in the record. moves/off in the state service stops all moves at once: every write of a plan is conditional on its absence. Off unless <defrag moves='on'/>.

--- a/src/base/settings.cpp
+++ b/src/base/settings.cpp
@@ -99,8 +99,7 @@
         {"most_step_share", {real(sc.most_step_share), 0.0}},
         {"least_machines", {whole(sc.least_machines), 0, true}},
         {"most_machines", {whole(sc.most_machines), 1, true}}}},
-      {"machines", {{"boot_patience", {real(o.boot_patience), 1.0}}}},
-      {"defrag", {{"advise_every_s", {real(o.advise_every_s), 1.0}}}}};
+      {"machines", {{"boot_patience", {real(o.boot_patience), 1.0}}}}};
   for (const auto& element : root.children()) {
     if (element.type() != pugi::node_element) continue;
     if (std::string(element.name()) == "regions") {
@@ -108,6 +107,10 @@
       o.regions = read_region_settings(element, path);
       continue;
     }
+    if (std::string(element.name()) == "defrag") {
+      o.defrag = read_defrag_settings(element, path);
+      continue;
+    }
     const auto section = known.find(element.name());
     if (section == known.end()) {
       throw SettingsError(path + ": " + element.name() +
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "base/defrag_settings.hpp"
 #include "base/region_settings.hpp"
 
 namespace cranklock::base {
@@ -50,9 +51,9 @@
 
 struct OperatorSettings {
   ScalerSettings scaler;
-  double advise_every_s = 0;   ///< between two looks for moves that would make room; 0: none
   double boot_patience = 3.0;  ///< times ReadyS after which a boot is given up
   RegionSettings regions;
+  DefragSettings defrag;
 };
 
 struct Settings {
--- a/src/control/command_sender.cpp
+++ b/src/control/command_sender.cpp
@@ -35,7 +35,8 @@
 }
 
 bool stop_due(const Job& job, const sched::Placement& p, Allowed allowed) {
-  return ((p.stop && allowed.stop) || job.withdrawn()) && p.seen && !p.ended && !p.stop_sent;
+  return ((p.stop && !p.stop_before && allowed.stop) || job.withdrawn()) && p.seen && !p.ended &&
+         !p.stop_sent;
 }
 }  // namespace
 
--- a/src/control/pool_scaler.cpp
+++ b/src/control/pool_scaler.cpp
@@ -169,6 +169,8 @@
 int PoolScaler::shrink(const sched::PoolId& pool, int machines) {
   std::vector<Machine*> idle;
   for (auto& [id, m] : cluster_.machines()) {
+    // An emptied machine that a plan holds for large work is not idle.
+    if (cluster_.reservations().any_on(id)) continue;
     if (sched::pool_of(m.kind) == pool && sched::usable(cluster_, m) && m.idle() &&
         now() - m.idle_since > services_.settings.report_s * 2) {
       idle.push_back(&m);
--- a/src/control/term.cpp
+++ b/src/control/term.cpp
@@ -36,8 +36,11 @@
               lease.token()),
       commands_(services, lease, cluster_, work_, command_duties()),
       scaler_(services, lease, cluster_, work_, scaler_duties()) {
-  const double advise_every_s = services.settings.operators.advise_every_s;
+  const double advise_every_s = services.settings.operators.defrag.advise_every_s;
   if (advise_every_s > 0) advisor_ = std::make_unique<defrag::Advisor>(cluster_, advise_every_s);
+  if (services.settings.operators.defrag.moves) {
+    moves_ = std::make_unique<MoveService>(services, lease, cluster_, work_, move_duties());
+  }
   if (regions == nullptr) return;
   shares_ = std::make_unique<regions::ShareService>(
       services.reactor, services.settings, services.store, *regions,
@@ -74,6 +77,10 @@
           [this](const std::string& machine) { return machines_.is_deleted(machine); }};
 }
 
+MoveService::Term Term::move_duties() {
+  return {[this] { return is_lost_; }, [this](const char* why) { lose(why); }};
+}
+
 // ---- shares of team limits ----
 
 regions::ShareService::Term Term::share_duties() {
@@ -123,7 +130,10 @@
   auto loading_pools = scaler_.load();
   if (!co_await loading_pools) co_return false;
   auto loading_jobs = jobs_.load();
-  co_return co_await loading_jobs;
+  if (!co_await loading_jobs) co_return false;
+  if (!moves_) co_return true;
+  auto loading_moves = moves_->load();
+  co_return co_await loading_moves;
 }
 
 void Term::start(net::Scope& scope) {
@@ -134,6 +144,7 @@
   scope.spawn(scaler_.run());
   scope.spawn(commands_.announce_token());
   if (shares_) shares_->start(scope);
+  if (moves_) scope.spawn(moves_->run());
 }
 
 // ---- reports ----
--- a/src/control/term.hpp
+++ b/src/control/term.hpp
@@ -12,6 +12,7 @@
 #include "control/job_follower.hpp"
 #include "control/leader_lease.hpp"
 #include "control/machine_lifecycle.hpp"
+#include "control/move_service.hpp"
 #include "control/pool_scaler.hpp"
 #include "control/record_reloader.hpp"
 #include "control/record_writer.hpp"
@@ -62,6 +63,7 @@
 
   net::Task<void> write_jobs();
   void advise_on_moves();
+  MoveService::Term move_duties();
   /// Whether shares of other regions bind this node, and it knows them.
   net::Task<bool> load_shares();
   regions::ShareService::Term share_duties();
@@ -88,6 +90,7 @@
   PoolScaler scaler_;
   std::unique_ptr<regions::ShareService> shares_;
   std::unique_ptr<defrag::Advisor> advisor_;  ///< where the operator asks for advice
+  std::unique_ptr<MoveService> moves_;        ///< where the operator lets moves be carried out
   double next_pass_at_ = 0;                   ///< no placement pass before
   /// Since the last pass a job has come, or one that others need has ended.
   bool pass_awaited_ = false;
--- a/src/control/term_decide.cpp
+++ b/src/control/term_decide.cpp
@@ -52,6 +52,7 @@
       }
     }
     advise_on_moves();
+    if (moves_) moves_->wake();
     auto writing = write_jobs();
     co_await writing;
     commands_.send_orders();
--- a/src/defrag/advisor.hpp
+++ b/src/defrag/advisor.hpp
@@ -5,7 +5,7 @@
 #include <string>
 #include <vector>
 
-#include "defrag/planner.hpp"
+#include "defrag/plan_search.hpp"
 #include "sched/cluster_state.hpp"
 
 namespace cranklock::defrag {
@@ -22,9 +22,7 @@
 };
 
 /// Looks from time to time whether moves would make room for the most entitled job that waits for
-/// room alone: it has waited as long as a machine boots, its team is within its limit, and no plan
-/// is worth more than that boot for each of its tasks. An advice is a line in the log and changes
-/// nothing.
+/// room alone (`find_plan`). An advice is a line in the log and changes nothing.
 class Advisor {
  public:
   /// `every_s` is the time between two looks; all that is referred to outlives the advisor.
@@ -34,10 +32,6 @@
   std::optional<Advice> look(double now);
 
  private:
-  const sched::Job* most_entitled(double now) const;
-  bool waits_for_room(const sched::Job& job, double now) const;
-  double boot_s(const sched::Job& job) const;
-
   sched::ClusterState& cluster_;
   double every_s_;
   double next_look_ = 0;
--- a/src/defrag/fleet_view.cpp
+++ b/src/defrag/fleet_view.cpp
@@ -6,23 +6,41 @@
 
 namespace cranklock::defrag {
 
-std::optional<double> move_cost(const sched::Job& job, const sched::Placement& placement,
-                                double report_s, double now) {
-  constexpr double kReportsUntilRestart = 2;
+namespace {
+
+/// In doubt, being stopped or cancelled: nobody may count on where it is.
+bool is_settled(const sched::Job& job, const sched::Placement& placement) {
   const bool in_doubt = !placement.durable || placement.outcome_unknown || !placement.seen ||
                         placement.unconfirmed_session != 0;
   const bool leaving = placement.ended || placement.stop || job.withdrawn();
-  if (in_doubt || leaving || job.spec.shape != wire::Shape::array) return std::nullopt;
-  if (placement.state != wire::TaskState::running) return std::nullopt;
-  const double restart_s = kReportsUntilRestart * report_s;
+  return !in_doubt && !leaving;
+}
+
+}  // namespace
+
+std::optional<double> move_cost(const sched::ClusterState& cluster, const sched::Job& job,
+                                const sched::Placement& placement, const MoveRules& rules,
+                                double now) {
+  constexpr double kReportsUntilRestart = 2;
+  if (rules.allowance && rules.allowance(job) == 0) return std::nullopt;
+  if (!is_settled(job, placement) || placement.state != wire::TaskState::running) {
+    return std::nullopt;
+  }
+  const double restart_s = kReportsUntilRestart * cluster.settings().report_s;
+  if (job.spec.shape == wire::Shape::service) {
+    // A single replica has no other to serve in its place.
+    if (!rules.services || job.live() < 2) return std::nullopt;
+    return cluster.settings().lease_s / 2 + restart_s;
+  }
+  if (job.spec.shape != wire::Shape::array) return std::nullopt;
   if (job.spec.checkpoint_s > 0) return job.spec.save_s + restart_s;
   return std::max(now - placement.running_since, 0.0) + restart_s;
 }
 
 namespace {
 
-Host view_machine(const sched::Machine& machine, const wire::MachineType& type, double report_s,
-                  double now) {
+Host view_machine(const sched::ClusterState& cluster, const sched::Machine& machine,
+                  const wire::MachineType& type, const MoveRules& rules, double now) {
   Host host;
   host.id = machine.id;
   host.kind = machine.kind;
@@ -34,7 +52,7 @@
     Resident resident;
     resident.task = {job.spec.id, held.task};
     resident.spec = &job.spec;
-    resident.move_cost_s = move_cost(job, held.placement(), report_s, now);
+    resident.move_cost_s = move_cost(cluster, job, held.placement(), rules, now);
     resident.zone_bound = job.spec.one_zone || job.spec.spread;
     host.residents.push_back(std::move(resident));
   }
@@ -43,12 +61,12 @@
 
 }  // namespace
 
-std::vector<Host> view_fleet(sched::ClusterState& cluster, double now) {
+std::vector<Host> view_fleet(sched::ClusterState& cluster, const MoveRules& rules, double now) {
   std::vector<Host> hosts;
   for (const auto& [id, machine] : cluster.machines()) {
     const auto* type = cluster.type(machine.kind.type);
     if (type == nullptr || !sched::usable(cluster, machine)) continue;
-    hosts.push_back(view_machine(machine, *type, cluster.settings().report_s, now));
+    hosts.push_back(view_machine(cluster, machine, *type, rules, now));
   }
   return hosts;
 }
--- a/src/defrag/move_budget.cpp
+++ b/src/defrag/move_budget.cpp
@@ -4,30 +4,46 @@
 #include <iterator>
 
 namespace cranklock::defrag {
-namespace {
-constexpr double kHour = 3600;
+std::size_t MoveBudget::most_at_once(std::size_t tasks) const {
+  const auto share = static_cast<std::size_t>(settings_.share_at_once * static_cast<double>(tasks));
+  return std::max<std::size_t>(share, 1);
+}
+
+std::size_t MoveBudget::left(const std::string& job, std::size_t tasks, double now) const {
+  const std::size_t most = std::max(settings_.moves_per_job_and_hour, most_at_once(tasks));
+  const auto known = jobs_.find(job);
+  if (known == jobs_.end()) return most;
+  const auto& begun = known->second.begun;
+  const auto lately = static_cast<std::size_t>(std::count_if(
+      begun.begin(), begun.end(), [&](double time) { return time > now - kBudgetSpan; }));
+  return most - std::min(lately, most);
 }
 
 bool MoveBudget::may_begin(const std::string& job, std::size_t tasks, double now) const {
   if (under_way_ >= at_once_) return false;
   const auto known = jobs_.find(job);
-  if (known == jobs_.end()) return settings_.moves_per_job_and_hour > 0;
-  const JobMoves& moves = known->second;
-  const auto share = static_cast<std::size_t>(settings_.share_at_once * static_cast<double>(tasks));
-  if (moves.under_way >= std::max<std::size_t>(share, 1)) return false;
-  const auto lately = std::count_if(moves.begun.begin(), moves.begun.end(),
-                                    [&](double begun) { return begun > now - kHour; });
-  return static_cast<std::size_t>(lately) < settings_.moves_per_job_and_hour;
+  if (known != jobs_.end() && known->second.under_way >= most_at_once(tasks)) return false;
+  return left(job, tasks, now) > 0;
 }
 
 void MoveBudget::began(const std::string& job, double now) {
-  forget_before(now - kHour);
+  forget_before(now - kBudgetSpan);
   JobMoves& moves = jobs_[job];
   moves.begun.push_back(now);
   ++moves.under_way;
   ++under_way_;
 }
 
+void MoveBudget::restore(const std::string& job, double begun) {
+  auto& times = jobs_[job].begun;
+  times.insert(std::upper_bound(times.begin(), times.end(), begun), begun);
+}
+
+void MoveBudget::resume(const std::string& job) {
+  ++jobs_[job].under_way;
+  ++under_way_;
+}
+
 void MoveBudget::ended(const std::string& job, double took_s) {
   const auto known = jobs_.find(job);
   if (known == jobs_.end() || known->second.under_way == 0) return;
--- a/src/defrag/move_budget.hpp
+++ b/src/defrag/move_budget.hpp
@@ -8,7 +8,9 @@
 
 namespace cranklock::defrag {
 
+/// A disruption budget.
 struct MoveBudgetSettings {
+  /// Of a job of few tasks; a larger one may move `share_at_once` of its tasks in an hour.
   std::size_t moves_per_job_and_hour = 4;
   /// Of a job's tasks, at most this share moves at once; a job of few tasks moves one.
   double share_at_once = 0.25;
@@ -17,6 +19,8 @@
   double slow_s = 30;
 };
 
+inline constexpr double kBudgetSpan = 3600;  ///< seconds for which a move counts
+
 /// Keeps moves from chasing one another, and from filling the fleet with copies when they are slow.
 ///
 /// A move counts for its job from its beginning, for an hour, whether it ended well or not. The
@@ -28,8 +32,14 @@
 
   /// Whether one more task of a job of so many may begin to move at this time.
   bool may_begin(const std::string& job, std::size_t tasks, double now) const;
+  /// How many more tasks of a job of so many may move within this hour.
+  std::size_t left(const std::string& job, std::size_t tasks, double now) const;
   void began(const std::string& job, double now);
   void ended(const std::string& job, double took_s);
+  /// A move that a former leader has begun, which counts for its hour.
+  void restore(const std::string& job, double begun);
+  /// One of those that has not ended yet.
+  void resume(const std::string& job);
 
   std::size_t at_once() const { return at_once_; }
   std::size_t under_way() const { return under_way_; }
@@ -40,6 +50,7 @@
     std::size_t under_way = 0;
   };
   void forget_before(double time);
+  std::size_t most_at_once(std::size_t tasks) const;
 
   MoveBudgetSettings settings_;
   std::map<std::string, JobMoves> jobs_;
--- /dev/null
+++ b/src/defrag/plan_check.cpp
@@ -0,0 +1,156 @@
+#include "defrag/plan_check.hpp"
+
+#include <algorithm>
+#include <map>
+#include <string>
+
+#include "defrag/plan_search.hpp"
+#include "sched/placement.hpp"
+
+namespace cranklock::defrag {
+namespace {
+
+using sched::ClusterState;
+
+bool has_begun(const PlannedMove& move) {
+  return move.step != MoveStep::reserved && move.step != MoveStep::done &&
+         move.step != MoveStep::diverted;
+}
+
+/// Its target's room is still to be taken.
+bool is_due_at_target(const PlannedMove& move) {
+  return move.step != MoveStep::restarting && move.step != MoveStep::done &&
+         move.step != MoveStep::diverted;
+}
+
+/// Whether the machine takes work, and has so much room beside what is on it.
+bool offers(ClusterState& cluster, const std::string& id, const wire::Room& room) {
+  const auto* machine = cluster.machine(id);
+  const auto* type = machine != nullptr ? cluster.type(machine->kind.type) : nullptr;
+  return type != nullptr && sched::usable(cluster, *machine) &&
+         room.fits_in(type->room - machine->used);
+}
+
+bool is_place_lost(ClusterState& cluster, const MovePlan& plan, const sched::Job& waiting,
+                   const PlannedPlace& place) {
+  const auto* machine = cluster.machine(place.machine);
+  if (machine == nullptr || !sched::allows(waiting.spec, machine->kind)) return true;
+  wire::Room wanted = waiting.spec.room * place.tasks;
+  for (const auto& move : plan.moves) {
+    if (move.source != place.machine || !is_on_source(cluster, move)) continue;
+    wanted -= cluster.job(move.task.job)->spec.room;
+  }
+  return !offers(cluster, place.machine, wanted);
+}
+
+bool target_allows(ClusterState& cluster, const PlannedMove& move, const sched::Job& job) {
+  const auto* target = cluster.machine(move.target);
+  if (target == nullptr || !sched::allows(job.spec, target->kind)) return false;
+  const auto* source = cluster.machine(move.source);
+  const bool zone_bound = job.spec.one_zone || job.spec.spread;
+  return !zone_bound || source == nullptr || source->kind.zone == target->kind.zone;
+}
+
+bool is_target_lost(ClusterState& cluster, const MovePlan& plan, bool placed) {
+  std::map<std::string, wire::Room> wanted;  // by target
+  for (const auto& move : plan.moves) {
+    const sched::Job* job = cluster.job(move.task.job);
+    if (job == nullptr || !is_due_at_target(move) || (placed && !has_begun(move))) continue;
+    if (!target_allows(cluster, move, *job)) return true;
+    wanted[move.target] += job->spec.room;
+  }
+  return std::any_of(wanted.begin(), wanted.end(), [&](const auto& target) {
+    return !offers(cluster, target.first, target.second);
+  });
+}
+
+/// What the moves that have not begun would cost now.
+double remaining_cost(ClusterState& cluster, const MovePlan& plan, const MoveRules& rules,
+                      double now) {
+  double cost = 0;
+  for (const auto& move : plan.moves) {
+    if (move.step != MoveStep::reserved || !is_on_source(cluster, move)) continue;
+    const sched::Job& job = *cluster.job(move.task.job);
+    MoveRules any_number = rules;
+    any_number.allowance = nullptr;  // asked when the move begins
+    const auto* placement = job.live_placement(move.task.index);
+    cost += move_cost(cluster, job, *placement, any_number, now).value_or(0);
+  }
+  return cost;
+}
+
+}  // namespace
+
+const char* to_string(DropReason reason) {
+  switch (reason) {
+    case DropReason::job_over:
+      return "the waiting job is over";
+    case DropReason::gain_gone:
+      return "it gains nothing any more";
+    case DropReason::too_dear:
+      return "it costs as much as a boot";
+    case DropReason::too_slow:
+      return "it takes too long";
+    case DropReason::place_lost:
+      return "a machine meant for the waiting job is lost to it";
+    case DropReason::target_lost:
+      return "a target is lost";
+    case DropReason::drain_refused:
+      return "the router refuses to drain a replica";
+    case DropReason::drain_late:
+      return "a replica was not drained in time";
+    case DropReason::off:
+      return "moves are off";
+  }
+  return "";
+}
+
+double longest_plan_s(const base::Settings& settings) {
+  return 2 * settings.cancel_s;
+}
+
+bool is_on_source(ClusterState& cluster, const PlannedMove& move) {
+  sched::Job* job = cluster.job(move.task.job);
+  const auto* placement = job != nullptr ? job->find(move.task.index, move.attempt) : nullptr;
+  return placement != nullptr && !placement->ended && placement->machine == move.source;
+}
+
+bool is_placed(const sched::Job& job, const MovePlan& plan) {
+  if (job.spec.shape == wire::Shape::gang) return job.live() > 0;
+  if (job.pending_count() == 0) return true;
+  return std::any_of(job.placements.begin(), job.placements.end(), [&](const auto& placement) {
+    if (placement.ended) return false;
+    return std::any_of(plan.places.begin(), plan.places.end(), [&](const PlannedPlace& place) {
+      return place.machine == placement.machine;
+    });
+  });
+}
+
+std::optional<DropReason> why_drop_by_records(ClusterState& cluster, const MovePlan& plan,
+                                              bool placed, std::int64_t wall_ms, double now) {
+  // A clock of the day that is behind the former leader's makes a plan end late by as much.
+  const double age_s = static_cast<double>(wall_ms - plan.begun_ms) / 1000;
+  if (age_s > longest_plan_s(cluster.settings())) return DropReason::too_slow;
+  if (placed) return std::nullopt;
+  const sched::Job* waiting = cluster.job(plan.job);
+  if (waiting == nullptr || waiting->withdrawn()) return DropReason::job_over;
+  if (!waits_for_room(cluster, *waiting, now)) return DropReason::gain_gone;
+  return std::nullopt;
+}
+
+std::optional<DropReason> why_drop_by_fleet(ClusterState& cluster, const MovePlan& plan,
+                                            bool placed, const MoveRules& rules, double now) {
+  if (is_target_lost(cluster, plan, placed)) return DropReason::target_lost;
+  if (placed) return std::nullopt;
+  const sched::Job& waiting = *cluster.job(plan.job);
+  if (room_is_coming(cluster, waiting)) return DropReason::gain_gone;
+  const bool place_lost = std::any_of(
+      plan.places.begin(), plan.places.end(),
+      [&](const PlannedPlace& place) { return is_place_lost(cluster, plan, waiting, place); });
+  if (place_lost) return DropReason::place_lost;
+  const bool dear = plan.boot_s > 0 && remaining_cost(cluster, plan, rules, now) >= plan.boot_s;
+  if (dear) return DropReason::too_dear;
+  return std::nullopt;
+}
+
+}  // namespace cranklock::defrag
--- a/src/sched/cluster_state.cpp
+++ b/src/sched/cluster_state.cpp
@@ -58,6 +58,25 @@
   return it == team_use_.end() ? none : it->second;
 }
 
+void ClusterState::set_reservations(Reservations reservations) {
+  if (reservations.all() == reservations_.all()) return;
+  // What was held for a plan is free at once for whoever waits (invariant 19).
+  changed_ = true;
+  reservations_ = std::move(reservations);
+}
+
+bool ClusterState::in_force(const Reservation& reservation) const {
+  const auto found = jobs_.find(reservation.job);
+  if (found == jobs_.end()) return false;
+  const Job& job = found->second;
+  if (job.withdrawn()) return false;
+  if (reservation.task && job.done.contains(*reservation.task)) return false;
+  return std::none_of(job.placements.begin(), job.placements.end(), [&](const Placement& p) {
+    return !p.ended && p.machine == reservation.machine &&
+           (!reservation.task || p.task == *reservation.task);
+  });
+}
+
 void ClusterState::attach(Job& job, Placement& placement) {
   if (placement.ended) return;
   team_use_[job.spec.team] += job.spec.room;
@@ -270,6 +289,18 @@
   placement.stop_since = now;
 }
 
+void ClusterState::request_drained_stop(Placement& placement, double before, double now) {
+  if (placement.ended || (placement.stop && !placement.stop_before)) return;
+  request_stop(placement, 0, now);
+  placement.stop_before = before;
+}
+
+void ClusterState::take_back_drained_stop(Placement& placement) {
+  if (!placement.stop_before) return;
+  placement.stop = false;
+  placement.stop_before.reset();
+}
+
 void ClusterState::forget_ended(Job& job,
                                 const std::vector<std::pair<std::uint32_t, std::uint64_t>>& which) {
   const std::set<std::pair<std::uint32_t, std::uint64_t>> written(which.begin(), which.end());
@@ -533,6 +564,16 @@
   }
 }
 
+namespace {
+// Guards against the stop of a replica that is in service again: what a worker reads of an answer,
+// it reads within its patience, and the drain has to last until then.
+bool may_send_stop(const Placement& placement, double now) {
+  constexpr double kAnswerPatience = 4;  // seconds, of a worker for the answer to its report
+  const double latest = now + kAnswerPatience * (1 + 2 * base::kClockDrift);
+  return !placement.stop_before || latest < *placement.stop_before;
+}
+}  // namespace
+
 std::vector<wire::Order> ClusterState::orders(const wire::Report& r, bool may_start, double now) {
   std::vector<wire::Order> out;
   Machine* m = machine(r.machine);
@@ -551,7 +592,7 @@
       }
     } else if (!ours || p->ended || j->withdrawn()) {
       out.push_back({wire::Verb::stop, t.task, t.attempt, 0});
-    } else if (p->stop) {
+    } else if (p->stop && may_send_stop(*p, now)) {
       // Past its grace it is ended for good.
       const bool late = now > p->stop_since + p->grace_s + 2 * settings_.report_s;
       if (t.state != TaskState::saving || late) {
--- a/src/sched/cluster_state.hpp
+++ b/src/sched/cluster_state.hpp
@@ -14,6 +14,7 @@
 #include "sched/boot_times.hpp"
 #include "sched/dependencies.hpp"
 #include "sched/job.hpp"
+#include "sched/reservations.hpp"
 #include "sched/team_shares.hpp"
 #include "wire/messages.hpp"
 
@@ -111,6 +112,10 @@
   /// A write of the record has succeeded that does not name it.
   void resolve_dropped(Job& job, Placement& placement, double now);
   static void request_stop(Placement& placement, double grace_s, double now);
+  /// The same for a replica that a router keeps drained until `before`, or prolongs that.
+  static void request_drained_stop(Placement& placement, double before, double now);
+  /// Takes such a stop back; one that was carried out meanwhile shows in the next report.
+  static void take_back_drained_stop(Placement& placement);
   /// How long the evidence against a quarantined machine is waited for that would clear it.
   double quarantine_trial() const { return 3 * settings_.report_s; }
   /// Ends everything a machine holds; what it held of gangs is stopped elsewhere too.
@@ -182,6 +187,12 @@
   wire::Room limit_of(const base::Team& team) const {
     return team_shares_ != nullptr ? team_shares_->limit(team) : whole_limit(team);
   }
+  /// Replaces all reservations, those of the plan of moves that is under way.
+  void set_reservations(Reservations reservations);
+  const Reservations& reservations() const { return reservations_; }
+  /// Whether the reservation still holds room: its job lives, and nothing of what it is for is on
+  /// the machine yet.
+  bool in_force(const Reservation& reservation) const;
   const base::Settings& settings() const { return settings_; }
   std::uint64_t token() const { return token_; }
   double lease_bound() const;
@@ -223,6 +234,7 @@
   std::map<std::string, std::vector<PlacementRef>> unseen_;
   std::map<std::string, wire::Room> team_use_;
   const TeamShares* team_shares_ = nullptr;
+  Reservations reservations_;
   std::map<std::string, wire::MachineType> types_;
   struct ReportForwarder {
     std::uint64_t run = 0;
--- a/src/sched/job.cpp
+++ b/src/sched/job.cpp
@@ -70,6 +70,16 @@
             [](const Placement& a, const Placement& b) { return key_of(a) < key_of(b); });
 }
 
+const Placement* Job::live_placement(std::uint32_t task) const {
+  const auto found = std::find_if(placements.begin(), placements.end(),
+                                  [&](const Placement& p) { return p.task == task && !p.ended; });
+  return found == placements.end() ? nullptr : &*found;
+}
+
+bool Job::is_pending(std::uint32_t task) const {
+  return !done.contains(task) && live_placement(task) == nullptr;
+}
+
 std::vector<std::uint32_t> Job::pending(std::size_t most) const {
   std::vector<std::uint32_t> out;
   std::uint32_t next = 0;
--- a/src/sched/job.hpp
+++ b/src/sched/job.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -42,6 +43,9 @@
   bool stop = false;     ///< to be stopped, saving if grace_s allows
   double grace_s = 0;
   double stop_since = 0;
+  /// A replica that a router keeps drained until then: its stop goes out only before it, and only
+  /// in answers to reports, which are never carried out late (invariant 19).
+  std::optional<double> stop_before;
   bool stop_sent = false;  ///< straight to the worker; its reports' answers repeat it
   bool seen = false;       ///< a report showed it
   wire::TaskState state = wire::TaskState::fetching;
@@ -106,6 +110,10 @@
   std::vector<Placement>::iterator position(std::uint32_t task, std::uint64_t attempt);
   Placement* find(std::uint32_t task, std::uint64_t attempt);
   void sort_placements();
+  /// Whether the task is neither done nor on any machine.
+  bool is_pending(std::uint32_t task) const;
+  /// The placement of the task that has not ended, if there is one.
+  const Placement* live_placement(std::uint32_t task) const;
   /// Up to `most` tasks that are neither done nor on any machine.
   std::vector<std::uint32_t> pending(std::size_t most) const;
   std::uint32_t pending_count() const;
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -40,6 +40,7 @@
   Room leaving;  ///< of tasks that are being stopped
   const Job* reserved = nullptr;
   const wire::MachineType* type = nullptr;
+  bool has_reservations = false;  ///< a plan of moves holds room there
 };
 
 /// Places of a job by zone, for OneZone and Apart. Everything not proven free counts.
@@ -72,6 +73,7 @@
         const auto stopped = leaving.find(id);
         slots_.push_back({m.kind, t->room - m.used, &m,
                           stopped == leaving.end() ? Room{} : stopped->second, nullptr, t});
+        slots_.back().has_reservations = cluster.reservations().any_on(id);
       } else if (coming(cluster, m)) {
         booting_.push_back({m.kind, t->room - m.used, nullptr, {}, nullptr, t});
       }
@@ -79,6 +81,8 @@
   }
 
   PassResult run() {
+    take_reservations_in();
+    place_rescheduled();
     for (Job* job : waiting_jobs()) {
       place(*job);
       if (result_.placed >= kMostPlaced) {
@@ -89,6 +93,8 @@
     most_looks_ = result_.looked_at + kMostRounds * slots_.size();
     for (auto* job : unplaced_) make_room(*job);
     for (auto* job : unplaced_) {
+      // What a plan of moves makes room for needs no machine beside it.
+      if (cluster_.reservations().any_for_waiting(job->spec.id)) continue;
       add_shortfall(*job, zones_of(*job), job->pending_count(), false);
     }
     foresee_losses();
@@ -96,6 +102,11 @@
   }
 
  private:
+  void take_reservations_in();
+  void place_rescheduled();
+  bool may_reschedule(const Job& job, std::uint32_t task, const Slot& slot) const;
+  Room room_for(const Job& job, const Slot& slot) const;
+  Room held_from(const Job& job, const Slot& slot) const;
   std::vector<Job*> waiting_jobs();
   void place(Job& job);
   bool place_gang(Job& job, const std::vector<std::uint32_t>& tasks);
@@ -135,8 +146,8 @@
     return job.spec.shape == Shape::service && !cluster_.settings().has_node(zone);
   }
   void reserve(const Job& job);
-  static bool hopeless(const Job& job, const std::vector<const Job*>& failed);
-  static void note_hopeless(const Job& job, std::vector<const Job*>& failed);
+  bool is_hopeless(const Job& job, const std::vector<const Job*>& failed) const;
+  void note_hopeless(const Job& job, std::vector<const Job*>& failed) const;
   bool may_preempt_any(const Job& job) const;
   void reserve_gang(const Job& job);
 
@@ -146,7 +157,10 @@
   std::vector<Slot> slots_, booting_;
   std::vector<Slot> virtual_;  ///< machines that would be rented
   std::vector<Job*> unplaced_;
-  std::vector<const Job*> no_room_for_;  ///< see hopeless()
+  std::vector<const Reservation*> reservations_;  ///< those in force
+  /// Since the last search began, a slot had room but for what is reserved there.
+  mutable bool held_back_ = false;
+  std::vector<const Job*> no_room_for_;  ///< see is_hopeless()
   /// The same for making room, by team, rank and guarantee.
   std::map<std::tuple<std::string, wire::Rank, bool>, std::vector<const Job*>> no_victims_for_;
   std::size_t most_looks_ = 0;
@@ -188,6 +202,64 @@
   return waiting;
 }
 
+// ---- reservations of a plan of moves ----
+
+void Pass::take_reservations_in() {
+  for (const auto& reservation : cluster_.reservations().all()) {
+    if (cluster_.in_force(reservation)) reservations_.push_back(&reservation);
+  }
+}
+
+bool Pass::may_reschedule(const Job& job, std::uint32_t task, const Slot& slot) const {
+  if (job.withdrawn() || !job.needs_met || job.backoff_until > now_ || !job.is_pending(task)) {
+    return false;
+  }
+  return job.live() < most_live_tasks(cluster_.settings()) &&
+         within_limit(cluster_, job.spec.team, job.spec.room) && allows(job.spec, slot.kind) &&
+         zone_allows(job, zones_of(job), slot.kind.zone) && job.spec.room.fits_in(slot.free);
+}
+
+// Tasks that a plan has stopped go to their targets before anything else is placed. Guards against
+// their team's limit, which was theirs until just now, going to another job of the team, and
+// against other tasks of the same job that wait.
+void Pass::place_rescheduled() {
+  const auto due = reservations_;  // a copy: taking one ends it
+  for (const Reservation* reservation : due) {
+    Job* job = cluster_.job(reservation->job);
+    const auto slot = std::find_if(slots_.begin(), slots_.end(), [&](const Slot& candidate) {
+      return candidate.machine->id == reservation->machine;
+    });
+    if (!reservation->task || slot == slots_.end()) continue;
+    if (!may_reschedule(*job, *reservation->task, *slot)) continue;
+    take(*job, *reservation->task, job->last_attempt + 1, *slot);
+    std::erase(reservations_, reservation);
+  }
+}
+
+// What is reserved on the slot for others, save for those whose room the job is entitled to.
+Room Pass::held_from(const Job& job, const Slot& slot) const {
+  Room held;
+  for (const Reservation* reservation : reservations_) {
+    if (reservation->machine != slot.machine->id) continue;
+    const Job& holder = *cluster_.job(reservation->job);
+    if (&holder == &job && !reservation->task) continue;
+    if (reservation->yields_to == job.spec.id) continue;
+    if (&holder != &job && may_preempt(job, holder)) continue;
+    held += reservation->room;
+  }
+  return held;
+}
+
+Room Pass::room_for(const Job& job, const Slot& slot) const {
+  if (!slot.has_reservations) return slot.free;
+  const Room room = slot.free - held_from(job, slot);
+  if (job.spec.room.fits_in(slot.free + slot.leaving) &&
+      !job.spec.room.fits_in(room + slot.leaving)) {
+    held_back_ = true;
+  }
+  return room;
+}
+
 ZoneCount Pass::zones_of(const Job& job) const {
   ZoneCount out;
   if (!job.spec.one_zone && !job.spec.spread) return out;
@@ -232,7 +304,8 @@
 
 // Room only shrinks while jobs are placed, so what found none leaves none for more of the same: a
 // burst of equal jobs costs one search of the fleet, not one each.
-bool Pass::hopeless(const Job& job, const std::vector<const Job*>& failed) {
+bool Pass::is_hopeless(const Job& job, const std::vector<const Job*>& failed) const {
+  if (cluster_.reservations().any_for_waiting(job.spec.id)) return false;
   return std::any_of(failed.begin(), failed.end(), [&](const Job* other) {
     const auto& f = other->spec;
     return f.room.fits_in(job.spec.room) && (f.spot || !job.spec.spot) &&
@@ -241,8 +314,9 @@
   });
 }
 
-void Pass::note_hopeless(const Job& job, std::vector<const Job*>& failed) {
-  // Its failure must be for want of room alone.
+void Pass::note_hopeless(const Job& job, std::vector<const Job*>& failed) const {
+  // Its failure must be for want of room alone, and not for room that others may use.
+  if (held_back_) return;
   if (job.spec.one_zone || job.spec.spread || job.failed_on.size() == 1) return;
   constexpr std::size_t kMost = 16;  // sizes differ little
   if (failed.size() < kMost) failed.push_back(&job);
@@ -253,7 +327,7 @@
   double best_cost = std::numeric_limits<double>::infinity();
   result_.looked_at += slots_.size();
   for (auto& slot : slots_) {
-    if (!job.spec.room.fits_in(slot.free) || !allows(job.spec, slot.kind)) continue;
+    if (!job.spec.room.fits_in(room_for(job, slot)) || !allows(job.spec, slot.kind)) continue;
     if (!only_zone.empty() && slot.kind.zone != only_zone) continue;
     if (slot.reserved != nullptr && slot.reserved != &job) continue;
     if (!zone_allows(job, zones, slot.kind.zone)) continue;
@@ -315,7 +389,8 @@
     // The old attempt must be gone entirely before the next begins.
     if (live > 0 || tasks.size() != job.spec.tasks) return;
     if (!within_limit(cluster_, job.spec.team, job.spec.room * job.spec.tasks)) return;
-    if (hopeless(job, no_room_for_) || !place_gang(job, tasks)) {
+    held_back_ = false;
+    if (is_hopeless(job, no_room_for_) || !place_gang(job, tasks)) {
       unplaced_.push_back(&job);
       reserve_gang(job);
     }
@@ -326,8 +401,9 @@
   for (const auto task : tasks) {
     if (!within_limit(cluster_, job.spec.team, job.spec.room)) return;
     // Where one task fits best the next does too, as long as it fits: less is left over there.
-    if (slot == nullptr || job.spec.spread || !job.spec.room.fits_in(slot->free)) {
-      slot = hopeless(job, no_room_for_) ? nullptr : best_slot(job, zones, "");
+    if (slot == nullptr || job.spec.spread || !job.spec.room.fits_in(room_for(job, *slot))) {
+      held_back_ = false;
+      slot = is_hopeless(job, no_room_for_) ? nullptr : best_slot(job, zones, "");
     }
     if (slot == nullptr) {
       note_hopeless(job, no_room_for_);
@@ -342,6 +418,7 @@
 }
 
 void Pass::reserve(const Job& job) {
+  if (cluster_.reservations().any_for_waiting(job.spec.id)) return;  // a plan holds its room
   // Small work would for ever take what a large task waits for: once it has waited as long as a
   // machine takes to boot, the machine that has most of the room free is kept for it.
   Slot* best = nullptr;
@@ -349,7 +426,7 @@
     if (slot.reserved != nullptr) continue;
     // Room that is being made is for whom it is made.
     const bool being_made = slot.leaving.gpus + slot.leaving.cpus > 0 &&
-                            job.spec.room.fits_in(slot.free + slot.leaving);
+                            job.spec.room.fits_in(room_for(job, slot) + slot.leaving);
     const bool better = job.spec.room.fits_in(slot.type->room) &&
                         now_ - job.known_since >= slot.type->ready_s &&
                         2 * share_of(job.spec.room, slot.type->room) >= 1 &&
@@ -365,6 +442,7 @@
 // zone are kept for it as soon as what leaves them will do, or once it has waited as long as a
 // boot.
 void Pass::reserve_gang(const Job& job) {
+  if (cluster_.reservations().any_for_waiting(job.spec.id)) return;  // a plan holds its room
   std::vector<Slot*> best;
   std::size_t best_fitting = 0;
   for (const auto& zone : gang_zones(job)) {
@@ -373,7 +451,7 @@
       const auto* t = slot.type;
       if (slot.reserved != nullptr || !allows(job.spec, slot.kind)) continue;
       if (!zone.empty() && slot.kind.zone != zone) continue;
-      if (job.spec.room.fits_in(slot.free + slot.leaving)) {
+      if (job.spec.room.fits_in(room_for(job, slot) + slot.leaving)) {
         fitting.push_back(&slot);
       } else if (job.spec.room.fits_in(t->room) && now_ - job.known_since > t->ready_s &&
                  2 * share_of(job.spec.room, t->room) >= 1) {
@@ -404,7 +482,8 @@
   auto zones = zones_of(job);
   Room planned;
   auto& failed = no_victims_for_[{job.spec.team, job.urgency.rank, job.guaranteed}];
-  if (hopeless(job, failed)) return;
+  held_back_ = false;
+  if (is_hopeless(job, failed)) return;
   for (auto missing = job.pending_count(); missing > 0 && result_.looked_at < most_looks_;
        --missing) {
     planned += job.spec.room;
@@ -484,7 +563,7 @@
   const bool preempts = may_preempt_any(job);
   result_.looked_at += slots_.size();
   for (auto& slot : slots_) {
-    Room room = slot.free + slot.leaving;
+    Room room = room_for(job, slot) + slot.leaving;
     if (!preempts && !job.spec.room.fits_in(room)) continue;
     if (slot.reserved != nullptr && slot.reserved != &job) continue;
     if (!allows(job.spec, slot.kind) || !zone_allows(job, zones, slot.kind.zone)) continue;
@@ -578,7 +657,7 @@
 void Pass::add_shortfall(const Job& job, ZoneCount zones, std::uint32_t missing, bool replaces) {
   if (job.failures > 0) return;  // machines are not what it lacks
   const auto fits = [&](const Slot& slot) {
-    return job.spec.room.fits_in(slot.free) && allows(job.spec, slot.kind) &&
+    return job.spec.room.fits_in(room_for(job, slot)) && allows(job.spec, slot.kind) &&
            zone_allows(job, zones, slot.kind.zone);
   };
   const auto use = [&](Slot& slot) {
--- a/src/wire/messages.hpp
+++ b/src/wire/messages.hpp
@@ -28,6 +28,7 @@
     cpus -= o.cpus, gpus -= o.gpus, memory_gb -= o.memory_gb;
     return *this;
   }
+  bool operator==(const Room&) const = default;
   friend Room operator+(Room a, const Room& b) { return a += b; }
   friend Room operator-(Room a, const Room& b) { return a -= b; }
   friend Room operator*(Room a, double n) { return {a.cpus * n, a.gpus * n, a.memory_gb * n}; }
--- a/tests/advisor_test.cpp
+++ b/tests/advisor_test.cpp
@@ -84,13 +84,13 @@
 
 TEST(FleetView, CountsWhatIsUsedAndLeavesOutMachinesThatTakeNothingNew) {
   Halves halves;
-  const auto hosts = view_fleet(halves.fleet.cluster, 60);
+  const auto hosts = view_fleet(halves.fleet.cluster, {}, 60);
   ASSERT_EQ(hosts.size(), 2U);
   EXPECT_DOUBLE_EQ(hosts[0].free.gpus, 4);
   ASSERT_EQ(hosts[0].residents.size(), 1U);
   EXPECT_DOUBLE_EQ(*hosts[0].residents[0].move_cost_s, 3 + 2 * halves.fleet.settings.report_s);
   halves.fleet.cluster.machine("n-1")->quarantined = true;
-  EXPECT_EQ(view_fleet(halves.fleet.cluster, 60).size(), 1U);
+  EXPECT_EQ(view_fleet(halves.fleet.cluster, {}, 60).size(), 1U);
 }
 
 }  // namespace
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -128,13 +128,42 @@
 TEST(Settings, AdviceOnMovesIsOffUnlessTheOperatorAsksForIt) {
   const File toml("advice.toml", kToml);
   const File xml("advice.xml", "<cranklock><defrag advise_every_s='30'/></cranklock>");
-  EXPECT_DOUBLE_EQ(load_settings(toml.path(), "").operators.advise_every_s, 0);
-  EXPECT_DOUBLE_EQ(load_settings(toml.path(), xml.path()).operators.advise_every_s, 30);
+  EXPECT_DOUBLE_EQ(load_settings(toml.path(), "").operators.defrag.advise_every_s, 0);
+  EXPECT_DOUBLE_EQ(load_settings(toml.path(), xml.path()).operators.defrag.advise_every_s, 30);
   EXPECT_NE(complaint(kToml, "<cranklock><defrag advise_every_s='0'/></cranklock>")
                 .find("defrag/advise_every_s: expected a number"),
             std::string::npos);
 }
 
+TEST(Settings, MovesAndDrainsAreOffUnlessTheOperatorTurnsThemOn) {
+  const File toml("moves.toml", kToml);
+  const File on(
+      "moves.xml",
+      "<cranklock><defrag moves='on' drain='http://10.0.0.9:8080/drains/v1'/></cranklock>");
+  const auto off = load_settings(toml.path(), "").operators.defrag;
+  EXPECT_FALSE(off.moves);
+  EXPECT_FALSE(off.drain.named());
+  const auto moves = load_settings(toml.path(), on.path()).operators.defrag;
+  EXPECT_TRUE(moves.moves);
+  EXPECT_EQ(moves.drain.address, "10.0.0.9:8080");
+  EXPECT_EQ(moves.drain.path, "/drains/v1");
+}
+
+TEST(Settings, BadValuesOfMovesAreNamedWithWhatWasExpected) {
+  const auto says = [](const std::string& attributes, const std::string& expected) {
+    const auto text = complaint(kToml, "<cranklock><defrag " + attributes + "/></cranklock>");
+    EXPECT_NE(text.find(expected), std::string::npos) << attributes << ": " << text;
+  };
+  says("moves='yes'", "defrag/moves: expected on or off");
+  says("move='on'", "defrag/move: expected a known attribute");
+  for (const char* url : {"https://h:1/p", "http://h/p", "http://h:0/p", "http://h:70000/p",
+                          "http://h:1", "http://:1/p", "http://h:x/p", ""}) {
+    says(std::string("moves='on' drain='") + url + "'",
+         "defrag/drain: expected http://host:port/path");
+  }
+  says("drain='http://h:1/p'", "defrag/moves: expected on, where drain is named");
+}
+
 const std::string kRegions =
     "<cranklock><regions self='east' founder='west'>"
     "<region name='east' share='0.25'><controller member='n0' address='127.0.0.1:5'/></region>"
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -161,6 +161,7 @@
     settings.value_kb = known->second.value_kb;
     settings.txn_ops = known->second.txn_ops;
   }
+  if (nodes_without_moves.contains(i)) settings.operators.defrag = {};
   auto& host = hosts_[static_cast<std::size_t>(i)];
   host = std::make_unique<Host>(*this, i, std::move(settings), ++last_run_);
   if (host->settings.operators.regions.enabled()) host->node.set_region_network(region_network);
@@ -239,6 +240,11 @@
   return -1;
 }
 
+control::Term* TestCluster::term(int node) {
+  const auto& host = hosts_[static_cast<std::size_t>(node)];
+  return host ? host->node.term() : nullptr;
+}
+
 Response TestCluster::ask(int node, const std::string& method, const std::string& path,
                           const std::string& body) {
   const auto question = rules.ask(method, path, body);
@@ -478,7 +484,8 @@
       co_return lost;
     }
     const bool txn = request.path == "/txn";
-    if (txn && chance() < late_txns) {
+    const bool may_be_late = late_nodes.empty() || late_nodes.contains(node);
+    if (txn && may_be_late && chance() < late_txns) {
       scope_.spawn(apply_late(request, 2 + 10 * chance()));
       Sleep wait(reactor, until - reactor.now());
       co_await wait;
@@ -512,6 +519,9 @@
   if (cloud_down) {
     co_return Reply{Reply::Kind::answered, answer(503, R"({"error":"trouble"})")};
   }
+  if (cloud_full && request.path == "/rentals" && request.method == "POST") {
+    co_return Reply{Reply::Kind::answered, answer(503, R"({"error":"no capacity"})")};
+  }
   Response response = cloud(request);
   if (request.path == "/rentals" && request.method == "POST" && swallow_rental_answers > 0) {
     --swallow_rental_answers;
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -93,6 +93,8 @@
   bool stands_still(int node) const;
   /// The index of the node that serves as leader, or -1. One that stands still does not.
   int leader() const;
+  /// What the node's term knows; nullptr while it leads none.
+  control::Term* term(int node);
   int nodes() const { return static_cast<int>(hosts_.size()); }
   bool is_up(int node) const { return hosts_[static_cast<std::size_t>(node)] != nullptr; }
   /// A user's request to one node; runs the cluster until it is answered.
@@ -120,6 +122,8 @@
     int txn_ops = 0;
   };
   std::map<int, KnownLimits> known_limits;
+  /// Nodes that carry out no moves, as those of an older version do; set before they start.
+  std::set<int> nodes_without_moves;
   /// Of all nodes, where the settings name regions; set before they start.
   regions::RegionNetwork* region_network = nullptr;
   RuleChecker rules;
@@ -139,11 +143,13 @@
   std::set<std::string> cut_zones;  ///< cut off from everything outside, and working inside
   int swallow_txn_answers = 0;      ///< so many transactions are executed, and not answered
   double late_txns = 0;             ///< this share is executed 2 to 12 s later, and not answered
+  std::set<int> late_nodes;         ///< late_txns is of these alone; empty: of all
   double lost_txns = 0;             ///< this share is executed at once, and not answered
 
   // The cloud.
   int rented = 0;
   bool cloud_down = false;
+  bool cloud_full = false;  ///< it has no machine to rent
   int swallow_rental_answers = 0;
   double unlisted_s = 0;                       ///< new machines are missing in the list for so long
   std::vector<double> deletions;               ///< when requests of it came
--- a/tests/worker_stand_in.cpp
+++ b/tests/worker_stand_in.cpp
@@ -90,7 +90,9 @@
   JsonWriter j;
   j.begin().key("Rig").text(id).key("Address").text(address).key("Frame").text(kind.type);
   j.key("Yard").text(kind.zone).key("Loaners").flag(kind.spot).key("Shift").count(session);
-  j.key("Tick").count(++tick).key("KeyTurn").count(token).key("Teeth").list();
+  j.key("Tick").count(++tick).key("KeyTurn").count(token);
+  if (notice_s) j.key("WarningS").amount(*notice_s);
+  j.key("Teeth").list();
   for (const auto& [name, t] : tasks) {
     j.begin().key("Tooth").text(name).key("Crank").count(t.attempt);
     j.key("Stance").text(state_name(t.state));
