Replicas move behind a router that drains them; stops only within the drain's lease

Need: replicas stand in the way too, and nobody's request may be dropped for a move.

Change: a stand-in of the router and chats on the in-memory cluster; a refusal that comes after the stop was sent waits for the next reports, since a stopped replica is unknown to its router before the leader hears of it (every move of a replica ended so before). Moves and passes wake each other only through passes, which keep a distance: a stop that was taken back made them wake each other without end, found as a test that did not end.

--- a/src/control/term_decide.cpp
+++ b/src/control/term_decide.cpp
@@ -47,12 +47,13 @@
       // processor so slow, that passes would fill the time.
       next_pass_at_ = last_pass + std::max(kPassEvery, kRestAfterPass * (now() - last_pass));
       if (!result.cut_short) scaler_.set_shortfall(std::move(result.shortfall));
+      // Here alone: passes keep a distance, so that neither wakes the other without end.
+      if (moves_) moves_->wake();
       if (result.placed > 0 || result.stopped > 0) {
         spdlog::debug("placed {} tasks, stopping {}", result.placed, result.stopped);
       }
     }
     advise_on_moves();
-    if (moves_) moves_->wake();
     auto writing = write_jobs();
     co_await writing;
     commands_.send_orders();
--- a/src/defrag/move_executor.cpp
+++ b/src/defrag/move_executor.cpp
@@ -259,7 +259,7 @@
     if (moves[i].step != MoveStep::stopping || !stop_is_durable(i) || placement == nullptr) {
       continue;
     }
-    acted_ = acted_ || !placement->stop;
+    const bool was_stopping = placement->stop;
     const auto& spec = cluster_.job(moves[i].task.job)->spec;
     if (spec.shape == Shape::service) {
       // A new leader has to hear of the drain itself.
@@ -269,6 +269,7 @@
     } else {
       ClusterState::request_stop(*placement, spec.checkpoint_s > 0 ? spec.save_s : 0, now);
     }
+    acted_ = acted_ || placement->stop != was_stopping;
   }
 }
 
@@ -285,6 +286,7 @@
   if (!why && knows_fleet(now)) {
     why = why_drop_by_fleet(cluster_, *wanted_.plan, placed_, rules(now), now);
   }
+  if (!why && is_refused_for_good(now)) why = DropReason::drain_refused;
   if (why) return drop(*why, now);
   if (is_durable() && knows_fleet(now)) {
     begin_moves(wall_ms, now);
@@ -354,6 +356,26 @@
 
 // ---- drains ----
 
+// A replica whose stop was sent may be gone, and unknown to the router, before this leader hears of
+// it: its next report tells. Until then it counts as in service, and its stop is taken back.
+void MoveExecutor::drain_refused(std::size_t index, double now) {
+  const PlannedMove& move = wanted_.plan->moves[index];
+  if (move.step != MoveStep::stopping) return drop(DropReason::drain_refused, now);
+  progress_[index].drained_until = 0;
+  progress_[index].refused_at = now;
+  if (auto* placement = source_placement(move)) ClusterState::take_back_drained_stop(*placement);
+}
+
+bool MoveExecutor::is_refused_for_good(double now) const {
+  constexpr double kReports = 3;
+  const double patience_s = kReports * cluster_.settings().report_s;
+  for (std::size_t i = 0; i < progress_.size(); ++i) {
+    const bool refused = progress_[i].refused_at > 0 && now - progress_[i].refused_at > patience_s;
+    if (refused && wanted_.plan->moves[i].step == MoveStep::stopping) return true;
+  }
+  return false;
+}
+
 std::vector<DrainRequest> MoveExecutor::take_due_drains(double now) {
   std::vector<DrainRequest> due = std::exchange(take_back_, {});
   if (!wanted_.plan || !knows_fleet(now)) return due;
@@ -367,7 +389,7 @@
     Progress& progress = progress_[i];
     const bool asked =
         progress.drain_asked > 0 && now - progress.drain_asked < settings.report_s / 2;
-    if (progress.drain_under_way || asked) continue;
+    if (progress.drain_under_way || asked || progress.refused_at > 0) continue;
     if (progress.drain_begun == 0) progress.drain_begun = now;
     progress.drain_asked = now;
     progress.drain_under_way = true;
@@ -392,7 +414,7 @@
   // An answer for another attempt is a refusal.
   const bool fits = answer && answer->task == request.task && answer->attempt == request.attempt;
   if (answer && (!fits || answer->state == DrainState::refused)) {
-    return drop(DropReason::drain_refused, now);
+    return drain_refused(static_cast<std::size_t>(move - moves.begin()), now);
   }
   if (fits && answer->state == DrainState::drained) {
     progress.drained_until = sent + request.lease_s * (1 - 2 * base::kClockDrift);
--- a/src/defrag/move_executor.hpp
+++ b/src/defrag/move_executor.hpp
@@ -75,6 +75,7 @@
     double drain_begun = 0, drain_asked = 0;
     bool drain_under_way = false;
     double drained_until = 0;
+    double refused_at = 0;  ///< the router knows nothing of the drain any more; 0: it does
   };
   /// Machines have had the time to report to this leader.
   bool knows_fleet(double now) const;
@@ -89,6 +90,8 @@
   void begin_moves(std::int64_t wall_ms, double now);
   void begin_move(std::size_t index, std::int64_t wall_ms, double now);
   void stop_drained(double now);
+  void drain_refused(std::size_t index, double now);
+  bool is_refused_for_good(double now) const;
   void request_stops(double now);
   void end_move(std::size_t index, double now);
   bool is_over() const;
--- a/tests/advisor_test.cpp
+++ b/tests/advisor_test.cpp
@@ -89,6 +89,11 @@
   EXPECT_DOUBLE_EQ(hosts[0].free.gpus, 4);
   ASSERT_EQ(hosts[0].residents.size(), 1U);
   EXPECT_DOUBLE_EQ(*hosts[0].residents[0].move_cost_s, 3 + 2 * halves.fleet.settings.report_s);
+  EXPECT_FALSE(hosts[0].residents[0].zone_bound);
+  halves.array.spec.spread = halves.second.spec.one_zone = true;
+  for (const auto& host : view_fleet(halves.fleet.cluster, {}, 60)) {
+    EXPECT_TRUE(host.residents.at(0).zone_bound);
+  }
   halves.fleet.cluster.machine("n-1")->quarantined = true;
   EXPECT_EQ(view_fleet(halves.fleet.cluster, {}, 60).size(), 1U);
 }
--- a/tests/fragments.hpp
+++ b/tests/fragments.hpp
@@ -37,7 +37,8 @@
  public:
   TestCluster w;
 
-  explicit Fragments(base::Settings settings = settings_with_moves(), int nodes = 3)
+  explicit Fragments(base::Settings settings = settings_with_moves(), int nodes = 3,
+                     const wire::JobSpec& small = small_spec())
       : w(nodes, {}, std::move(settings)) {
     w.cloud_full = true;
     w.run_s = 1e6;
@@ -49,7 +50,7 @@
     passing.team = "blue";
     w.submit(0, passing);
     w.run(4);
-    w.submit(0, small_spec());
+    w.submit(0, small);
     w.run(16);
   }
   static wire::JobSpec small_spec() { return array_of(kSmall, 4, 3); }
--- a/tests/move_executor_test.cpp
+++ b/tests/move_executor_test.cpp
@@ -156,6 +156,24 @@
   EXPECT_FALSE(executor.to_store()->plan);
 }
 
+// Work that does not save is the dearer to move the longer it has run.
+TEST(MoveExecutor, APlanThatHasBecomeTooDearIsDropped) {
+  Halves halves;
+  for (const char* id : {kFirst, kSecond}) {
+    halves.job(id).spec.checkpoint_s = 0;
+    halves.job(id).find(0, 1)->running_since = halves.now - 10;
+  }
+  auto executor = halves.executor();
+  halves.look(executor);
+  ASSERT_TRUE(executor.has_plan());
+  halves.now += 30;
+  halves.advance(executor);
+  EXPECT_TRUE(executor.has_plan());
+  halves.now += 5;  // a boot takes 45 s, the restart counts too
+  halves.advance(executor);
+  EXPECT_FALSE(executor.has_plan());
+}
+
 TEST(MoveExecutor, ALongerRecordThanAValueIsNotBegun) {
   Halves halves;
   auto executor = halves.executor();
@@ -288,6 +306,29 @@
   EXPECT_DOUBLE_EQ(undone[0].lease_s, 0);
 }
 
+// Its stop was sent, and the router knows nothing of it any more: it is either gone, which its next
+// report shows, or in service, and then it is not stopped.
+TEST(MoveExecutor, ARefusalAfterTheStopWasSentWaitsForTheNextReports) {
+  for (const bool gone : {false, true}) {
+    Drains drains;
+    drains.drain();
+    ASSERT_TRUE(drains.is_told_to_stop());
+    const auto move = drains.move();
+    drains.halves.now += 1;
+    drains.answer(drains.ask(), DrainState::refused, drains.halves.now);
+    ASSERT_TRUE(drains.executor.has_plan());
+    EXPECT_FALSE(drains.is_told_to_stop());
+    if (gone) {
+      auto& job = drains.halves.job(move.task.job);
+      drains.halves.fleet.cluster.end_placement(job, drains.source(), drains.halves.now);
+    }
+    drains.halves.now += 4;
+    drains.halves.advance(drains.executor);
+    ASSERT_EQ(drains.executor.has_plan(), gone);
+    EXPECT_TRUE(!gone || drains.move().step == MoveStep::freed);
+  }
+}
+
 TEST(MoveExecutor, AnAnswerForAnotherAttemptIsARefusal) {
   Drains drains;
   const auto request = drains.ask();
--- a/tests/moves_cluster_test.cpp
+++ b/tests/moves_cluster_test.cpp
@@ -220,6 +220,26 @@
   EXPECT_GT(stored_late, 0);
 }
 
+// The write of a plan is carried out when its leader has ended: it is conditional on that leader.
+TEST(Moves, APlanOfALeaderThatHasEndedIsNotStored) {
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    Fragments fragments;
+    auto& w = fragments.w;
+    w.random.seed(seed);
+    fragments.ask_for_large();
+    fragments.run(kBoot - 1);
+    const int first = w.leader();
+    w.late_nodes = {first};
+    w.late_txns = 1;
+    fragments.run(2);
+    ASSERT_FALSE(fragments.record());
+    w.crash_node(first);
+    fragments.run(20);
+    EXPECT_GE(w.leader(), 0);
+    EXPECT_FALSE(fragments.record());
+  }
+}
+
 // ---- machines that fail ----
 
 enum class Trouble { dies, hangs, deaf, mute, notice };
@@ -260,6 +280,7 @@
     auto& worker = *w.workers.at(at_source ? move.source : move.target);
     make_trouble(worker, trouble, true);
     fragments.run(25);
+    EXPECT_FALSE(fragments.has_plan()) << at;  // long before its bound
     if (trouble == Trouble::hangs && !worker.gone) w.wake(worker);
     if (trouble != Trouble::dies) make_trouble(worker, trouble, false);
     // With a machine less, not all of both fit.
@@ -387,6 +408,25 @@
   EXPECT_EQ(fragments.moves_begun(), 2);
 }
 
+// A machine that was emptied stands idle until the next one is: it is not given back meanwhile.
+TEST(Moves, EmptiedMachinesAreKeptForTheWaitingJob) {
+  auto settings = settings_with_moves();
+  settings.operators.scaler.down_window_s = 1;
+  settings.operators.scaler.down_cooldown_s = 0.1;
+  Fragments fragments(settings);
+  auto& w = fragments.w;
+  fragments.ask_for_large();
+  ASSERT_TRUE(fragments.reach_plan());
+  const auto moves = fragments.record()->plan->moves;
+  auto& second_source = *w.workers.at(moves.back().source);
+  second_source.hangs = true;
+  fragments.run(8);
+  EXPECT_TRUE(w.workers.at(moves.front().source)->tasks.empty());
+  EXPECT_TRUE(w.deleted.empty());
+  w.wake(second_source);
+  EXPECT_TRUE(fragments.until(10, [&] { return fragments.large_runs(); }));
+}
+
 // ---- rules and limits ----
 
 TEST(Moves, ASpreadJobMovesWithinItsZonesOrNotAtAll) {
@@ -502,31 +542,45 @@
 
 // ---- budgets, operators and versions ----
 
-// What a job has moved counts for an hour, through changes of leader.
+/// Leaves a record of so many moves of the small job, as long ago, to the next leader.
+void leave_past_moves(Fragments& fragments, int moves, double ago_s) {
+  auto& w = fragments.w;
+  defrag::MoveRecord record;
+  const auto at_ms = w.reactor.wall_ms() - static_cast<std::int64_t>(ago_s * 1000);
+  for (int i = 0; i < moves; ++i) record.past.push_back({kSmall, at_ms});
+  const int leader = w.leader();
+  w.crash_node(leader);
+  w.state_service.handle({"POST", "/txn", "",
+                          R"({"If":[],"Then":[{"Write":"moves/record","Data":)" +
+                              defrag::write_move_record(record) + "}]}",
+                          true});
+  ASSERT_EQ(fragments.record(), record);
+  ASSERT_TRUE(fragments.until(10, [&] { return w.leader() >= 0; }));
+  w.start_node(leader);
+}
+
+// What a job has moved counts for an hour, through changes of leader. The gang takes two moves.
 TEST(Moves, ABudgetSurvivesItsLeader) {
+  constexpr double kHour = 3600;
+  for (const double ago_s : {10.0, kHour + 10}) {
+    Fragments fragments;
+    leave_past_moves(fragments, 3, ago_s);
+    fragments.ask_for_large();
+    fragments.run(3 * kBoot);
+    EXPECT_EQ(fragments.large_runs(), ago_s > kHour);
+    EXPECT_EQ(fragments.moves_begun(), ago_s > kHour ? 2 : 3);
+  }
+}
+
+TEST(Moves, WhatWasMovedStaysInTheRecord) {
   Fragments fragments;
   auto& w = fragments.w;
   fragments.ask_for_large();
   ASSERT_TRUE(fragments.until(3 * kBoot, [&] { return fragments.large_runs(); }));
   ASSERT_TRUE(fragments.until(20, [&] { return fragments.is_settled(); }));
-  ASSERT_EQ(fragments.moves_begun(), 2);
-  // The gang goes; the next one wants the same again, and then again.
-  for (const char* id : {"j-000011", "j-000012", "j-000013"}) {
-    w.cancel(w.leader(), fragments.large_runs()      ? kLarge
-                         : w.running("j-000011") > 0 ? "j-000011"
-                                                     : "j-000012");
-    const int leader = w.leader();
-    w.crash_node(leader);
-    fragments.run(5);
-    w.start_node(leader);
-    // Fragments again: short work fills what is free, and the small tasks are kept apart.
-    fragments.run(2);
-    w.submit(w.leader(), Fragments::large_spec(id));
-    fragments.run(2 * kBoot);
-    const auto record = fragments.record();
-    ASSERT_TRUE(record);
-    EXPECT_LE(record->past.size(), 4U);
-  }
+  w.crash_node(w.leader());
+  fragments.run(20);
+  EXPECT_EQ(fragments.moves_begun(), 2);
 }
 
 // The operator's key stops all moves at once.
--- a/tests/reservations_test.cpp
+++ b/tests/reservations_test.cpp
@@ -140,6 +140,43 @@
   EXPECT_FALSE(is_placed([](Held& held) { held.fleet.cluster.withdraw(held.moved, 1, 1); }));
 }
 
+TEST(Reservations, AMovedTaskKeepsTheZoneOfItsJob) {
+  for (const bool one_zone : {false, true}) {
+    Held held;
+    held.waiting.done.add(0);
+    held.moved.spec.one_zone = one_zone;
+    held.fleet.cluster.apply_report(testing::report("n-3", 1, 1, {}, testing::kToken, "b"), true,
+                                    0);
+    held.fleet.cluster.add_placement(held.moved, 0, 1, "n-3", 0);
+    held.hold({held.for_moved()});
+    held.fleet.pass(1);
+    EXPECT_EQ(held.machine_of(held.moved, 1), one_zone ? "n-3" : "n-2");
+  }
+}
+
+// One that is held back has not shown that nobody finds room.
+TEST(Reservations, WorkThatIsHeldBackHoldsUpNoEntitledWorkOfItsSize) {
+  Held held;
+  held.moved.done.add_range({0, 2});
+  held.fleet.settings.teams = {{"red", 0, 0, 5, 64}, {"blue", 0, 0, 5, 64}};
+  held.waiting.created_ms = 3000;
+  held.hold({held.for_waiting()});
+  auto& full = held.add("j-000011", Shape::service, 1, 8, "blue");
+  full.created_ms = 4000;
+  held.fleet.cluster.add_placement(full, 0, 1, "n-2", 0);
+  // Within its guarantee like the next, but of the team for which the room is held.
+  auto own = make_job("j-000012", Shape::service, 1, 5, "red");
+  own.created_ms = 1000;
+  Job& of_own_team = held.fleet.add(std::move(own));
+  auto other = make_job("j-000013", Shape::service, 1, 5, "blue");
+  other.created_ms = 2000;
+  Job& of_other_team = held.fleet.add(std::move(other));
+  for (auto& [id, job] : held.fleet.cluster.jobs()) job.ready_ms = job.created_ms;
+  held.fleet.pass(1);
+  EXPECT_EQ(held.machine_of(of_own_team, 0), "");
+  EXPECT_EQ(held.machine_of(of_other_team, 0), "n-1");
+}
+
 TEST(Reservations, NoMachineIsAskedForWhatAPlanMakesRoomFor) {
   Held held;
   held.moved.done.add_range({0, 2});
--- /dev/null
+++ b/tests/router_stand_in.cpp
@@ -0,0 +1,126 @@
+#include "router_stand_in.hpp"
+
+#include <algorithm>
+#include <utility>
+
+#include "control/users.hpp"
+
+namespace cranklock::testing {
+
+using defrag::DrainState;
+
+void RouterStandIn::set_replicas(std::vector<Replica> replicas, double now) {
+  replicas_ = std::move(replicas);
+  std::erase_if(drains_, [&](const auto& entry) { return entry.second.until <= now; });
+}
+
+const RouterStandIn::Replica* RouterStandIn::find(const wire::TaskName& task) const {
+  const auto found = std::find_if(replicas_.begin(), replicas_.end(),
+                                  [&](const Replica& replica) { return replica.task == task; });
+  return found == replicas_.end() ? nullptr : &*found;
+}
+
+bool RouterStandIn::is_drained(const wire::TaskName& task, double now) const {
+  const auto drain = drains_.find(task);
+  const Replica* replica = find(task);
+  return drain != drains_.end() && drain->second.until > now && replica != nullptr &&
+         replica->attempt == drain->second.attempt;
+}
+
+std::size_t RouterStandIn::chats_at(const wire::TaskName& task, bool open_only) const {
+  return static_cast<std::size_t>(
+      std::count_if(chats_.begin(), chats_.end(), [&](const auto& entry) {
+        return entry.second.at == task && (entry.second.open || !open_only);
+      }));
+}
+
+const RouterStandIn::Replica* RouterStandIn::least_busy(const std::string& job, double now) const {
+  const Replica* best = nullptr;
+  std::size_t fewest = 0;
+  for (const auto& replica : replicas_) {
+    if (replica.task.job != job || is_drained(replica.task, now)) continue;
+    const auto chats = chats_at(replica.task, false);
+    if (best == nullptr || chats < fewest) best = &replica, fewest = chats;
+  }
+  return best;
+}
+
+bool RouterStandIn::others_can_carry(const wire::TaskName& task, double now) const {
+  std::size_t room = 0, chats = 0;
+  for (const auto& replica : replicas_) {
+    if (replica.task.job != task.job) continue;
+    chats += chats_at(replica.task, false);
+    if (replica.task != task && !is_drained(replica.task, now)) room += most_chats_;
+  }
+  return room > 0 && chats <= room;
+}
+
+// Its replica is gone, or it had its time there.
+bool RouterStandIn::must_leave(const Chat& chat, double now) const {
+  const Replica* replica = find(chat.at);
+  if (replica == nullptr || replica->attempt != chat.attempt) return true;
+  return is_drained(chat.at, now) && now >= drains_.at(chat.at).carry_over_at;
+}
+
+std::optional<RouterStandIn::Replica> RouterStandIn::begin_request(int chat_id,
+                                                                   const std::string& job,
+                                                                   double now) {
+  const auto known = chats_.find(chat_id);
+  if (known != chats_.end() && !must_leave(known->second, now)) {
+    known->second.open = true;
+    return *find(known->second.at);
+  }
+  const Replica* replica = least_busy(job, now);
+  if (replica == nullptr) return std::nullopt;
+  if (known != chats_.end()) ++carried_over_;
+  chats_[chat_id] = {replica->task, replica->attempt, true};
+  return *replica;
+}
+
+void RouterStandIn::end_request(int chat) {
+  const auto known = chats_.find(chat);
+  if (known != chats_.end()) known->second.open = false;
+}
+
+void RouterStandIn::end_chat(int chat) {
+  chats_.erase(chat);
+}
+
+DrainState RouterStandIn::drain(const defrag::DrainRequest& request, double now) {
+  const Replica* replica = find(request.task);
+  const bool known = replica != nullptr && replica->attempt == request.attempt;
+  if (request.lease_s <= 0) {
+    const auto drain = drains_.find(request.task);
+    if (drain != drains_.end() && drain->second.attempt == request.attempt) drains_.erase(drain);
+    return DrainState::refused;
+  }
+  if (!known) return DrainState::refused;
+  const bool repeated = is_drained(request.task, now);
+  if (!repeated && !others_can_carry(request.task, now)) return DrainState::refused;
+  Drain& drain = drains_[request.task];
+  drain = {request.attempt, now + request.lease_s, now + request.within_s};
+  // A chat between two requests goes on elsewhere with its next one.
+  std::erase_if(chats_, [&](const auto& entry) {
+    const Chat& chat = entry.second;
+    const bool leaves = chat.at == request.task && !chat.open && now >= drain.carry_over_at;
+    carried_over_ += leaves ? 1 : 0;
+    return leaves;
+  });
+  return chats_at(request.task, false) == 0 ? DrainState::drained : DrainState::draining;
+}
+
+net::Response RouterStandIn::handle(const net::Request& request, double now) {
+  const auto asked = defrag::read_drain_request(request.body);
+  if (!asked) return control::plain_answer(400, wire::error_answer("malformed drain request"));
+  ++drains_asked_;
+  defrag::DrainAnswer answer;
+  answer.task = asked->task;
+  answer.attempt = asked->attempt;
+  answer.state = drain(*asked, now);
+  answer.open_requests = chats_at(asked->task, true);
+  const bool refused = answer.state == DrainState::refused && asked->lease_s > 0;
+  drains_refused_ += refused ? 1 : 0;
+  return control::plain_answer(200, defrag::write_drain_answer(answer));
+}
+
+}  // namespace cranklock::testing
--- a/tests/test_cluster.cpp
+++ b/tests/test_cluster.cpp
@@ -458,6 +458,11 @@
     auto reply = co_await calling;
     co_return reply;
   }
+  if (address == "router") {
+    auto calling = call_router(std::move(request), timeout_s);
+    auto reply = co_await calling;
+    co_return reply;
+  }
   auto calling = call_worker(node, std::move(address), std::move(request), timeout_s);
   auto reply = co_await calling;
   co_return reply;
@@ -532,6 +537,14 @@
   co_return Reply{Reply::Kind::answered, response};
 }
 
+net::Task<Reply> TestCluster::call_router(Request request, double timeout_s) {
+  const auto response = router ? router(request) : std::nullopt;
+  if (response) co_return Reply{Reply::Kind::answered, *response};
+  Sleep wait(reactor, timeout_s);
+  co_await wait;
+  co_return Reply{};
+}
+
 net::Task<Reply> TestCluster::call_worker(int node, std::string address, Request request,
                                           double timeout_s) {
   struct UnderWay {
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <algorithm>
+#include <functional>
 #include <limits>
 #include <map>
 #include <memory>
@@ -146,6 +147,9 @@
   std::set<int> late_nodes;         ///< late_txns is of these alone; empty: of all
   double lost_txns = 0;             ///< this share is executed at once, and not answered
 
+  /// Answers what is sent to the address "router"; nothing: no answer.
+  std::function<std::optional<net::Response>(const net::Request&)> router;
+
   // The cloud.
   int rented = 0;
   bool cloud_down = false;
@@ -217,6 +221,7 @@
   net::Task<void> serve_cloud(net::Request request, double timeout_s,
                               std::shared_ptr<CloudCall> call);
   net::Task<net::Reply> call_cloud(net::Request request, double timeout_s);
+  net::Task<net::Reply> call_router(net::Request request, double timeout_s);
   net::Task<net::Reply> call_worker(int node, std::string address, net::Request request,
                                     double timeout_s);
   net::Response cloud(const net::Request& r);
