Lab: a fleet in pieces, chats behind a draining router, and a gang that only moves can place

Machines' availability moved out of placement into sched/availability.* with whole names (no change).

--- a/lab/controllers.cpp
+++ b/lab/controllers.cpp
@@ -14,6 +14,8 @@
 #include <iterator>
 #include <regex>
 
+#include "lab/chats.hpp"
+
 namespace cranklock::lab {
 namespace {
 
@@ -103,14 +105,19 @@
     }
     named += "</region>";
   }
-  if (regions.size() > 1) {
+  if (regions.size() < 2) {
+    named.clear();
+  } else {
     named = fmt::format("<regions self='{}' founder='{}'>{}</regions>", own.name,
                         regions[0]->plan().name, named);
   }
+  if (plan_.fragments && plan_.fragments->moves) {
+    named += fmt::format("<defrag moves='on' drain='http://{}/drains'/>", Chats::router_address());
+  }
   // The fleet is kept whole, so that a run has as many workers as its plan.
   std::ofstream(path(member, ".xml"))
       << fmt::format("<cranklock><scaler least_machines='{}' most_machines='{}'/>{}</cranklock>\n",
-                     own.workers, 2 * own.workers, regions.size() > 1 ? named : "");
+                     own.workers, 2 * own.workers, named);
 }
 
 bool Controllers::start(net::EvReactor& reactor,
@@ -245,6 +252,25 @@
   return out;
 }
 
+Controllers::Moves Controllers::moves(const std::string& region) const {
+  static const std::regex begun("plan [0-9-]+ for job [^ ]+ begins"), done("moved [^ ]+ from"),
+      dropped("is dropped after [0-9.]+ s, ([0-9]+) moves undone");
+  const auto count = [](const std::string& log, const std::regex& line) {
+    return static_cast<int>(std::distance(std::sregex_iterator(log.begin(), log.end(), line), {}));
+  };
+  Moves moves;
+  for (const auto& controller : controllers_) {
+    if (controller.region != region) continue;
+    const std::string log = log_of(controller);
+    moves.plans_begun += count(log, begun);
+    moves.done += count(log, done);
+    for (std::sregex_iterator match(log.begin(), log.end(), dropped), end; match != end; ++match) {
+      moves.dropped += std::stoi((*match)[1]);
+    }
+  }
+  return moves;
+}
+
 std::uint64_t Controllers::bytes_between_regions() const {
   std::uint64_t bytes = 0;
   for (const auto& bridge : bridges_) bytes += bridge.relay->bytes();
--- a/lab/controllers.hpp
+++ b/lab/controllers.hpp
@@ -50,6 +50,11 @@
   };
   std::vector<Shortage> shortages() const;
   std::uint64_t bytes_between_regions() const;
+  /// What the leaders of a region logged of moves.
+  struct Moves {
+    int plans_begun = 0, done = 0, dropped = 0;
+  };
+  Moves moves(const std::string& region) const;
 
  private:
   struct Controller {
--- a/lab/main.cpp
+++ b/lab/main.cpp
@@ -18,16 +18,19 @@
   app.require_subcommand(1);
   std::string file, report;
   std::string program = (std::filesystem::path(argv[0]).parent_path() / "cranklock").string();
-  unsigned seed = 1;
+  std::vector<std::string> changes;
+  unsigned seed = 0;
   auto* run = app.add_subcommand("run", "play a plan to its end");
   run->add_option("FILE", file, "the plan (TOML)")->required();
   run->add_option("--report", report, "where the report (JSON) goes; else standard output");
-  run->add_option("--seed", seed, "of everything that is drawn");
+  auto* seed_option = run->add_option("--seed", seed, "of everything that is drawn");
+  run->add_option("--set", changes, "a field that differs from the plan, as fragments.moves=false");
   run->add_option("--daemon", program, "the controller's program")->capture_default_str();
   CLI11_PARSE(app, argc, argv);
   lab::LabPlan plan;
   try {
-    plan = lab::load_plan(file);
+    plan = lab::load_plan(file, changes);
+    if (*seed_option) plan.seed = seed;
   } catch (const base::SettingsError& e) {
     std::cerr << e.what() << '\n';
     return 2;
@@ -42,7 +45,7 @@
     return 2;
   }
   std::signal(SIGPIPE, SIG_IGN);
-  lab::Run played(plan, program, folder, seed);
+  lab::Run played(plan, program, folder);
   if (!played.play()) {
     std::cerr << "an address of the plan can't be listened on\n";
     return 2;
@@ -54,7 +57,7 @@
     std::ofstream(report) << text << '\n';
   }
   std::cerr << '\n'
-            << (played.passed() ? "passed: " : "failed: ") << played.summary() << "; logs in "
-            << folder << '\n';
+            << (played.passed() ? "passed: " : "failed, " + played.fault() + ": ")
+            << played.summary() << "; logs in " << folder << '\n';
   return played.passed() ? 0 : 1;
 }
--- a/lab/region.cpp
+++ b/lab/region.cpp
@@ -180,7 +180,8 @@
   const wire::JsonDocument document(request.body);
   const auto& asked = document.root();
   // As many again as the plan has, so that lost machines can be replaced.
-  const int room = 2 * region_.workers - workers();
+  // Where moves are to make the room there is nothing to rent.
+  const int room = plan_.fragments ? 0 : 2 * region_.workers - workers();
   const int count = std::min(asked["Count"].GetInt(), room);
   if (count <= 0) return answer(503, R"({"error":"no capacity"})");
   const auto [entry, first] = rentals_.try_emplace(asked["Charter"].GetString());
@@ -240,15 +241,23 @@
   return added;
 }
 
+Task<Response> Region::serve_worker(Worker& worker, Request request) {
+  if (worker.gone) co_return answer(503);
+  if (request.path == "/commands" || !replica_server_) {
+    co_return worker.stand_in.commands(request, surroundings_, reactor_.now());
+  }
+  auto serving = replica_server_(worker.stand_in, std::move(request));
+  auto response = co_await serving;
+  co_return response;
+}
+
 Task<void> Region::work(Worker& worker) {
   Sleep boot(reactor_, worker.ready_at - reactor_.now());
   co_await boot;
   auto& stand_in = worker.stand_in;
   worker.server = std::make_unique<net::HttpServer>(
-      reactor_, net::ServerLimits{}, [this, &worker](Request request) -> Task<Response> {
-        co_return worker.gone ? answer(503)
-                              : worker.stand_in.commands(request, surroundings_, reactor_.now());
-      });
+      reactor_, net::ServerLimits{},
+      [this, &worker](Request request) { return serve_worker(worker, std::move(request)); });
   if (!worker.server->listen(stand_in.address)) co_return;
   worker.scope.spawn(worker.server->run());
   stand_in.answered_sent = reactor_.now();
--- a/lab/region.hpp
+++ b/lab/region.hpp
@@ -57,6 +57,10 @@
     return address(10 + 3 * controller + listener);
   }
   void set_state_down(bool down);
+  /// Answers what comes to a worker's address beside commands.
+  using ReplicaServer =
+      std::function<net::Task<net::Response>(const testing::WorkerStandIn&, net::Request)>;
+  void set_replica_server(ReplicaServer server) { replica_server_ = std::move(server); }
   testing::StateStandIn& state() { return state_; }
   int workers() const;
   /// How long workers' reports took to be answered 200, in seconds, and how many were not.
@@ -85,6 +89,7 @@
   std::string address(int port) const;
   net::Task<net::Response> serve_state(net::Request request);
   net::Task<net::Response> serve_cloud(net::Request request);
+  net::Task<net::Response> serve_worker(Worker& worker, net::Request request);
   net::Response rent(const net::Request& request);
   net::Response list(const net::Request& request) const;
   Worker& add_worker(const std::string& zone, bool spot, double ready_at);
@@ -101,6 +106,7 @@
   std::mt19937 random_;
   testing::StateStandIn state_;
   bool state_down_ = false;
+  ReplicaServer replica_server_;
   std::map<std::string, std::unique_ptr<Worker>> workers_;
   std::map<std::string, std::string> rentals_;
   int rented_ = 0;
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -51,17 +51,17 @@
 
 }  // namespace
 
-Run::Run(const LabPlan& plan, const std::string& program, const std::string& folder, unsigned seed)
+Run::Run(const LabPlan& plan, const std::string& program, const std::string& folder)
     : plan_(plan),
       settings_(checked_settings(plan)),
       rules_(settings_),
       client_(reactor_, std::size_t{1024} * 1024, 1024),
-      random_(seed),
+      random_(plan.seed),
       controllers_(plan, program, folder) {
   for (const auto& region : plan.regions) {
     const auto index = static_cast<int>(regions_.size());
     regions_.push_back(std::make_unique<Region>(reactor_, plan, region, index, *this,
-                                                seed + static_cast<unsigned>(index)));
+                                                plan.seed + static_cast<unsigned>(index)));
   }
 }
 
@@ -73,10 +73,13 @@
   if (!controllers_.start(reactor_, regions_, scope_)) return false;
   for (const auto& plan : plan_.classes) scope_.spawn(submit_jobs(plan));
   for (const auto& fault : plan_.faults) scope_.spawn(play_fault(fault));
+  fragments_ = make_fragments();
+  if (fragments_ && !fragments_->start(scope_)) return false;
   scope_.spawn(watch_fleet());
-  scope_.spawn(finish());
+  if (!fragments_) scope_.spawn(finish());
   reactor_.run();
   scope_.clear();
+  if (fragments_) fragments_->stop();
   controllers_.end_all();
   usage_ = controllers_.usage();
   return played_;
@@ -85,11 +88,22 @@
 Task<void> Run::finish() {
   Sleep pause(reactor_, plan_.settle_s + plan_.duration_s + plan_.drain_s);
   co_await pause;
+  end();
+}
+
+void Run::end() {
   if (regions_.size() > 1) wrong_sums_ = count_wrong_sums();
   played_ = true;
   reactor_.stop();
 }
 
+std::unique_ptr<Fragments> Run::make_fragments() {
+  if (!plan_.fragments) return nullptr;
+  const Fragments::Host host{[this](const ClassPlan& plan) { return submit(plan, 0); },
+                             [this] { end(); }};
+  return std::make_unique<Fragments>(reactor_, plan_, *regions_[0], controllers_, host, plan_.seed);
+}
+
 // ---- users ----
 
 double Run::rate_factor() const {
@@ -113,6 +127,17 @@
   return spec;
 }
 
+std::string Run::submit(const ClassPlan& plan, int region) {
+  auto spec = next_job(plan);
+  std::string id = spec.id;
+  Job& job = jobs_[id];
+  job.plan = &plan;
+  job.submitted_at = now();
+  ++counts_[plan.spec.job_class].submitted;
+  scope_.spawn(use(std::move(spec), plan, region));
+  return id;
+}
+
 Task<void> Run::submit_jobs(const ClassPlan& plan) {
   constexpr double kTick = 0.05;
   double initial_left = plan.initial, due = 0;
@@ -125,13 +150,7 @@
     due += first;
     constexpr double kWhole = 1 - 1e-6;  // sums of parts
     for (; due >= kWhole; --due) {
-      const int region = pick_region();
-      auto spec = next_job(plan);
-      Job& job = jobs_[spec.id];
-      job.plan = &plan;
-      job.submitted_at = now();
-      ++counts_[plan.spec.job_class].submitted;
-      scope_.spawn(use(std::move(spec), plan, region));
+      submit(plan, pick_region());
     }
     due += kTick * plan.jobs_per_s * rate_factor();
     Sleep pause(reactor_, kTick);
@@ -343,7 +362,19 @@
 
 // ---- the report ----
 
+std::string Run::fault() const {
+  if (!played_) return "it was not played to its end";
+  if (!rules_.broken.empty()) {
+    const auto& [rule, how] = *rules_.broken.begin();
+    return "the rule " + rule + " broke: " + how;
+  }
+  std::string fragments = fragments_ ? fragments_->fault() : "";
+  if (!fragments.empty() || passed()) return fragments;
+  return "a submission was not accepted, a controller ended, or shares don't add up";
+}
+
 bool Run::passed() const {
+  if (fragments_ && !fragments_->fault().empty()) return false;
   const bool all_accepted = std::all_of(counts_.begin(), counts_.end(), [](const auto& entry) {
     return entry.second.accepted == entry.second.submitted;
   });
@@ -362,11 +393,13 @@
     start_s.insert(start_s.end(), counts.start_s.begin(), counts.start_s.end());
   }
   std::sort(start_s.begin(), start_s.end());
-  return fmt::format(
-      "{} regions, {} controllers: {} jobs accepted, {} task starts (half within {:.1f} s, 99% "
-      "within {:.1f} s), {} faults played, {} rules broken",
-      regions_.size(), usage_.size(), accepted, starts, percentile(start_s, 0.5),
-      percentile(start_s, 0.99), faults_played_, rules_.broken.size());
+  return (fragments_ ? fragments_->summary() + "; " : "") +
+         fmt::format(
+             "{} regions, {} controllers: {} jobs accepted, {} task starts (half within {:.1f} s, "
+             "99% "
+             "within {:.1f} s), {} faults played, {} rules broken",
+             regions_.size(), usage_.size(), accepted, starts, percentile(start_s, 0.5),
+             percentile(start_s, 0.99), faults_played_, rules_.broken.size());
 }
 
 std::string Run::report() const {
@@ -374,6 +407,8 @@
   w.begin().key("kind").text("lab run with stand-ins on loopback").key("passed").flag(passed());
   w.key("played_s").amount(plan_.settle_s + plan_.duration_s + plan_.drain_s);
   w.key("teams").integer(plan_.teams).key("faults_played").integer(faults_played_);
+  w.key("seed").count(plan_.seed);
+  if (fragments_) fragments_->report(w);
   w.key("broken").begin();
   for (const auto& [rule, how] : rules_.broken) w.key(rule).text(how);
   w.end().key("classes").begin();
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include "lab/controllers.hpp"
+#include "lab/fragments.hpp"
 #include "lab/region.hpp"
 #include "lab/settings.hpp"
 #include "regions/amounts.hpp"
@@ -18,7 +19,7 @@
 
 class Run : public testing::WorkerStandIn::Surroundings {
  public:
-  Run(const LabPlan& plan, const std::string& program, const std::string& folder, unsigned seed);
+  Run(const LabPlan& plan, const std::string& program, const std::string& folder);
 
   /// Plays the plan to its end; false when something could not be started.
   bool play();
@@ -27,6 +28,8 @@
   /// All was played, every submission was accepted, and no rule broke.
   bool passed() const;
 
+  /// Why it did not pass, for a person; empty: it did.
+  std::string fault() const;
   /// One line for a person.
   std::string summary() const;
 
@@ -65,6 +68,10 @@
   net::Task<void> finish();
   wire::JobSpec next_job(const ClassPlan& plan);
   int pick_region();
+  /// Submits one job to the region and follows it to its end; returns its id.
+  std::string submit(const ClassPlan& plan, int region);
+  std::unique_ptr<Fragments> make_fragments();
+  void end();
   double rate_factor() const;
   void look();
   /// Adds up what all regions hold of each team and what is under way; counts teams for which that
@@ -94,7 +101,8 @@
   std::vector<Controllers::Usage> usage_;
   std::map<std::string, std::vector<double>> held_gpus_;  ///< by region, of each team, at the end
   int wrong_sums_ = 0;
-  net::Scope scope_;  ///< last, so that its routines end before what they use
+  std::unique_ptr<Fragments> fragments_;  ///< where the plan asks for it
+  net::Scope scope_;                      ///< last, so that its routines end before what they use
 };
 
 }  // namespace cranklock::lab
--- a/lab/settings.cpp
+++ b/lab/settings.cpp
@@ -68,10 +68,78 @@
   return fault;
 }
 
+FragmentsPlan read_fragments(const TomlReader& in, const LabPlan& plan) {
+  FragmentsPlan fragments;
+  struct Number {
+    const char* name;
+    double& into;
+    double least;
+  };
+  for (const auto& [name, into, least] :
+       {Number{"piece_gpus", fragments.piece_gpus, 0.1},
+        Number{"filler_run_s", fragments.filler_run_s, 0.1},
+        Number{"chats_per_s", fragments.chats_per_s, 0},
+        Number{"rush_from_s", fragments.rush_from_s, 0},
+        Number{"rush_for_s", fragments.rush_for_s, 0},
+        Number{"rush_factor", fragments.rush_factor, 1}, Number{"turn_s", fragments.turn_s, 0},
+        Number{"pause_s", fragments.pause_s, 0},
+        Number{"endless_share", fragments.endless_share, 0},
+        Number{"demand_after_s", fragments.demand_after_s, 0},
+        Number{"kill_after_s", fragments.kill_after_s, 0}}) {
+    if (in.has(name)) into = in.number(name, least);
+  }
+  for (const auto& [name, into] :
+       {std::pair<const char*, int&>{"replicas_per_job", fragments.replicas_per_job},
+        {"turns", fragments.turns},
+        {"most_chats", fragments.most_chats},
+        {"demand_tasks", fragments.demand_tasks}}) {
+    if (in.has(name)) into = in.count(name, 1);
+  }
+  if (in.has("moves")) fragments.moves = in.flag("moves");
+  if (in.has("kill_leader")) fragments.kill_leader = in.flag("kill_leader");
+  if (2 * fragments.piece_gpus > plan.worker_gpus) {
+    in.fail("piece_gpus", "at most half of worker_gpus, so that two pieces fit on a worker");
+  }
+  if (fragments.endless_share > 1) in.fail("endless_share", "a number from 0 to 1");
+  if (plan.regions.size() != 1) in.fail("moves", "one region in the file");
+  return fragments;
+}
+
+/// "a.b=value" put in the place of the file's own.
+void apply_change(toml::table& root, const std::string& change) {
+  const auto fail = [&](const std::string& expected) {
+    throw base::SettingsError("--set " + change + ": expected " + expected);
+  };
+  const auto equals = change.find('=');
+  if (equals == std::string::npos || equals == 0) fail("field=value");
+  toml::table given;
+  try {
+    given = toml::parse(change);
+  } catch (const toml::parse_error&) {
+    fail("a value as in TOML");
+  }
+  toml::table* into = &root;
+  const toml::table* from = &given;
+  for (;;) {
+    const auto field = from->begin();  // outlives what it refers to
+    const std::string_view key = field->first.str();
+    const auto* nested = field->second.as_table();
+    if (nested == nullptr) {
+      into->insert_or_assign(key, field->second);
+      return;
+    }
+    toml::node* next = into->get(key);
+    if (next == nullptr || !next->is_table()) fail("a field of a table in the file");
+    into = next->as_table();
+    from = nested;
+  }
+}
+
 }  // namespace
 
-LabPlan load_plan(const std::string& path) {
-  const toml::table root = base::parse_toml(path);
+LabPlan load_plan(const std::string& path, const std::vector<std::string>& changes) {
+  toml::table root = base::parse_toml(path);
+  for (const auto& change : changes) apply_change(root, change);
   const TomlReader in(root, path, "");
   LabPlan plan;
   struct Number {
@@ -96,7 +164,9 @@
   in.each("regions", [&](const TomlReader& one) { plan.regions.push_back(read_region(one)); });
   if (plan.regions.empty()) in.fail("regions", "at least one region");
   in.each("classes", [&](const TomlReader& one) { plan.classes.push_back(read_class(one)); });
-  if (plan.classes.empty()) in.fail("classes", "at least one class");
+  if (in.has("seed")) plan.seed = static_cast<unsigned>(in.count("seed", 0));
+  if (in.has("fragments")) plan.fragments = read_fragments(in.table("fragments"), plan);
+  if (plan.classes.empty() && !plan.fragments) in.fail("classes", "at least one class");
   in.each("faults", [&](const TomlReader& one) { plan.faults.push_back(read_fault(one, plan)); });
   return plan;
 }
--- a/lab/settings.hpp
+++ b/lab/settings.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -32,6 +33,25 @@
   double at_s = 0, for_s = 0;
 };
 
+/// A fleet in pieces, chats, and a gang that asks for whole machines (lab/fragments.toml).
+struct FragmentsPlan {
+  bool moves = true;         ///< carried out by the controllers
+  double piece_gpus = 3;     ///< of the replica on each worker; arrays fill the rest and end
+  double filler_run_s = 6;   ///< of those arrays
+  int replicas_per_job = 8;  ///< of a service
+  double chats_per_s = 4;    ///< begun, with all services
+  double rush_from_s = 0, rush_for_s = 0, rush_factor = 1;  ///< from the first chat on
+  int turns = 6;                                            ///< requests of a chat
+  double turn_s = 0.3;                                      ///< a replica's time for an answer
+  double pause_s = 0.7;                                     ///< of a user between two requests
+  double endless_share = 0;                                 ///< of chats that end only with the run
+  int most_chats = 20;                                      ///< that a replica carries
+  double demand_after_s = 4;                                ///< from the first chat on
+  int demand_tasks = 2;                                     ///< each takes a whole worker
+  bool kill_leader = false;                                 ///< in the middle of its first plan
+  double kill_after_s = 1;                                  ///< since the plan began
+};
+
 struct LabPlan {
   /// The time before the first submission, that of submissions, and that for what is under way.
   double settle_s = 3, duration_s = 30, drain_s = 20;
@@ -48,9 +68,12 @@
   std::vector<RegionPlan> regions;
   std::vector<ClassPlan> classes;
   std::vector<FaultPlan> faults;
+  unsigned seed = 1;  ///< of everything that is drawn
+  std::optional<FragmentsPlan> fragments;
 };
 
-/// Throws base::SettingsError that names the file, the field and what was expected.
-LabPlan load_plan(const std::string& path);
+/// `changes` are fields that differ from the file, such as "fragments.moves=false". Throws
+/// base::SettingsError that names the file, the field and what was expected.
+LabPlan load_plan(const std::string& path, const std::vector<std::string>& changes = {});
 
 }  // namespace cranklock::lab
--- a/src/base/toml_reader.hpp
+++ b/src/base/toml_reader.hpp
@@ -53,6 +53,11 @@
     }
     return static_cast<int>(*v);
   }
+  bool flag(const char* field) const {
+    const auto v = table_[field].value_exact<bool>();
+    if (!v) fail(field, "true or false");
+    return *v;
+  }
   TomlReader table(const char* field) const {
     const auto* t = table_[field].as_table();
     if (t == nullptr) fail(field, "a table");
--- a/src/control/machine_lifecycle.hpp
+++ b/src/control/machine_lifecycle.hpp
@@ -9,8 +9,8 @@
 #include "control/services.hpp"
 #include "net/reactor.hpp"
 #include "net/task.hpp"
+#include "sched/availability.hpp"
 #include "sched/cluster_state.hpp"
-#include "sched/placement.hpp"
 
 namespace cranklock::control {
 
--- a/src/control/pool_scaler.cpp
+++ b/src/control/pool_scaler.cpp
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "control/record.hpp"
+#include "sched/availability.hpp"
 
 namespace cranklock::control {
 
--- a/src/defrag/move_executor.cpp
+++ b/src/defrag/move_executor.cpp
@@ -304,9 +304,14 @@
   if (const auto* job = cluster_.job(wanted_.plan->job)) {
     not_before_[wanted_.plan->job] = now + shortest_boot_s(cluster_, *job);
   }
+  const auto& moves = wanted_.plan->moves;
+  const auto undone = std::count_if(moves.begin(), moves.end(), [](const PlannedMove& move) {
+    return move.step != MoveStep::done;
+  });
   end_plan({PlanEvent::Kind::plan_dropped,
-            fmt::format("plan {} for job {} is dropped after {:.1f} s: {}", wanted_.plan->id,
-                        wanted_.plan->job, now - plan_known_, to_string(reason))},
+            fmt::format("plan {} for job {} is dropped after {:.1f} s, {} moves undone: {}",
+                        wanted_.plan->id, wanted_.plan->job, now - plan_known_, undone,
+                        to_string(reason))},
            now);
 }
 
--- a/src/defrag/plan_check.cpp
+++ b/src/defrag/plan_check.cpp
@@ -5,7 +5,7 @@
 #include <string>
 
 #include "defrag/plan_search.hpp"
-#include "sched/placement.hpp"
+#include "sched/availability.hpp"
 
 namespace cranklock::defrag {
 namespace {
--- a/src/defrag/plan_search.cpp
+++ b/src/defrag/plan_search.cpp
@@ -7,7 +7,7 @@
 #include <tuple>
 #include <utility>
 
-#include "sched/placement.hpp"
+#include "sched/availability.hpp"
 
 namespace cranklock::defrag {
 namespace {
--- a/src/regions/demand.cpp
+++ b/src/regions/demand.cpp
@@ -2,7 +2,7 @@
 
 #include <algorithm>
 
-#include "sched/placement.hpp"
+#include "sched/availability.hpp"
 
 namespace cranklock::regions {
 namespace {
--- /dev/null
+++ b/src/sched/availability.cpp
@@ -0,0 +1,67 @@
+#include "sched/availability.hpp"
+
+#include <algorithm>
+
+namespace cranklock::sched {
+
+std::size_t most_live_tasks(const base::Settings& settings) {
+  constexpr double kTaskBytes = 44;   // its number, attempt and machine, and a range of done tasks
+  constexpr double kValueBytes = 80;  // what stands around the lists, and does not fill up, in each
+  constexpr double kTxnBytes = 60.0 * 1024;
+  const double value = settings.value_kb * 1024 - kValueBytes;
+  // The description takes up to a value's worth.
+  const double room = std::min(value * (settings.txn_ops - 1), kTxnBytes - value);
+  return static_cast<std::size_t>(std::max(room / kTaskBytes, 1.0));
+}
+
+bool within_limit(const ClusterState& cluster, const std::string& team, const wire::Room& more) {
+  const auto* settings = cluster.settings().team(team);
+  if (settings == nullptr) return false;
+  const wire::Room sum = cluster.team_use(team) + more;
+  const wire::Room limit = cluster.limit_of(*settings);
+  constexpr double kSlack = 1e-6;
+  return (settings->gpus_max <= 0 || sum.gpus <= limit.gpus + kSlack) &&
+         (settings->cpus_max <= 0 || sum.cpus <= limit.cpus + kSlack);
+}
+
+namespace {
+bool is_sound(const ClusterState& cluster, const Machine& machine) {
+  return !cluster.is_unreachable(machine.kind.zone) && !machine.silent && !machine.removing &&
+         !machine.failed && !machine.quarantined && !machine.taken_at;
+}
+}  // namespace
+
+bool usable(const ClusterState& cluster, const Machine& machine) {
+  return is_sound(cluster, machine) && machine.reported && machine.confirmed() &&
+         machine.unknown_tasks == 0 && machine.unresponsive_until == 0;
+}
+
+bool coming(const ClusterState& cluster, const Machine& machine) {
+  return is_sound(cluster, machine) && !machine.overdue &&
+         (!machine.reported || (!machine.confirmed() && machine.unresponsive_until == 0));
+}
+
+std::map<std::string, ZoneWorkers> count_workers(ClusterState& cluster, double now) {
+  std::map<std::string, ZoneWorkers> zones;
+  for (const auto& [id, machine] : cluster.machines()) {
+    if (!machine.reported || machine.silent || machine.removing || machine.taken_at) continue;
+    auto& zone = zones[machine.kind.zone];
+    ++zone.workers;
+    if (now - machine.last_report < 2 * cluster.settings().report_s) ++zone.heard;
+  }
+  return zones;
+}
+
+bool surely_taken(const ClusterState& cluster, const Machine& machine,
+                  const std::map<std::string, ZoneWorkers>& zones, double now) {
+  const double report_s = cluster.settings().report_s;
+  if (!machine.kind.spot || !machine.reported || machine.removing) return false;
+  const double quiet = now - machine.last_report;
+  if (machine.taken_at && now > *machine.taken_at) return quiet > 1.5 * report_s;
+  const auto zone = zones.find(machine.kind.zone);
+  if (quiet < 3 * report_s || zone == zones.end()) return false;
+  const int others = zone->second.workers - (machine.silent || machine.taken_at ? 0 : 1);
+  return others > 0 && zone->second.heard >= 0.9 * others;
+}
+
+}  // namespace cranklock::sched
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -8,6 +8,7 @@
 #include <set>
 #include <tuple>
 
+#include "sched/availability.hpp"
 #include "sched/inheritance.hpp"
 
 namespace cranklock::sched {
@@ -707,66 +708,6 @@
 
 }  // namespace
 
-std::size_t most_live_tasks(const base::Settings& settings) {
-  constexpr double kTaskBytes = 44;   // its number, attempt and machine, and a range of done tasks
-  constexpr double kValueBytes = 80;  // what stands around the lists, and does not fill up, in each
-  constexpr double kTxnBytes = 60.0 * 1024;
-  const double value = settings.value_kb * 1024 - kValueBytes;
-  // The description takes up to a value's worth.
-  const double room = std::min(value * (settings.txn_ops - 1), kTxnBytes - value);
-  return static_cast<std::size_t>(std::max(room / kTaskBytes, 1.0));
-}
-
-bool within_limit(const ClusterState& cluster, const std::string& team, const Room& more) {
-  const auto* t = cluster.settings().team(team);
-  if (t == nullptr) return false;
-  const Room sum = cluster.team_use(team) + more;
-  const Room limit = cluster.limit_of(*t);
-  constexpr double kSlack = 1e-6;
-  return (t->gpus_max <= 0 || sum.gpus <= limit.gpus + kSlack) &&
-         (t->cpus_max <= 0 || sum.cpus <= limit.cpus + kSlack);
-}
-
-namespace {
-bool sound(const ClusterState& cluster, const Machine& m) {
-  return !cluster.is_unreachable(m.kind.zone) && !m.silent && !m.removing && !m.failed &&
-         !m.quarantined && !m.taken_at;
-}
-}  // namespace
-
-bool usable(const ClusterState& cluster, const Machine& m) {
-  return sound(cluster, m) && m.reported && m.confirmed() && m.unknown_tasks == 0 &&
-         m.unresponsive_until == 0;
-}
-
-bool coming(const ClusterState& cluster, const Machine& m) {
-  return sound(cluster, m) && !m.overdue &&
-         (!m.reported || (!m.confirmed() && m.unresponsive_until == 0));
-}
-
-std::map<std::string, ZoneWorkers> count_workers(ClusterState& cluster, double now) {
-  std::map<std::string, ZoneWorkers> out;
-  for (const auto& [id, m] : cluster.machines()) {
-    if (!m.reported || m.silent || m.removing || m.taken_at) continue;
-    auto& zone = out[m.kind.zone];
-    ++zone.workers;
-    if (now - m.last_report < 2 * cluster.settings().report_s) ++zone.heard;
-  }
-  return out;
-}
-
-bool surely_taken(const ClusterState& cluster, const Machine& m,
-                  const std::map<std::string, ZoneWorkers>& zones, double now) {
-  const double every = cluster.settings().report_s;
-  if (!m.kind.spot || !m.reported || m.removing) return false;
-  const double quiet = now - m.last_report;
-  if (m.taken_at && now > *m.taken_at) return quiet > 1.5 * every;
-  const auto zone = zones.find(m.kind.zone);
-  if (quiet < 3 * every || zone == zones.end()) return false;
-  const int others = zone->second.workers - (m.silent || m.taken_at ? 0 : 1);
-  return others > 0 && zone->second.heard >= 0.9 * others;
-}
-
 PassResult place_waiting(ClusterState& cluster, const std::map<MachineKind, double>& refused_until,
                          double now) {
   return Pass(cluster, refused_until, now).run();
--- a/src/sched/scaler.cpp
+++ b/src/sched/scaler.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cmath>
 
+#include "sched/availability.hpp"
+
 namespace cranklock::sched {
 namespace {
 double largest_share(const wire::Room& part, const wire::Room& whole) {
--- a/tests/cluster_state_test.cpp
+++ b/tests/cluster_state_test.cpp
@@ -3,6 +3,7 @@
 
 #include "control/record.hpp"
 #include "fixtures.hpp"
+#include "sched/availability.hpp"
 
 namespace cranklock::sched {
 namespace {
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "fixtures.hpp"
+#include "sched/availability.hpp"
 
 namespace cranklock::sched {
 namespace {
--- a/tests/versions_test.cpp
+++ b/tests/versions_test.cpp
@@ -5,6 +5,7 @@
 #include "control/record.hpp"
 #include "fixtures.hpp"
 #include "peer/frames.hpp"
+#include "sched/availability.hpp"
 
 namespace cranklock::testing {
 namespace {
