A successor holds a plan's room from its first pass; tests for guards that none caught

Need: a new leader's first pass came before its plan's room was held, so a moved task went elsewhere (lab, 800 workers). Three guards could be taken out unnoticed: stops of drained replicas sent straight to workers, moves of what is in doubt, drains asked by a leader in doubt.

Change: reservations are set when the record is loaded; a test each, which fails without its guard. The lab reads a controller's peak memory since it was executed: wait4 counted the lab's own at the fork.

--- a/lab/controllers.cpp
+++ b/lab/controllers.cpp
@@ -31,6 +31,16 @@
   return "127.0.0.1:" + std::to_string(kFirstPort + from * kPerRegion + to * kPerTarget + index);
 }
 
+/// The most memory that a process has used since it was executed; 0: it is gone.
+double peak_memory_mb(pid_t pid) {
+  std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+  constexpr std::string_view kField = "VmHWM:";
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with(kField)) return std::stod(line.substr(kField.size())) / 1024;
+  }
+  return 0;
+}
+
 }  // namespace
 
 void Controllers::write_settings(const Region& region, int index, int regions) const {
@@ -163,6 +173,8 @@
   Usage& usage = controller.usage;
   rusage used{};
   const std::string descriptors = "/proc/" + std::to_string(controller.pid) + "/fd";
+  // Not the maximum that wait4 tells: it counts this process before the other was executed.
+  usage.memory_mb = std::max(usage.memory_mb, peak_memory_mb(controller.pid));
   usage.alive = ::wait4(controller.pid, nullptr, WNOHANG, &used) == 0;
   if (usage.alive) {
     usage.sockets = static_cast<int>(std::distance(std::filesystem::directory_iterator(descriptors),
@@ -174,7 +186,6 @@
     return static_cast<double>(time.tv_sec) + static_cast<double>(time.tv_usec) / 1e6;
   };
   usage.cpu_s += seconds(used.ru_utime) + seconds(used.ru_stime);
-  usage.memory_mb = std::max(usage.memory_mb, static_cast<double>(used.ru_maxrss) / 1024);
   controller.pid = -1;
 }
 
--- a/src/defrag/move_executor.cpp
+++ b/src/defrag/move_executor.cpp
@@ -71,6 +71,7 @@
   events_.push_back({PlanEvent::Kind::plan_resumed,
                      fmt::format("plan {} for job {} is taken over: {} moves", wanted_.plan->id,
                                  wanted_.plan->job, wanted_.plan->moves.size())});
+  update_reservations();  // before the first pass
 }
 
 bool MoveExecutor::knows_fleet(double now) const {
--- a/tests/move_executor_test.cpp
+++ b/tests/move_executor_test.cpp
@@ -156,6 +156,21 @@
   EXPECT_FALSE(executor.to_store()->plan);
 }
 
+// Its start may still be carried out, or its place is not certain: it is not stopped for a plan.
+TEST(MoveExecutor, WhatIsInDoubtDoesNotBeginToMove) {
+  Halves halves;
+  auto executor = halves.executor();
+  halves.look(executor);
+  Halves::store(executor);
+  auto& source = halves.source(executor.wanted().plan->moves.at(0));
+  source.unconfirmed_session = 1;
+  halves.advance(executor);
+  EXPECT_EQ(executor.wanted().plan->moves.at(0).step, MoveStep::reserved);
+  source.unconfirmed_session = 0;
+  halves.advance(executor);
+  EXPECT_EQ(executor.wanted().plan->moves.at(0).step, MoveStep::stopping);
+}
+
 // Work that does not save is the dearer to move the longer it has run.
 TEST(MoveExecutor, APlanThatHasBecomeTooDearIsDropped) {
   Halves halves;
--- a/tests/moves_replicas_test.cpp
+++ b/tests/moves_replicas_test.cpp
@@ -226,6 +226,40 @@
   }
 }
 
+// A leader that can't confirm its lease may have been replaced: it prolongs no drain.
+TEST(MovesReplicas, ALeaderInDoubtKeepsNoReplicaOutOfService) {
+  for (const double at : drain_moments()) {
+    Chats chats(12, 1'000'000);  // so that drains last
+    auto& w = chats.w;
+    chats.fragments.ask_for_large();
+    ASSERT_TRUE(chats.fragments.reach_plan());
+    chats.fragments.run(at);
+    w.state_down = true;
+    chats.fragments.run(1.5 * w.base_settings.lease_s);
+    for (std::uint32_t task = 0; task < 4; ++task) {
+      EXPECT_FALSE(chats.router.is_drained({kSmall, task}, w.reactor.now())) << at;
+    }
+    w.state_down = false;
+    EXPECT_TRUE(chats.fragments.until(chats.longest(), [&] { return chats.is_over(); })) << at;
+    EXPECT_EQ(chats.dropped, 0) << at;
+  }
+}
+
+// The plan is dropped while commands are held up: a replica that serves again is not stopped late.
+TEST(MovesReplicas, NoStopIsUnderWayWhenAPlanIsDropped) {
+  for (double at = 0; at < 10; at += 0.3) {
+    Chats chats;
+    auto& w = chats.w;
+    chats.fragments.ask_for_large();
+    ASSERT_TRUE(chats.fragments.reach_plan());
+    for (auto& [id, worker] : w.workers) worker->commands_late_s = 4;
+    chats.fragments.run(at);
+    w.cancel(w.leader(), kLarge);
+    chats.fragments.run(10);
+    EXPECT_EQ(chats.dropped, 0) << at;
+  }
+}
+
 // The router falls silent in the middle: its drain runs out, and the replica serves again.
 TEST(MovesReplicas, ARouterThatFallsSilentEndsTheMove) {
   for (const double at : drain_moments()) {
