--- a/tests/fragments.hpp
+++ b/tests/fragments.hpp
@@ -90,6 +90,17 @@
   bool reach_plan() {
     return until(2 * kBoot, [&] { return has_plan(); });
   }
+  /// Asks for the large job, and runs for so long since its plan was stored.
+  bool run_into_plan(double seconds) {
+    ask_for_large();
+    if (!reach_plan()) return false;
+    run(seconds);
+    return true;
+  }
+  /// Whether the large job and all that was moved run in the end, and nothing is held.
+  bool recovers() {
+    return until(longest() + 2 * kBoot, [this] { return large_runs() && is_settled(); });
+  }
   bool large_runs(const std::string& id = kLarge) { return w.running(id) == 2; }
   bool reservations_held() {
     const int node = rightful_leader();
