--- a/src/control/move_service.cpp
+++ b/src/control/move_service.cpp
@@ -43,13 +43,13 @@
 
 Task<void> MoveService::run() {
   for (;;) {
-    log_events();
+    log_plans();
     net::Signal::Wait wait(due_, services_.settings.report_s / 4);
     co_await wait;
     if (term_.is_lost()) co_return;
     executor_.advance(wall_ms(), now());
     look();
-    log_events();
+    log_plans();
     if (executor_.take_acted()) work_.set();
     auto writing = write();
     co_await writing;
@@ -70,8 +70,8 @@
   look_after_ = now() + std::max(services_.settings.report_s, kRestAfterLook * took);
 }
 
-void MoveService::log_events() {
-  for (const auto& event : executor_.take_events()) spdlog::info("{}", event.text);
+void MoveService::log_plans() {
+  for (const auto& line : executor_.take_log_lines()) spdlog::info("{}", line);
 }
 
 Task<void> MoveService::write() {
--- a/src/control/move_service.hpp
+++ b/src/control/move_service.hpp
@@ -50,7 +50,7 @@
   net::Task<void> read_revision();
   net::Task<void> drain(defrag::DrainRequest request);
   void look();
-  void log_events();
+  void log_plans();
   double now() const { return services_.reactor.now(); }
   std::int64_t wall_ms() const { return services_.reactor.wall_ms(); }
 
--- a/src/defrag/move_executor.cpp
+++ b/src/defrag/move_executor.cpp
@@ -68,9 +68,8 @@
     progress_[i].begun = now;
     budget_.resume(move.task.job);
   }
-  events_.push_back({PlanEvent::Kind::plan_resumed,
-                     fmt::format("plan {} for job {} is taken over: {} moves", wanted_.plan->id,
-                                 wanted_.plan->job, wanted_.plan->moves.size())});
+  log_lines_.push_back(fmt::format("plan {} for job {} is taken over: {} moves", wanted_.plan->id,
+                                   wanted_.plan->job, wanted_.plan->moves.size()));
   update_reservations();  // before the first pass
 }
 
@@ -151,11 +150,10 @@
   const MovePlan& plan = *wanted_.plan;
   std::string moves;
   for (const auto& move : plan.moves) moves += (moves.empty() ? "" : ", ") + describe(move);
-  events_.push_back(
-      {PlanEvent::Kind::plan_begun,
-       fmt::format("plan {} for job {} begins: {} moves at {:.0f} s of work, against "
-                   "{:.0f} s of boot: {}",
-                   plan.id, plan.job, plan.moves.size(), plan.cost_s, plan.boot_s, moves)});
+  log_lines_.push_back(
+      fmt::format("plan {} for job {} begins: {} moves at {:.0f} s of work, against "
+                  "{:.0f} s of boot: {}",
+                  plan.id, plan.job, plan.moves.size(), plan.cost_s, plan.boot_s, moves));
 }
 
 // ---- steps ----
@@ -206,11 +204,9 @@
   const double took_s = now - progress.begun;
   budget_.ended(move.task.job, took_s);
   if (move.step == MoveStep::done) {
-    events_.push_back(
-        {PlanEvent::Kind::move_done, fmt::format("moved {}: {:.1f} s", describe(move), took_s)});
+    log_lines_.push_back(fmt::format("moved {}: {:.1f} s", describe(move), took_s));
   } else if (move.step == MoveStep::diverted) {
-    events_.push_back({PlanEvent::Kind::move_diverted,
-                       fmt::format("{} went elsewhere: {:.1f} s", describe(move), took_s)});
+    log_lines_.push_back(fmt::format("{} went elsewhere: {:.1f} s", describe(move), took_s));
   }
 }
 
@@ -278,9 +274,8 @@
   if (!wanted_.plan) return;
   follow_moves(now);
   if (is_over()) {
-    return end_plan({PlanEvent::Kind::plan_done,
-                     fmt::format("plan {} for job {} is done: {:.1f} s", wanted_.plan->id,
-                                 wanted_.plan->job, now - plan_known_)},
+    return end_plan(fmt::format("plan {} for job {} is done: {:.1f} s", wanted_.plan->id,
+                                wanted_.plan->job, now - plan_known_),
                     now);
   }
   auto why = why_drop_by_records(cluster_, *wanted_.plan, placed_, wall_ms, now);
@@ -309,14 +304,13 @@
   const auto undone = std::count_if(moves.begin(), moves.end(), [](const PlannedMove& move) {
     return move.step != MoveStep::done;
   });
-  end_plan({PlanEvent::Kind::plan_dropped,
-            fmt::format("plan {} for job {} is dropped after {:.1f} s, {} moves undone: {}",
-                        wanted_.plan->id, wanted_.plan->job, now - plan_known_, undone,
-                        to_string(reason))},
+  end_plan(fmt::format("plan {} for job {} is dropped after {:.1f} s, {} moves undone: {}",
+                       wanted_.plan->id, wanted_.plan->job, now - plan_known_, undone,
+                       to_string(reason)),
            now);
 }
 
-void MoveExecutor::end_plan(PlanEvent event, double now) {
+void MoveExecutor::end_plan(std::string log_line, double now) {
   const auto& moves = wanted_.plan->moves;
   for (std::size_t i = 0; i < moves.size(); ++i) {
     const bool drained = moves_replica(moves[i]) && progress_[i].drain_asked > 0;
@@ -329,7 +323,7 @@
     }
     end_move(i, now);
   }
-  events_.push_back(std::move(event));
+  log_lines_.push_back(std::move(log_line));
   wanted_.plan.reset();
   progress_.clear();
   placed_ = false;
--- a/src/defrag/move_executor.hpp
+++ b/src/defrag/move_executor.hpp
@@ -19,13 +19,6 @@
 
 namespace cranklock::defrag {
 
-/// What an operator hears of a plan.
-struct PlanEvent {
-  enum class Kind { plan_begun, plan_resumed, move_done, move_diverted, plan_done, plan_dropped };
-  Kind kind = Kind::plan_begun;
-  std::string text;
-};
-
 /// Goes through the moves of one plan at a time: reserved -> (draining ->) stopping -> freed ->
 /// restarting -> done, or dropped at any step.
 ///
@@ -65,7 +58,8 @@
   /// Whether reservations or stops have changed since the last call, so that placement and commands
   /// have something to do.
   bool take_acted() { return std::exchange(acted_, false); }
-  std::vector<PlanEvent> take_events() { return std::exchange(events_, {}); }
+  /// What an operator should hear of, a line each.
+  std::vector<std::string> take_log_lines() { return std::exchange(log_lines_, {}); }
 
  private:
   /// What only this leader knows of a move.
@@ -95,7 +89,7 @@
   void request_stops(double now);
   void end_move(std::size_t index, double now);
   bool is_over() const;
-  void end_plan(PlanEvent event, double now);
+  void end_plan(std::string log_line, double now);
   void update_reservations();
   void forget_past(std::int64_t wall_ms);
 
@@ -111,7 +105,7 @@
   std::uint64_t plans_ = 0;                   ///< of this leader
   std::map<std::string, double> not_before_;  ///< next plan for a job whose plan was dropped
   std::vector<DrainRequest> take_back_;       ///< drains of a plan that is over
-  std::vector<PlanEvent> events_;
+  std::vector<std::string> log_lines_;
   bool acted_ = false;
 };
 
