--- a/lab/chats.cpp
+++ b/lab/chats.cpp
@@ -35,13 +35,6 @@
   return w.take();
 }
 
-net::ServerLimits many_connections() {
-  net::ServerLimits limits;
-  limits.connections = kMostConnections;
-  limits.idle_s = 3600;
-  return limits;
-}
-
 }  // namespace
 
 Chats::Chats(net::EvReactor& reactor, const FragmentsPlan& plan, Region& region, unsigned seed)
--- a/lab/region.cpp
+++ b/lab/region.cpp
@@ -23,6 +23,8 @@
   return control::plain_answer(status, std::move(body));
 }
 
+}  // namespace
+
 net::ServerLimits many_connections() {
   net::ServerLimits limits;
   limits.connections = 4096;
@@ -30,8 +32,6 @@
   return limits;
 }
 
-}  // namespace
-
 // ---- relays ----
 
 bool Relay::start(net::Scope& scope) {
--- a/lab/region.hpp
+++ b/lab/region.hpp
@@ -42,6 +42,9 @@
   net::Scope pumps_;
 };
 
+/// Of a stand-in's server, to which a whole fleet may keep its connections.
+net::ServerLimits many_connections();
+
 class Region {
  public:
   /// `index` decides on addresses: workers have 127.<10 + index>.x.y each.
--- a/src/defrag/move_executor.cpp
+++ b/src/defrag/move_executor.cpp
@@ -12,15 +12,6 @@
 
 namespace {
 
-bool is_settled(MoveStep step) {
-  return step == MoveStep::done || step == MoveStep::diverted;
-}
-
-/// Its source may have been told to stop it, and it does not run again yet.
-bool is_interrupted(MoveStep step) {
-  return step == MoveStep::stopping || step == MoveStep::freed || step == MoveStep::restarting;
-}
-
 /// Seconds for which a router is asked to keep a replica drained.
 double drain_lease_s(const base::Settings& settings) {
   return settings.lease_s;
@@ -171,7 +162,7 @@
 // How far a move is, by where its task is. A plan's own account decides only whether the task left
 // its source on our word.
 MoveStep MoveExecutor::step_of(const PlannedMove& move) {
-  if (is_settled(move.step) || is_on_source(cluster_, move)) return move.step;
+  if (defrag::is_over(move.step) || is_on_source(cluster_, move)) return move.step;
   const sched::Job* job = cluster_.job(move.task.job);
   if (job == nullptr || job->withdrawn() || job->done.contains(move.task.index)) {
     return MoveStep::done;
@@ -191,7 +182,7 @@
     const MoveStep step = step_of(moves[i]);
     if (step == moves[i].step) continue;
     moves[i].step = step;
-    if (is_settled(step)) end_move(i, now);
+    if (defrag::is_over(step)) end_move(i, now);
   }
   const sched::Job* waiting = cluster_.job(wanted_.plan->job);
   placed_ = placed_ || (waiting != nullptr && is_placed(*waiting, *wanted_.plan));
@@ -342,7 +333,7 @@
     }
     for (const auto& move : plan.moves) {
       const sched::Job* job = cluster_.job(move.task.job);
-      const bool needed = is_interrupted(move.step) || (!placed_ && !is_settled(move.step));
+      const bool needed = is_interrupted(move.step) || (!placed_ && !defrag::is_over(move.step));
       if (job == nullptr || !needed) continue;
       // Guards against a job that waits though other work has ended on the target meanwhile.
       const std::string yields_to = is_interrupted(move.step) ? "" : plan.job;
--- a/src/defrag/move_plan.hpp
+++ b/src/defrag/move_plan.hpp
@@ -22,6 +22,14 @@
   done,        ///< it runs there, or was completed meanwhile
   diverted,    ///< it left its source by itself, or went elsewhere: nothing more to do
 };
+/// Nothing more is to be done for the move.
+constexpr bool is_over(MoveStep step) {
+  return step == MoveStep::done || step == MoveStep::diverted;
+}
+/// Its source may have been told to stop it, and it does not run again yet.
+constexpr bool is_interrupted(MoveStep step) {
+  return step == MoveStep::stopping || step == MoveStep::freed || step == MoveStep::restarting;
+}
 const char* to_string(MoveStep step);
 std::optional<MoveStep> parse_move_step(const std::string& name);
 
--- a/src/defrag/plan_check.cpp
+++ b/src/defrag/plan_check.cpp
@@ -13,14 +13,12 @@
 using sched::ClusterState;
 
 bool has_begun(const PlannedMove& move) {
-  return move.step != MoveStep::reserved && move.step != MoveStep::done &&
-         move.step != MoveStep::diverted;
+  return move.step != MoveStep::reserved && !is_over(move.step);
 }
 
 /// Its target's room is still to be taken.
 bool is_due_at_target(const PlannedMove& move) {
-  return move.step != MoveStep::restarting && move.step != MoveStep::done &&
-         move.step != MoveStep::diverted;
+  return move.step != MoveStep::restarting && !is_over(move.step);
 }
 
 /// Whether the machine takes work, and has so much room beside what is on it.
