--- a/review/build.sh
+++ b/review/build.sh
@@ -6,8 +6,8 @@
 mkdir -p target/review
 pids=()
 for source in review/*/case.cpp; do
-  number=$(basename "$(dirname "$source")")
-  g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "target/review/case-$number" &
+  driver=target/review/case-$(basename "$(dirname "$source")")
+  (g++ -std=c++20 -O1 -Wall -Wextra -pthread "$source" -o "$driver.new" && mv "$driver.new" "$driver") &
   pids+=($!)
 done
 for pid in "${pids[@]}"; do wait "$pid"; done
--- a/review/common/fleet.hpp
+++ b/review/common/fleet.hpp
@@ -84,6 +84,8 @@
   /// While it is mute the worker can open no connection to any controller. Direct commands still
   /// reach it.
   void set_mute(bool mute) { mute_ = mute; }
+  /// While it is sick the machine fails every task that it starts.
+  void set_sick(bool sick) { sick_ = sick; }
   int shift() {
     const std::lock_guard lock(mutex_);
     return shift_;
@@ -208,6 +210,7 @@
         has_result = network_.results.contains(task.name);
       }
       if (has_result) return exit_task(task, "done");
+      if (sick_) return exit_task(task, "error");
       const bool gang = task.job.shape == "ensemble";
       task.state = gang ? "waiting" : "running";
       changed_ = true;
@@ -351,7 +354,7 @@
   int shift_ = 1;
   std::uint64_t tick_ = 0, key_turn_ = 0;
   double last_answered_sent_ = 0;
-  std::atomic<bool> changed_{false}, mute_{false}, stopping_{false};
+  std::atomic<bool> changed_{false}, mute_{false}, sick_{false}, stopping_{false};
   Server server_;
   std::thread runner_, reporter_;
 };
--- a/review/common/state_service.hpp
+++ b/review/common/state_service.hpp
@@ -57,6 +57,8 @@
     const std::lock_guard lock(mutex_);
     limits_ = limits;
   }
+  /// Time that the service takes for each response.
+  void set_latency(double seconds) { latency_s_ = seconds; }
   /// Bytes of the value as stored; 0: no such key.
   std::size_t value_bytes(const std::string& key) {
     const std::lock_guard lock(mutex_);
@@ -70,7 +72,6 @@
   }
 
  private:
-  static constexpr double kLatencyS = 0.004;
   struct Value {
     std::string data;
     std::uint64_t mark = 0, hold = 0;
@@ -85,7 +86,7 @@
   };
 
   Response handle(const Request& request) {
-    sleep_s(kLatencyS);
+    sleep_s(latency_s_);
     std::unique_lock lock(mutex_);
     expire_leases();
     if (!take(requests_, limits_.rps, requests_at_, 1)) return {429, R"({"error":"too many"})"};
@@ -273,6 +274,7 @@
   std::mutex mutex_;
   std::condition_variable changed_;
   bool stopping_ = false;
+  std::atomic<double> latency_s_{0.006};
   Limits limits_;
   double requests_ = 0, requests_at_ = 0, writes_ = 0, writes_at_ = 0;
   std::map<std::string, Value> values_;
