--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -9,7 +9,8 @@
 
 namespace {
 
-constexpr double kWaitingS = 90;  // "no job is left waiting for 90 s while a machine that fits has room"
+constexpr double kWaitingS =
+    90;  // "no job is left waiting for 90 s while a machine that fits has room"
 
 Verdict run(const Arguments& arguments) {
   Record record(arguments.record_path);
@@ -102,8 +103,9 @@
     return Verdict::held;
   }
   for (const auto& machine : machines) {
-    record.line(machine->place().id + (cloud.find(machine->place().id) ? " is rented" : " is gone") +
-                ", it runs " + (machine->holds(replicas.id, "running") ? "one replica" : "nothing") +
+    record.line(machine->place().id +
+                (cloud.find(machine->place().id) ? " is rented" : " is gone") + ", it runs " +
+                (machine->holds(replicas.id, "running") ? "one replica" : "nothing") +
                 " and has room for a task of the gang");
   }
   record.line("BROKEN: the job waits for 90 s and nothing of it runs");
--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr double kWaitingS = 90;  // "no job is left waiting for 90 s while a machine that fits has room"
+constexpr double kWaitingS =
+    90;  // "no job is left waiting for 90 s while a machine that fits has room"
 
 Verdict run(const Arguments& arguments) {
   Record record(arguments.record_path);
--- a/review/common/controllers.hpp
+++ b/review/common/controllers.hpp
@@ -67,8 +67,8 @@
     for (const auto& node : nodes_) {
       std::ofstream out(folder_ + "/" + node.name + ".toml");
       out << "member = \"" << node.name << "\"\nzone = \"" << node.zone
-          << "\"\nlisten = \"127.0.0.1:" << node.port << "\"\npeer_listen = \"127.0.0.1:"
-          << node.peer_port << "\"\n";
+          << "\"\nlisten = \"127.0.0.1:" << node.port
+          << "\"\npeer_listen = \"127.0.0.1:" << node.peer_port << "\"\n";
       for (const auto& other : nodes_) {
         if (other.name == node.name) continue;
         out << "[[others]]\nmember = \"" << other.name << "\"\nzone = \"" << other.zone
--- a/review/common/fleet.hpp
+++ b/review/common/fleet.hpp
@@ -34,7 +34,7 @@
   std::string id, shape = "batch";
   int tasks = 1;
   double cpus = 1, gpus = 0, memory_gb = 1;
-  double run_s = 5;     ///< time that each task really runs; services run until they are stopped
+  double run_s = 5;      ///< time that each task really runs; services run until they are stopped
   double fetch_s = 0.2;  ///< time to fetch its image
 };
 
@@ -123,8 +123,8 @@
       if (!task.active()) teeth += ",\"Cause\":\"" + task.cause + "\"";
       teeth += "}";
     }
-    return "{\"Rig\":\"" + place_.id + "\",\"Address\":\"" + server_.address() +
-           "\",\"Frame\":\"" + place_.type + "\",\"Yard\":\"" + place_.zone +
+    return "{\"Rig\":\"" + place_.id + "\",\"Address\":\"" + server_.address() + "\",\"Frame\":\"" +
+           place_.type + "\",\"Yard\":\"" + place_.zone +
            "\",\"Loaners\":false,\"Shift\":" + std::to_string(shift_) +
            ",\"Tick\":" + std::to_string(tick_) + ",\"KeyTurn\":" + std::to_string(key_turn_) +
            ",\"WarningS\":null,\"Teeth\":[" + teeth + "]}";
@@ -188,8 +188,8 @@
       gpus += other.job.gpus;
       memory += other.job.memory_gb;
     }
-    if (refusal.empty() &&
-        (cpus > place_.cpus + 1e-6 || gpus > place_.gpus + 1e-6 || memory > place_.memory_gb + 1e-6))
+    if (refusal.empty() && (cpus > place_.cpus + 1e-6 || gpus > place_.gpus + 1e-6 ||
+                            memory > place_.memory_gb + 1e-6))
       refusal = "no_room";
     if (!refusal.empty()) {
       task.state = "exited";
--- a/review/common/state_service.hpp
+++ b/review/common/state_service.hpp
@@ -236,9 +236,8 @@
       for (const Change& change : log_) {
         if (change.mark <= since || !change.key.starts_with(under)) continue;
         news += std::string(news.empty() ? "" : ",");
-        news += change.removed
-                    ? "{\"Remove\":\"" + change.key + "\""
-                    : "{\"Write\":\"" + change.key + "\",\"Data\":" + change.data;
+        news += change.removed ? "{\"Remove\":\"" + change.key + "\""
+                               : "{\"Write\":\"" + change.key + "\",\"Data\":" + change.data;
         news += ",\"Mark\":" + std::to_string(change.mark) + "}";
       }
       if (!news.empty() || now() >= until || stopping_)
--- a/review/common/users.hpp
+++ b/review/common/users.hpp
@@ -21,17 +21,16 @@
   std::vector<std::string> waits_on;
 
   std::string text() const {
-    std::string text = "{\"Id\":\"" + id + "\",\"Gear\":\"" + gear + "\",\"Crew\":\"" + crew +
-                       "\",\"Shape\":\"" + shape + "\",\"Rank\":\"" + rank +
-                       "\",\"Teeth\":" + std::to_string(tasks) +
-                       ",\"Cpus\":" + std::to_string(cpus) +
-                       ",\"Accelerators\":" + std::to_string(gpus) +
-                       ",\"MemGb\":" + std::to_string(memory_gb) + ",\"Cast\":\"" + cast +
-                       "\",\"SizeGb\":" + std::to_string(size_gb) +
-                       ",\"Frames\":null,\"Yard\":null,\"OneZone\":" + (one_zone ? "true" : "false") +
-                       ",\"Apart\":" + (apart ? "true" : "false") +
-                       ",\"Loaners\":false,\"ExpectS\":" + std::to_string(expect_s) +
-                       ",\"NotchS\":" + std::to_string(notch_s) + ",\"StowS\":1.0,\"DueS\":null";
+    std::string text =
+        "{\"Id\":\"" + id + "\",\"Gear\":\"" + gear + "\",\"Crew\":\"" + crew + "\",\"Shape\":\"" +
+        shape + "\",\"Rank\":\"" + rank + "\",\"Teeth\":" + std::to_string(tasks) +
+        ",\"Cpus\":" + std::to_string(cpus) + ",\"Accelerators\":" + std::to_string(gpus) +
+        ",\"MemGb\":" + std::to_string(memory_gb) + ",\"Cast\":\"" + cast +
+        "\",\"SizeGb\":" + std::to_string(size_gb) +
+        ",\"Frames\":null,\"Yard\":null,\"OneZone\":" + (one_zone ? "true" : "false") +
+        ",\"Apart\":" + (apart ? "true" : "false") +
+        ",\"Loaners\":false,\"ExpectS\":" + std::to_string(expect_s) +
+        ",\"NotchS\":" + std::to_string(notch_s) + ",\"StowS\":1.0,\"DueS\":null";
     if (!waits_on.empty()) {
       text += ",\"WaitsOn\":[";
       for (std::size_t i = 0; i < waits_on.size(); ++i)
@@ -60,8 +59,7 @@
   int submit(const Submission& submission) {
     const double until = now() + 60;
     for (;;) {
-      const int status =
-          post("/v1/jobs", submission.text(), 5, "submit " + submission.id).status;
+      const int status = post("/v1/jobs", submission.text(), 5, "submit " + submission.id).status;
       if (status == 200 || status == 201 || status == 400 || status == 422 || now() + 1 > until)
         return status;
       sleep_s(1);
