--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -97,7 +97,18 @@
     machine->set_sick(false);
     record.line("TROUBLE over: " + machine->place().id + " is well again");
   }
-  if (!submit_batch_job()) return Verdict::could_not_run;
+  Submission replica;
+  replica.id = job_id(20);
+  replica.gear = "koala";
+  replica.crew = "team-01";
+  replica.shape = "standing";
+  replica.rank = "production";
+  replica.cpus = 8;
+  replica.gpus = 1;
+  replica.memory_gb = 25;
+  replica.expect_s = 0;
+  jobs.push_back(replica.id);
+  if (!submit(replica, 0)) return Verdict::could_not_run;
   const double over_at = now();
   std::set<std::string> waiting(jobs.begin(), jobs.end());
   while (!waiting.empty() && now() < over_at + kWaitingS) {
