Stand-ins: gangs start, complete and break off as a whole

Cause: in the test cluster the tasks of a gang ran and ended each by itself, and in the lab they only started together, so no scenario could show what PROTOCOL says under "Gangs": they complete together, the others notice a task that is gone and exit with peers, a gang that is not complete in time exits with incomplete. Change: GangStandIn holds the state of each attempt of a gang; the agents' tasks follow it. The lab's gang_wait_s and gang_peer_s are one setting for controllers and agents.

--- a/lab/controllers.cpp
+++ b/lab/controllers.cpp
@@ -83,8 +83,8 @@
 {}[facts.workers]
 report_s = {}
 lease_s = {}
-gang_wait_s = 30.0
-gang_peer_s = 5.0
+gang_wait_s = {}
+gang_peer_s = {}
 cancel_s = {}
 [facts.state]
 rps = 1000.0
@@ -101,7 +101,8 @@
       member_name(own.name, index), zone(index), region.controller_address(index, client_listener),
       region.controller_address(index, peer_listener), others, region.cloud_address(),
       region.state_address(), own.controllers, zone_list, teams, plan_.heartbeat_interval_s,
-      plan_.lease_s, plan_.cancel_s, plan_.state_write_rps, plan_.fd_limit, plan_.ram_mb);
+      plan_.lease_s, plan_.gang_wait_s, plan_.gang_peer_s, plan_.cancel_s, plan_.state_write_rps,
+      plan_.fd_limit, plan_.ram_mb);
 }
 
 void Controllers::write_operator_file(const std::vector<std::unique_ptr<Region>>& regions,
--- a/lab/run.cpp
+++ b/lab/run.cpp
@@ -111,16 +111,26 @@
   ++counts.task_starts;
   counts.start_delays_s.push_back(elapsed_s() - job.submitted_at);
   ++task_starts_by_second_[static_cast<int>(elapsed_s())];
-  if (job.plan->spec.kind != wire::JobKind::gang) return true;
-  const auto attempt = worker.tasks.at(wire::to_string(task)).attempt;
-  job.started_by_attempt[attempt].insert(task.index);
-  return false;
+  return job.plan->spec.kind != wire::JobKind::gang;
 }
 
-bool Run::is_gang_ready(const wire::TaskName& task, std::uint64_t attempt) const {
-  const Job& job = jobs_.at(task.job);
-  const auto started = job.started_by_attempt.find(attempt);
-  return started != job.started_by_attempt.end() && started->second.size() == job.plan->spec.tasks;
+std::size_t Run::present_tasks(const testing::GangAttempt& gang) const {
+  std::set<std::uint32_t> present;
+  for (const auto* machine : jobs_.at(gang.job).machines) {
+    if (!is_lease_expired(*machine)) machine->collect_gang_tasks(gang, present);
+  }
+  return present.size();
+}
+
+std::optional<testing::GangState> Run::gang_state(const wire::TaskName& task,
+                                                  std::uint64_t attempt) {
+  const auto& spec = jobs_.at(task.job).plan->spec;
+  if (spec.kind != wire::JobKind::gang) return std::nullopt;
+  const testing::GangAttempt gang{task.job, attempt};
+  const testing::GangPlan plan{spec.tasks, run_s(task), plan_.gang_peer_s / 2};
+  const auto state = gangs_.advance(gang, plan, present_tasks(gang), reactor_.now());
+  if (state == testing::GangState::completed) rules_.on_gang_completed(task.job);
+  return state;
 }
 
 void Run::check_rules() {
--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -47,7 +47,9 @@
     rules_.on_start_command(task.job, reactor_.now());
   }
   bool on_image_fetched(const testing::WorkerStandIn& worker, const wire::TaskName& task) override;
-  bool is_gang_ready(const wire::TaskName& task, std::uint64_t attempt) const override;
+  std::optional<testing::GangState> gang_state(const wire::TaskName& task,
+                                               std::uint64_t attempt) override;
+  double gang_wait_s() const override { return plan_.gang_wait_s; }
   void on_task_completed(const wire::TaskName& task) override {
     rules_.on_task_completed(task.job, task.index);
   }
@@ -57,8 +59,6 @@
     const ClassPlan* plan = nullptr;
     double submitted_at = 0, started_at = -1;
     std::set<const testing::WorkerStandIn*> machines;  ///< those that have fetched its image
-    /// Indices of the tasks of a gang that have fetched their image, by attempt.
-    std::map<std::uint64_t, std::set<std::uint32_t>> started_by_attempt;
   };
   struct Counts {
     int submitted = 0, accepted = 0, done = 0, cancelled = 0, task_starts = 0;
@@ -92,11 +92,14 @@
   void write_regions(wire::JsonWriter& writer) const;
   void write_controllers(wire::JsonWriter& writer) const;
   bool is_lease_expired(const testing::WorkerStandIn& worker) const;
+  /// The number of the gang's tasks that have their image and have not exited.
+  std::size_t present_tasks(const testing::GangAttempt& gang) const;
   double elapsed_s() const { return reactor_.now() - started_at_; }
 
   const LabPlan& plan_;
   base::Settings settings_;
   testing::RuleChecker rules_;
+  testing::GangStandIn gangs_;
   net::EvReactor reactor_;
   net::HttpClient client_;
   std::mt19937 random_;
--- a/lab/settings.hpp
+++ b/lab/settings.hpp
@@ -70,6 +70,7 @@
   int teams = 12;
   double guarantee_gpus = 8, limit_gpus = 16;  ///< of each team
   double heartbeat_interval_s = 4, lease_s = 22, cancel_s = 52, boot_s = 5;
+  double gang_wait_s = 30, gang_peer_s = 5;
   double fetch_s = 0.5;
   double worker_gpus = 8;
   double state_write_rps = 120;
--- a/tests/rule_checker.cpp
+++ b/tests/rule_checker.cpp
@@ -155,6 +155,13 @@
   max_start_delay_s = std::max(max_start_delay_s, now - at);
 }
 
+void RuleChecker::on_gang_completed(const std::string& job) {
+  const auto* gang = spec(job);
+  for (std::uint32_t task = 0; gang != nullptr && task < gang->tasks; ++task) {
+    on_task_completed(job, task);
+  }
+}
+
 void RuleChecker::on_task_started(const HeldTask& task, const std::vector<HeldTask>& others,
                                   double now) {
   const auto* job = spec(task.job);
--- a/tests/rule_checker.hpp
+++ b/tests/rule_checker.hpp
@@ -48,6 +48,8 @@
   void on_task_completed(const std::string& job, std::uint32_t task) {
     jobs_[job].completed_tasks.insert(task);
   }
+  /// All tasks of the gang have completed, as they do together.
+  void on_gang_completed(const std::string& job);
   bool is_completed(const std::string& job, std::uint32_t task) const {
     const auto it = jobs_.find(job);
     return it != jobs_.end() && it->second.completed_tasks.contains(task);
--- a/tests/test_cluster_agents.cpp
+++ b/tests/test_cluster_agents.cpp
@@ -30,7 +30,36 @@
   cluster_.rules.on_task_started({task.job, worker.id, task.index, worker.kind, true}, others,
                                  cluster_.reactor.now());
   ++cluster_.start_counts[wire::to_string(task)];
-  return true;
+  const auto* spec = cluster_.rules.spec(task.job);
+  return spec == nullptr || spec->kind != wire::JobKind::gang;
+}
+
+std::size_t TestCluster::AgentEnvironment::present_tasks(const GangAttempt& gang) const {
+  std::set<std::uint32_t> present;
+  for (const auto& [id, worker] : cluster_.workers) {
+    if (worker->is_deleted || worker->is_hung || cluster_.is_lease_expired(*worker)) continue;
+    worker->collect_gang_tasks(gang, present);
+  }
+  return present.size();
+}
+
+double TestCluster::AgentEnvironment::gang_run_s(const wire::JobSpec& spec) const {
+  double longest = 0;
+  for (std::uint32_t task = 0; task < spec.tasks; ++task) {
+    longest = std::max(longest, run_s({spec.id, task}));
+  }
+  return longest;
+}
+
+std::optional<GangState> TestCluster::AgentEnvironment::gang_state(const wire::TaskName& task,
+                                                                   std::uint64_t attempt) {
+  const auto* spec = cluster_.rules.spec(task.job);
+  if (spec == nullptr || spec->kind != wire::JobKind::gang) return std::nullopt;
+  const GangPlan plan{spec->tasks, gang_run_s(*spec), cluster_.base_settings.gang_peer_s / 2};
+  const GangAttempt gang{task.job, attempt};
+  const auto state = gangs_.advance(gang, plan, present_tasks(gang), cluster_.reactor.now());
+  if (state == GangState::completed) cluster_.rules.on_gang_completed(task.job);
+  return state;
 }
 
 void TestCluster::add_worker(const std::string& zone, double boot_duration_s) {
--- a/tests/test_cluster_internals.hpp
+++ b/tests/test_cluster_internals.hpp
@@ -69,7 +69,8 @@
     cluster_.rules.on_start_command(task.job, cluster_.reactor.now());
   }
   bool on_image_fetched(const WorkerStandIn& worker, const wire::TaskName& task) override;
-  bool is_gang_ready(const wire::TaskName&, std::uint64_t) const override { return true; }
+  std::optional<GangState> gang_state(const wire::TaskName& task, std::uint64_t attempt) override;
+  double gang_wait_s() const override { return cluster_.base_settings.gang_wait_s; }
   bool must_fail(const WorkerStandIn& worker, const wire::TaskName& task) const override {
     return cluster_.broken_jobs.contains(task.job) || cluster_.faulty_machines.contains(worker.id);
   }
@@ -78,7 +79,14 @@
   }
 
  private:
+  /// The number of the gang's tasks that have their image and have not exited, on machines that are
+  /// not hung.
+  std::size_t present_tasks(const GangAttempt& gang) const;
+  /// The run time of the slowest task, which is that of the gang.
+  double gang_run_s(const wire::JobSpec& spec) const;
+
   TestCluster& cluster_;
+  GangStandIn gangs_;
 };
 
 /// A response of one of the cluster's stand-ins.
--- a/tests/worker_stand_in.cpp
+++ b/tests/worker_stand_in.cpp
@@ -28,6 +28,21 @@
   return "";
 }
 
+const char* reason_name(ExitReason reason) {
+  switch (reason) {
+    case ExitReason::completed:
+      return "done";
+    case ExitReason::error:
+      return "error";
+    case ExitReason::gang_peer_lost:
+      return "peers";
+    case ExitReason::gang_incomplete:
+      return "incomplete";
+    default:
+      return "halted";
+  }
+}
+
 }  // namespace
 
 void WorkerStandIn::end_expired_lease(double lease_s, double now) {
@@ -39,40 +54,63 @@
 
 bool WorkerStandIn::advance_tasks(TaskEnvironment& environment, double now) {
   bool changed = false;
-  for (auto& [name, held_task] : tasks) {
-    const auto task = *wire::parse_task(name);
-    if (held_task.state == TaskState::fetching &&
-        now - held_task.state_since > environment.fetch_s(task)) {
-      if (environment.is_completed(task)) {
-        held_task = {held_task.attempt, TaskState::exited, ExitReason::completed, now};
-        changed = true;
-        continue;
-      }
-      const bool starts_now = environment.on_image_fetched(*this, task);
-      held_task = {held_task.attempt, starts_now ? TaskState::running : TaskState::waiting,
-                   ExitReason::none, now};
-      changed = true;
+  for (auto& [text, held_task] : tasks) {
+    const auto name = *wire::parse_task(text);
+    if (held_task.state == TaskState::fetching) {
+      if (advance_fetch(*this, name, held_task, environment, now)) changed = true;
     }
-    if (held_task.state == TaskState::waiting &&
-        environment.is_gang_ready(task, held_task.attempt)) {
-      held_task = {held_task.attempt, TaskState::running, ExitReason::none, now};
-      changed = true;
-    }
-    if (held_task.state == TaskState::running && environment.must_fail(*this, task)) {
+    if (held_task.state != TaskState::waiting && held_task.state != TaskState::running) continue;
+    if (held_task.state == TaskState::running && environment.must_fail(*this, name)) {
       held_task = {held_task.attempt, TaskState::exited, ExitReason::error, now};
       changed = true;
       continue;
     }
-    if (held_task.state == TaskState::running &&
-        now - held_task.state_since > environment.run_s(task)) {
+    if (const auto gang = environment.gang_state(name, held_task.attempt)) {
+      if (advance_gang_task(held_task, *gang, environment, now)) changed = true;
+    } else if (now - held_task.state_since > environment.run_s(name)) {
       held_task = {held_task.attempt, TaskState::exited, ExitReason::completed, now};
-      environment.on_task_completed(task);
+      environment.on_task_completed(name);
       changed = true;
     }
   }
   return changed;
 }
 
+bool WorkerStandIn::advance_fetch(const WorkerStandIn& worker, const wire::TaskName& name,
+                                  Task& task, TaskEnvironment& environment, double now) {
+  if (now - task.state_since <= environment.fetch_s(name)) return false;
+  if (environment.is_completed(name)) {
+    task = {task.attempt, TaskState::exited, ExitReason::completed, now};
+    return true;
+  }
+  const bool starts_now = environment.on_image_fetched(worker, name);
+  task = {task.attempt, starts_now ? TaskState::running : TaskState::waiting, ExitReason::none,
+          now};
+  return true;
+}
+
+bool WorkerStandIn::advance_gang_task(Task& task, GangState gang,
+                                      const TaskEnvironment& environment, double now) {
+  const auto exit = [&](ExitReason reason) {
+    task = {task.attempt, TaskState::exited, reason, now};
+    return true;
+  };
+  switch (gang) {
+    case GangState::waiting:
+      if (now - task.state_since <= environment.gang_wait_s()) return false;
+      return exit(ExitReason::gang_incomplete);
+    case GangState::running:
+      if (task.state == TaskState::running) return false;
+      task = {task.attempt, TaskState::running, ExitReason::none, now};
+      return true;
+    case GangState::completed:
+      return exit(ExitReason::completed);
+    case GangState::task_lost:
+      return exit(ExitReason::gang_peer_lost);
+  }
+  return false;
+}
+
 void WorkerStandIn::execute_commands(const Json& commands, TaskEnvironment& environment,
                                      double now) {
   for (const auto& command : commands.GetArray()) {
@@ -92,6 +130,15 @@
   }
 }
 
+void WorkerStandIn::collect_gang_tasks(const GangAttempt& gang,
+                                       std::set<std::uint32_t>& present) const {
+  for (const auto& [text, task] : tasks) {
+    if (task.state != TaskState::waiting && task.state != TaskState::running) continue;
+    const auto name = *wire::parse_task(text);
+    if (name.job == gang.job && task.attempt == gang.attempt) present.insert(name.index);
+  }
+}
+
 std::string WorkerStandIn::next_heartbeat() {
   JsonWriter writer;
   writer.begin_object().key("Rig").text(id).key("Address").text(address).key("Frame").text(
@@ -104,10 +151,7 @@
     writer.begin_object().key("Tooth").text(name).key("Crank").count(held_task.attempt);
     writer.key("Stance").text(state_name(held_task.state));
     if (held_task.state == TaskState::exited) {
-      const bool failed = held_task.exit_reason == ExitReason::error;
-      writer.key("Cause").text(held_task.exit_reason == ExitReason::completed ? "done"
-                               : failed                                       ? "error"
-                                                                              : "halted");
+      writer.key("Cause").text(reason_name(held_task.exit_reason));
     }
     writer.end_object();
   }
--- a/tests/worker_stand_in.hpp
+++ b/tests/worker_stand_in.hpp
@@ -5,8 +5,10 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
+#include "gang_stand_in.hpp"
 #include "net/http.hpp"
 #include "sched/cluster_state.hpp"
 #include "wire/agent_protocol.hpp"
@@ -38,8 +40,12 @@
     virtual void on_start_command(const wire::TaskName& task) = 0;
     /// Called when the task's image is fetched; false if the task has to wait for its gang.
     virtual bool on_image_fetched(const WorkerStandIn& worker, const wire::TaskName& task) = 0;
-    /// Whether all tasks of the gang have fetched their image.
-    virtual bool is_gang_ready(const wire::TaskName& task, std::uint64_t attempt) const = 0;
+    /// The state of the task's gang, of which this agent holds a task with its image; nullopt: the
+    /// task belongs to no gang.
+    virtual std::optional<GangState> gang_state(const wire::TaskName& task,
+                                                std::uint64_t attempt) = 0;
+    /// Seconds after which a task exits that waits for its gang.
+    virtual double gang_wait_s() const = 0;
     virtual void on_task_completed(const wire::TaskName& task) = 0;
     /// Whether the task exits with an error because its job or the machine is faulty.
     virtual bool must_fail(const WorkerStandIn&, const wire::TaskName&) const { return false; }
@@ -61,11 +67,20 @@
   /// If the lease has expired, drops all tasks and begins a new agent epoch and lease.
   void end_expired_lease(double lease_s, double now);
   void execute_commands(const wire::Json& commands, TaskEnvironment& environment, double now);
+  /// Adds to `present` the tasks of this attempt that wait for their gang or run.
+  void collect_gang_tasks(const GangAttempt& gang, std::set<std::uint32_t>& present) const;
   /// Increments the sequence number and returns the body of the next heartbeat.
   std::string next_heartbeat();
   /// Handles POST /commands; 409 for a lower fencing token or another agent epoch.
   net::Response handle_commands(const net::Request& request, TaskEnvironment& environment,
                                 double now);
+
+ private:
+  /// Each returns whether the task changed.
+  static bool advance_fetch(const WorkerStandIn& worker, const wire::TaskName& name, Task& task,
+                            TaskEnvironment& environment, double now);
+  static bool advance_gang_task(Task& task, GangState gang, const TaskEnvironment& environment,
+                                double now);
 };
 
 }  // namespace cranklock::testing
