A gang is done as a whole when one of its machines reports the completion

Cause: a reported completion was noted for that one task. The other task's exit was lost with its agent's lease (or its machine), its placement ended, and a gang is placed only if none of its tasks is done. The note is stored, so a new leader had it too. Change: a completion of a gang's task completes the gang (PROTOCOL, "Gangs": "when one task is done, all of them are") and ends the placements of that attempt; a record that is done in part is read as done, and its outcome is written. Why it holds: what decides is one report of a result that is kept, so no other report is needed; every other exit still ends only its own placement, and a gang that is broken off runs again as a whole.

--- a/src/sched/cluster_state.cpp
+++ b/src/sched/cluster_state.cpp
@@ -26,6 +26,9 @@
     failures_.restore_earlier_failures(job, now);
   }
   if (job.cancelled() && job.cancelled_since == 0) job.cancelled_since = now;
+  job.complete_partly_done_gang();
+  // The outcome replaces the record of a complete job.
+  if (job.complete()) job.record.dirty = true;
   job.sort_placements();
   Job& stored_job = jobs_.put(std::move(job));
   placements_.attach_all(stored_job, now);
--- a/src/sched/job.cpp
+++ b/src/sched/job.cpp
@@ -63,6 +63,15 @@
   drain_deadline.reset();
 }
 
+void Job::mark_completed(std::uint32_t task) {
+  done.add(task);
+  complete_partly_done_gang();
+}
+
+void Job::complete_partly_done_gang() {
+  if (spec.kind == wire::JobKind::gang && done.size() > 0) done.assign_first(spec.tasks);
+}
+
 std::size_t Job::live_count() const {
   return static_cast<std::size_t>(std::count_if(placements.begin(), placements.end(),
                                                 [](const Placement& p) { return !p.ended; }));
--- a/src/sched/job.hpp
+++ b/src/sched/job.hpp
@@ -24,6 +24,8 @@
     bool operator==(const Range&) const = default;
   };
   void add(std::uint32_t task);
+  /// Replaces the set by the tasks [0, count).
+  void assign_first(std::uint32_t count) { ranges_ = {{0, count}}; }
   /// Appends a range that starts after the end of all others.
   void add_range(Range range) { ranges_.push_back(range); }
   void merge(const TaskSet& other);
@@ -161,6 +163,12 @@
   bool crash_looping() const { return retry.failed_machines.size() >= 2 && !retry.succeeded; }
   bool cancelled() const { return cancelled_at_ms != 0; }
   bool complete() const { return done.size() == spec.tasks; }
+  /// Records that a task has completed. The tasks of a gang complete together (PROTOCOL, "Gangs"),
+  /// so the completion of one is that of all.
+  void mark_completed(std::uint32_t task);
+  /// If any task of a gang has completed, records that all have. Earlier versions recorded only the
+  /// tasks whose exit was reported; such a gang could neither complete nor be placed again.
+  void complete_partly_done_gang();
   /// The number of placements that have not ended.
   std::size_t live_count() const;
   /// The position of the task's attempt in `placements`, or its insertion point.
--- a/src/sched/task_reconciler.cpp
+++ b/src/sched/task_reconciler.cpp
@@ -54,7 +54,7 @@
   // Guards against a stale copy, from before this leadership, of an exit in an earlier agent epoch:
   // the same attempt may have been started again since. Only a completion remains valid.
   if (status.exit_reason != ExitReason::completed || job.done.contains(placement.task)) return;
-  job.done.add(placement.task);
+  job.mark_completed(placement.task);
   job.record.dirty = true;
   changes_.raise();
 }
@@ -65,9 +65,8 @@
   placement.state = TaskState::exited;
   switch (status.exit_reason) {
     case ExitReason::completed:
-      job.done.add(placement.task);
-      failures_.record_completion(job, machine);
-      break;
+      apply_completion(machine, job, placement, now);
+      return;
     case ExitReason::error:
       if (!job.cancelled()) failures_.record_error(job, machine, now);
       break;
@@ -80,8 +79,27 @@
       break;
   }
   placements_.end(job, placement, now);
-  if (status.exit_reason != ExitReason::completed) {
-    PlacementTracker::stop_gang(job, placement.attempt, now);
+  PlacementTracker::stop_gang(job, placement.attempt, now);
+}
+
+void TaskReconciler::apply_completion(Machine& machine, Job& job, Placement& placement,
+                                      double now) {
+  job.mark_completed(placement.task);
+  failures_.record_completion(job, machine);
+  placements_.end(job, placement, now);
+  if (job.spec.kind == wire::JobKind::gang) end_completed_gang(job, placement.attempt, now);
+}
+
+// Invariant 4: the tasks of a gang complete together, so the report of one completion proves that
+// the other tasks have exited. Guards against waiting for reports that may never come: an agent
+// that can't send heartbeats drops its tasks with its lease, and a machine may be lost.
+void TaskReconciler::end_completed_gang(Job& job, std::uint64_t attempt, double now) {
+  for (Placement& placement : job.placements) {
+    if (placement.attempt != attempt || placement.ended) continue;
+    Machine* machine = machines_.find(placement.machine);
+    const bool has_run = placement.state == TaskState::running;
+    if (machine != nullptr && has_run) failures_.record_completion(job, *machine);
+    placements_.end(job, placement, now);
   }
 }
 
--- a/src/sched/task_reconciler.hpp
+++ b/src/sched/task_reconciler.hpp
@@ -44,6 +44,8 @@
                       const wire::TaskStatus& status, bool token_acknowledged, double now);
   void apply_exit(Machine& machine, Job& job, Placement& placement, const wire::TaskStatus& status,
                   double now);
+  void apply_completion(Machine& machine, Job& job, Placement& placement, double now);
+  void end_completed_gang(Job& job, std::uint64_t attempt, double now);
   bool is_proven_absent(Machine& machine, const Job& job, Placement& placement,
                         AgentSequence reported, double now) const;
 
--- a/tests/cluster_state_test.cpp
+++ b/tests/cluster_state_test.cpp
@@ -382,6 +382,28 @@
   EXPECT_GE(backed_off.retry.earlier_failed_rounds, 3);
 }
 
+// Guards against a gang that a former leader has stored as done in part: its record is due to be
+// replaced by its outcome.
+TEST(ClusterState, AGangStoredAsDoneInPartIsComplete) {
+  Fleet fleet;
+  Job stored = make_job("j-000001", wire::JobKind::gang, 3, 1);
+  stored.done.add(1);
+  Job& gang = fleet.add(stored);
+  EXPECT_TRUE(gang.complete());
+  EXPECT_TRUE(gang.record.dirty);
+  EXPECT_EQ(fleet.run_pass().placed, 0);
+  // An array and a service are not, and their other tasks are placed.
+  for (const auto kind : {wire::JobKind::job_array, wire::JobKind::service}) {
+    stored = make_job("j-000002", kind, 3, 1);
+    stored.done.add(1);
+    Job& job = fleet.add(stored);
+    EXPECT_EQ(job.done.size(), 1U);
+    EXPECT_FALSE(job.record.dirty);
+    EXPECT_EQ(fleet.run_pass().placed, 2);
+    fleet.cluster.remove_job("j-000002");
+  }
+}
+
 TEST(ClusterState, AGangThatLosesATaskIsStoppedEntirely) {
   Fleet fleet({{"n-1", "a"}, {"n-2", "a"}});
   Job& job = fleet.add(make_job("j-000001", wire::JobKind::gang, 2, 8));
--- a/tests/task_reconciler_test.cpp
+++ b/tests/task_reconciler_test.cpp
@@ -99,6 +99,55 @@
   EXPECT_TRUE(job.record.dirty);
 }
 
+// Guards against a gang that is done in part: it would never be placed again.
+TEST_F(TaskReconcilerTest, ACompletedTaskOfAGangCompletesTheGang) {
+  Machine& silent = machines.upsert("n-2", {"g8", "a", false}, 0);
+  Machine& unstarted = machines.upsert("n-3", {"g8", "a", false}, 0);
+  for (Machine* each : {&machine, &silent, &unstarted}) each->faults.failed_jobs = {"j-000009"};
+  Job& gang = jobs.put(make_job("j-000002", JobKind::gang, 3, 1));
+  placements.add(gang, 0, 4, "n-1", 0);
+  placements.add(gang, 1, 4, "n-2", 0).state = TaskState::running;
+  placements.add(gang, 2, 4, "n-3", 0);
+  for (Placement& placement : gang.placements) placement.write = PlacementWrite::durable;
+  const auto exited = task_status("j-000002", 0, 4, TaskState::exited, wire::ExitReason::completed);
+  tasks.reconcile_reported(machine, heartbeat("n-1", 1, 2, {exited}), true, 1);
+  EXPECT_TRUE(gang.complete());
+  EXPECT_EQ(gang.live_count(), 0U);
+  EXPECT_TRUE(silent.tasks.empty());
+  EXPECT_EQ(quota.allocated("red").gpus, 0);
+  // The machines that ran the gang are credited with its completion.
+  EXPECT_TRUE(machine.faults.failed_jobs.empty());
+  EXPECT_TRUE(silent.faults.failed_jobs.empty());
+  EXPECT_FALSE(unstarted.faults.failed_jobs.empty());
+}
+
+TEST_F(TaskReconcilerTest, AStaleCompletionOfAGangCompletesItAndEndsNoPlacement) {
+  Job& gang = jobs.put(make_job("j-000002", JobKind::gang, 2, 1));
+  placements.add(gang, 0, 1, "n-1", 0);
+  placements.add(gang, 1, 1, "n-2", 0);
+  gang.record.dirty = false;
+  const auto exited = task_status("j-000002", 0, 1, TaskState::exited, wire::ExitReason::completed);
+  tasks.reconcile_reported(machine, heartbeat("n-1", 1, 2, {exited}), false, 1);
+  EXPECT_TRUE(gang.complete());
+  EXPECT_TRUE(gang.record.dirty);
+  EXPECT_EQ(gang.live_count(), 2U);
+}
+
+TEST_F(TaskReconcilerTest, AGangThatIsBrokenOffIsNotDone) {
+  Job& gang = jobs.put(make_job("j-000002", JobKind::gang, 2, 1));
+  for (const ExitReason reason :
+       {ExitReason::stopped, ExitReason::gang_peer_lost, ExitReason::gang_incomplete,
+        ExitReason::error, ExitReason::insufficient_resources, ExitReason::other_attempt_present,
+        ExitReason::unknown_task, ExitReason::none}) {
+    gang.placements.clear();
+    placements.add(gang, 0, 1, "n-1", 0);
+    const auto exited = task_status("j-000002", 0, 1, TaskState::exited, reason);
+    tasks.reconcile_reported(machine, heartbeat("n-1", 1, 2, {exited}), true, 1);
+    EXPECT_EQ(gang.done.size(), 0U);
+    EXPECT_EQ(gang.live_count(), 0U);
+  }
+}
+
 TEST_F(TaskReconcilerTest, AGangThatLosesATaskIsStopped) {
   Job& gang = jobs.put(make_job("j-000002", JobKind::gang, 2, 1));
   placements.add(gang, 0, 1, "n-1", 0);
