Randomized clusters with gangs: 120 seeds in the suite

Cause: the randomized clusters held arrays and services only, so no seed could meet a gang that is done in part. Change: OverlappingFaultsWithGangs makes half of the jobs that are no services gangs; draws of the other suites are as before. A gang waits until its team's limit has room for all its tasks, so its recovery is that of pipelines.

--- a/tests/randomized_cluster_test.cpp
+++ b/tests/randomized_cluster_test.cpp
@@ -36,8 +36,9 @@
       end_faults(false);
     }
     end_faults(true);
-    // The stages of a pipeline run one after the other.
-    const double recovery_s = pipelines ? 1.5 * kRecoveryPhaseS : kRecoveryPhaseS;
+    // The stages of a pipeline run one after the other, and a gang waits until its team's limit has
+    // room for all its tasks.
+    const double recovery_s = pipelines || gangs ? 1.5 * kRecoveryPhaseS : kRecoveryPhaseS;
     for (double waited_s = 0; waited_s < recovery_s && ended_jobs() < submitted_; ++waited_s)
       cluster.run(1);
     EXPECT_EQ(ended_jobs(), submitted_) << "jobs not ended:" << unfinished_records();
@@ -49,6 +50,7 @@
   }
 
   bool pipelines = false;  ///< half of the jobs depend on others
+  bool gangs = false;      ///< half of the jobs that are no services are gangs
 
  private:
   static constexpr int kMaxJobs = 25;
@@ -255,6 +257,7 @@
     if (constraint == 2) job.zone = draw() < 0.5 ? "a" : "b";
     job.priority = draw() < 0.3 ? wire::Priority::production : wire::Priority::standard;
     if (pipelines && draw() < 0.5) add_dependencies(job);
+    if (gangs && array && draw() < 0.5) job.kind = JobKind::gang;
     UserBehavior behavior;
     behavior.queries_all_nodes = draw() < 0.3;
     // Services run until they are cancelled.
@@ -322,5 +325,17 @@
 
 INSTANTIATE_TEST_SUITE_P(Seed, OverlappingFaultsWithPipelines, ::testing::Range(1001U, 1121U));
 
+class OverlappingFaultsWithGangs : public OverlappingFaults {};
+
+// Guards against gangs that are done in part, and against gangs that were broken off and count as
+// done.
+TEST_P(OverlappingFaultsWithGangs, ViolatesNoRuleAndEndsAllJobs) {
+  RandomizedCluster randomized(GetParam());
+  randomized.gangs = true;
+  randomized.run();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seed, OverlappingFaultsWithGangs, ::testing::Range(201U, 321U));
+
 }  // namespace
 }  // namespace cranklock::testing
