Task reconciler: classifying an absence changes no state

Change: classify_absence is a pure function with a typed result; record_unacknowledged_start counts.

--- a/src/sched/task_reconciler.cpp
+++ b/src/sched/task_reconciler.cpp
@@ -114,33 +114,38 @@
     Job& job = *ref.job;
     Placement& placement = ref.placement();
     if (reported.contains({{job.spec.id, placement.task}, placement.attempt})) continue;
-    if (!is_proven_absent(machine, job, placement, sequence_of(heartbeat), now)) continue;
+    const Absence absence = classify_absence(job, placement, sequence_of(heartbeat));
+    if (absence == Absence::indeterminate) continue;
+    const bool start_may_have_been_lost = absence == Absence::start_unacknowledged &&
+                                          !record_unacknowledged_start(machine, placement, now);
+    if (start_may_have_been_lost) continue;  // it is sent again
     placements_.end(job, placement, now);
     PlacementTracker::stop_gang(job, ref.attempt, now);
   }
 }
 
-// Whether a heartbeat with sequence `reported` that does not name the task proves that this attempt
-// is not on the machine and will not start there. Also counts such heartbeats after a sent start;
-// at kMaxUnacknowledgedResponses it marks the agent as unresponsive and returns true.
-bool TaskReconciler::is_proven_absent(Machine& machine, const Job& job, Placement& placement,
-                                      AgentSequence reported, double now) const {
+TaskReconciler::Absence TaskReconciler::classify_absence(const Job& job, const Placement& placement,
+                                                         AgentSequence reported) {
   const AgentSequence start = placement.last_start_sequence;
   const std::uint64_t indeterminate_epoch = placement.indeterminate_start_epoch;
   // An indeterminate start may still be executed in this agent epoch.
-  if (indeterminate_epoch == reported.epoch) return false;
+  if (indeterminate_epoch == reported.epoch) return Absence::indeterminate;
   const bool start_sent = start.epoch != 0;
   // Excludes stale copies, and responses that crossed this heartbeat in transit.
-  if (start_sent && reported <= start) return false;
+  if (start_sent && reported <= start) return Absence::indeterminate;
   const bool certainly_gone = placement.reported || (start_sent && start.epoch != reported.epoch) ||
                               (indeterminate_epoch != 0 && indeterminate_epoch != reported.epoch);
-  if (certainly_gone || placement.stop_requested || job.cancelled()) return true;
-  // Guards against a machine that sends heartbeats but receives no responses: it would stay idle
-  // and hold its placements indefinitely. A start that was never sent can't be executed.
-  if (!start_sent) return false;
+  if (certainly_gone || placement.stop_requested || job.cancelled()) return Absence::proven;
+  // A start that was never sent can't be executed.
+  return start_sent ? Absence::start_unacknowledged : Absence::indeterminate;
+}
+
+// Guards against a machine that sends heartbeats but receives no responses: it would stay idle and
+// hold its placements indefinitely.
+bool TaskReconciler::record_unacknowledged_start(Machine& machine, Placement& placement,
+                                                 double now) const {
   ++placement.unacknowledged_starts;
-  if (placement.unacknowledged_starts < kMaxUnacknowledgedResponses)
-    return false;  // the start is sent again
+  if (placement.unacknowledged_starts < kMaxUnacknowledgedResponses) return false;
   machine.agent.unresponsive_until = now + settings_.lease_s;
   return true;
 }
--- a/src/sched/task_reconciler.hpp
+++ b/src/sched/task_reconciler.hpp
@@ -38,6 +38,13 @@
   void reconcile_absent(Machine& machine, const wire::Heartbeat& heartbeat, double now);
 
  private:
+  /// What a heartbeat that does not name a task says about its placement.
+  enum class Absence {
+    indeterminate,         ///< the attempt may be on the machine, or may still start there
+    proven,                ///< the attempt is not on the machine and will not start there
+    start_unacknowledged,  ///< the response that carried the start may not have arrived
+  };
+
   void reconcile_task(Machine& machine, Job& job, Placement& placement,
                       const wire::TaskStatus& status, bool token_acknowledged, double now);
   void reconcile_exit(Machine& machine, Job& job, Placement& placement,
@@ -46,8 +53,12 @@
                   double now);
   void apply_completion(Machine& machine, Job& job, Placement& placement, double now);
   void end_completed_gang(Job& job, std::uint64_t attempt, double now);
-  bool is_proven_absent(Machine& machine, const Job& job, Placement& placement,
-                        AgentSequence reported, double now) const;
+  /// Classifies the absence of the placement's task from a heartbeat with sequence `reported`.
+  static Absence classify_absence(const Job& job, const Placement& placement,
+                                  AgentSequence reported);
+  /// Counts a heartbeat that does not name a task whose start was sent. Returns whether the agent
+  /// now counts as unresponsive.
+  bool record_unacknowledged_start(Machine& machine, Placement& placement, double now) const;
 
   const base::Settings& settings_;
   JobTable& jobs_;
