Stand-ins: the services fixture answers GET /rentals, the state service 404 for what it does not know

Change: the fixture answers for a cloud without machines; the stand-in of the store answers 404 outside its paths.

--- a/tests/services_fixture.hpp
+++ b/tests/services_fixture.hpp
@@ -14,11 +14,12 @@
 
 namespace cranklock::testing {
 
-/// Transports calls to the store and to the cloud's machine types. Agents and routers are not
+/// Transports calls to the store and to a cloud without machines. Agents and routers are not
 /// simulated.
 struct OutsideTransport : net::Transport {
   static constexpr double kOneWayLatencyS = 0.001;
   static constexpr const char* kMachineTypesPath = "/machine_types";
+  static constexpr const char* kMachinesPath = "/rentals";
 
   FakeReactor& reactor;
   StateStandIn& state;
@@ -31,15 +32,22 @@
   net::Task<net::Reply> call(std::string, net::Request request, double) override {
     net::Sleep request_delay(reactor, kOneWayLatencyS);
     co_await request_delay;
-    const bool is_cloud = request.path == kMachineTypesPath;
+    const bool is_cloud = request.path == kMachineTypesPath || request.path == kMachinesPath;
     if (is_cloud ? !cloud_reachable : !store_reachable) co_return net::Reply{};
-    auto response = is_cloud ? list_machine_types() : state.handle(request);
+    auto response = is_cloud ? handle_cloud_request(request) : state.handle(request);
     net::Sleep response_delay(reactor, kOneWayLatencyS);
     co_await response_delay;
     co_return net::Reply{net::Reply::Kind::answered, std::move(response)};
   }
 
  private:
+  net::Response handle_cloud_request(const net::Request& request) const {
+    if (request.path == kMachineTypesPath) return list_machine_types();
+    if (request.method == "GET") {
+      return control::make_response(200, R"({"Rigs":[],"HasNext":false})");
+    }
+    return control::make_response(503, R"({"error":"no capacity"})");
+  }
   net::Response list_machine_types() const {
     wire::JsonWriter writer;
     wire::write_machine_types(writer, machine_types);
--- a/tests/state_stand_in.cpp
+++ b/tests/state_stand_in.cpp
@@ -36,7 +36,8 @@
   if (request.path == "/follow") return read_changes(request);
   if (request.path == "/leases") return create_lease(request);
   if (request.path.starts_with("/leases/")) return renew_or_revoke_lease(request);
-  return execute_transaction(request);
+  if (request.path == "/txn") return execute_transaction(request);
+  return respond(404);
 }
 
 Response StateStandIn::read_value(const std::string& key) const {
