A machine that failed tasks is retried and gets work again; so does a job's only machine

Callers saw jobs answered `queued` for ever though a rented machine had room: two jobs had failed there for some seconds, and a replica kept the machine from being replaced. Cause: two memories without an end. A quarantine ended with a crash-looping job or with the idle machine's deletion; a job that had failed on one machine never went there again, whether or not another one was to be had. Change: a quarantined machine that is not idle takes single tasks as retries, half a lease after a failure, twice as long after each failed one, half of cancel_s at most, and only where nothing else fits; one task that completes, or runs for half a lease, ends the quarantine; cancel_s without a failure ends it too (gangs, preemption). A job's only failed machine is avoided with the same pauses, and neither nominated nor preempted on meanwhile. Jobs that have not failed there go first.

--- a/src/control/heartbeat_handler.cpp
+++ b/src/control/heartbeat_handler.cpp
@@ -15,6 +15,32 @@
 
 namespace {
 
+/// What is logged of a machine's quarantine when it changes.
+struct FaultStatus {
+  bool quarantined = false;
+  int failed_retries = 0;
+};
+
+FaultStatus fault_status(const Machine& machine) {
+  return {machine.quarantined(), machine.faults.retry.failures};
+}
+
+/// Logs what a heartbeat has changed in the quarantine of its machine.
+void log_fault_changes(const Machine& machine, const FaultStatus& before, double now) {
+  const FaultStatus after = fault_status(machine);
+  if (!before.quarantined && after.quarantined) {
+    base::log_info("machine quarantined", base::field("machine", machine.id),
+                   base::field("reason", "task failures"));
+  } else if (before.quarantined && !after.quarantined) {
+    base::log_info("quarantine lifted", base::field("machine", machine.id),
+                   base::field("reason", "tasks do not fail on it"));
+  } else if (after.quarantined && after.failed_retries > before.failed_retries) {
+    base::log_info("quarantine retry failed", base::field("machine", machine.id),
+                   base::field("failed_retries", after.failed_retries),
+                   base::field("next_in_s", machine.faults.retry.due_at - now));
+  }
+}
+
 /// A response that does not extend the agent's lease.
 Response refusal(int status, std::string body = "") {
   Response response;
@@ -37,12 +63,9 @@
   if (machines_.is_deleted(heartbeat.machine)) return refusal(503);
 
   const Machine* known = context_.cluster.machine(heartbeat.machine);
-  const bool was_quarantined = known != nullptr && known->quarantined();
+  const FaultStatus faults = known != nullptr ? fault_status(*known) : FaultStatus{};
   const auto freshness = context_.cluster.reconcile_heartbeat(heartbeat, true, now);
-  if (!was_quarantined && context_.cluster.machine(heartbeat.machine)->quarantined()) {
-    base::log_info("machine quarantined", base::field("machine", heartbeat.machine),
-                   base::field("reason", "task failures"));
-  }
+  log_fault_changes(*context_.cluster.machine(heartbeat.machine), faults, now);
   if (freshness == Freshness::stale) return refusal(503);
 
   last_agent_message_at_ = now;
--- a/src/control/machine_supervisor.cpp
+++ b/src/control/machine_supervisor.cpp
@@ -43,6 +43,7 @@
     deleter_.terminate(machine, *reason);
     return;
   }
+  expire_quarantine(machine, now);
   if (machine.agent.heartbeat_received && machine.cloud.reclaim_at)
     checkpoint_before_reclaim(machine, now);
 }
@@ -73,6 +74,15 @@
   return std::nullopt;
 }
 
+void MachineSupervisor::expire_quarantine(Machine& machine, double now) {
+  if (!machine.quarantined()) return;
+  context_.cluster.expire_quarantine(machine, now);
+  if (machine.quarantined()) return;
+  base::log_info("quarantine lifted", base::field("machine", machine.id),
+                 base::field("reason", "no task failed lately"));
+  context_.state_changed.set();
+}
+
 // The machine list alone does not prove that a boot has failed. But a machine runs no tasks if it
 // has sent no heartbeat for several boot times and this leader's term is long enough to have
 // received one. Until `grace_until`, machines whose heartbeats cannot arrive because their zone is
--- a/src/control/machine_supervisor.hpp
+++ b/src/control/machine_supervisor.hpp
@@ -31,6 +31,7 @@
   void check_machine(sched::Machine& machine, const Zones& zones, double now);
   std::optional<TerminationReason> termination_reason(const sched::Machine& machine,
                                                       const Zones& zones, double now);
+  void expire_quarantine(sched::Machine& machine, double now);
   bool is_boot_timed_out(const sched::Machine& machine, double now) const;
   void checkpoint_before_reclaim(sched::Machine& machine, double now);
   void check_placements(double now);
--- a/src/sched/availability.cpp
+++ b/src/sched/availability.cpp
@@ -28,23 +28,32 @@
 
 namespace {
 
-/// False if the machine's zone, lease, cloud status or quarantine rules out placement. Does not
-/// check that the machine is up.
-bool is_healthy(const ClusterState& cluster, const Machine& machine) {
+/// False if the machine's zone, lease or cloud status rules out placement. Does not check that the
+/// machine is up.
+bool is_reachable(const ClusterState& cluster, const Machine& machine) {
   return !cluster.is_unreachable(machine.kind.zone) && !machine.lease.expired &&
-         !machine.cloud.terminating && !machine.cloud.failed && !machine.quarantined() &&
-         !machine.cloud.reclaim_at;
+         !machine.cloud.terminating && !machine.cloud.failed && !machine.cloud.reclaim_at;
+}
+
+/// Whether the machine could take tasks if none had failed on it.
+bool is_up(const ClusterState& cluster, const Machine& machine) {
+  return is_reachable(cluster, machine) && machine.agent.heartbeat_received &&
+         machine.confirmed() && machine.agent.unknown_tasks == 0 &&
+         machine.agent.unresponsive_until == 0;
 }
 
 }  // namespace
 
 bool is_schedulable(const ClusterState& cluster, const Machine& machine) {
-  return is_healthy(cluster, machine) && machine.agent.heartbeat_received && machine.confirmed() &&
-         machine.agent.unknown_tasks == 0 && machine.agent.unresponsive_until == 0;
+  return is_up(cluster, machine) && !machine.quarantined();
+}
+
+bool is_retriable(const ClusterState& cluster, const Machine& machine) {
+  return is_up(cluster, machine) && machine.quarantined() && !machine.idle();
 }
 
 bool is_starting(const ClusterState& cluster, const Machine& machine) {
-  return is_healthy(cluster, machine) && !machine.cloud.overdue &&
+  return is_reachable(cluster, machine) && !machine.quarantined() && !machine.cloud.overdue &&
          (!machine.agent.heartbeat_received ||
           (!machine.confirmed() && machine.agent.unresponsive_until == 0));
 }
--- a/src/sched/availability.hpp
+++ b/src/sched/availability.hpp
@@ -23,6 +23,10 @@
 /// Whether new tasks may be placed on the machine.
 bool is_schedulable(const ClusterState& cluster, const Machine& machine);
 
+/// Whether the machine is quarantined and only that keeps tasks from it, other than retries. False
+/// if it is idle, since it is deleted then.
+bool is_retriable(const ClusterState& cluster, const Machine& machine);
+
 /// Whether the machine is expected to become schedulable: it is booting, or its agent has yet to
 /// report this leader's fencing token.
 bool is_starting(const ClusterState& cluster, const Machine& machine);
--- a/src/sched/best_fit.cpp
+++ b/src/sched/best_fit.cpp
@@ -39,37 +39,78 @@
 
 namespace {
 
-/// Whether a task of the job may be placed on the candidate now. Cheap checks that reject many
-/// candidates run first.
+/// Whether a task of the job may be placed on the candidate now if none has failed there. Cheap
+/// checks that reject many candidates run first.
 bool is_feasible(CandidateSet& candidates, const Job& job, const Candidate& candidate,
                  const ZoneCount& zones, const std::string& only_zone) {
   if (!job.spec.resources.fits_in(candidates.available_to(job, candidate))) return false;
   if (!allows(job.spec, candidate.kind)) return false;
   if (!only_zone.empty() && candidate.kind.zone != only_zone) return false;
   if (candidate.nominated_for != nullptr && candidate.nominated_for != &job) return false;
-  if (!zone_rules_allow(job.spec, zones, candidate.kind.zone)) return false;
-  // If the job failed on a single machine, that machine is avoided since it may be at fault;
-  // failures on two or more machines indicate a fault of the job.
-  return job.retry.failed_machines.size() != 1 ||
-         !job.retry.failed_machines.contains(candidate.machine->id);
+  return zone_rules_allow(job.spec, zones, candidate.kind.zone);
+}
+
+/// The candidate with the lowest cost, the first one on a tie.
+struct BestCandidate {
+  Candidate* candidate = nullptr;
+  double cost_s = std::numeric_limits<double>::infinity();
+
+  void consider(const CandidateSet& candidates, const Job& job, Candidate& other,
+                const ZoneCount& zones) {
+    const double other_cost_s = placement_cost_s(candidates.cluster(), job, other, zones);
+    if (other_cost_s >= cost_s) return;
+    candidate = &other;
+    cost_s = other_cost_s;
+  }
+};
+
+/// Whether a machine that is starting would take a task of the job.
+bool is_other_machine_starting(CandidateSet& candidates, const Job& job, const ZoneCount& zones) {
+  return std::any_of(
+      candidates.starting().begin(), candidates.starting().end(), [&](const Candidate& starting) {
+        return job.spec.resources.fits_in(starting.free) && allows(job.spec, starting.kind) &&
+               zone_rules_allow(job.spec, zones, starting.kind.zone);
+      });
+}
+
+/// Whether the job should wait for a machine that is starting instead of being retried. Ends a boot
+/// time after the last failure, in case that machine never becomes ready.
+bool should_wait_for_boot(CandidateSet& candidates, const Job& job, const Candidate& candidate,
+                          const ZoneCount& zones, double now) {
+  const double boot_ends_at = candidate.machine->faults.last_failure_at + candidate.type->ready_s;
+  return now < boot_ends_at && is_other_machine_starting(candidates, job, zones);
 }
 
 }  // namespace
 
 Candidate* find_best_fit(CandidateSet& candidates, const Job& job, const ZoneCount& zones,
-                         const std::string& only_zone) {
-  Candidate* best = nullptr;
-  double best_cost = std::numeric_limits<double>::infinity();
+                         const std::string& only_zone, AvoidedMachine avoided) {
+  BestCandidate best;
   candidates.record_search();
   for (auto& candidate : candidates.schedulable()) {
     if (!is_feasible(candidates, job, candidate, zones, only_zone)) continue;
-    const double cost = placement_cost_s(candidates.cluster(), job, candidate, zones);
-    if (cost < best_cost) {
-      best = &candidate;
-      best_cost = cost;
-    }
+    if (avoided == AvoidedMachine::excluded && job.avoids(candidate.machine->id)) continue;
+    best.consider(candidates, job, candidate, zones);
+  }
+  return best.candidate;
+}
+
+Candidate* find_retry_fit(CandidateSet& candidates, const Job& job, const ZoneCount& zones,
+                          double now) {
+  const ClusterState& cluster = candidates.cluster();
+  BestCandidate best;
+  const auto consider = [&](Candidate& candidate) {
+    if (!cluster.is_retry_due(job, *candidate.machine, now)) return;
+    if (!is_feasible(candidates, job, candidate, zones, "")) return;
+    if (should_wait_for_boot(candidates, job, candidate, zones, now)) return;
+    best.consider(candidates, job, candidate, zones);
+  };
+  if (job.retry.failed_machines.size() == 1) {
+    Candidate* avoided = candidates.find(*job.retry.failed_machines.begin());
+    if (avoided != nullptr) consider(*avoided);
   }
-  return best;
+  for (auto& candidate : candidates.retriable()) consider(candidate);
+  return best.candidate;
 }
 
 }  // namespace cranklock::sched
--- a/src/sched/best_fit.hpp
+++ b/src/sched/best_fit.hpp
@@ -27,9 +27,19 @@
 double placement_cost_s(const ClusterState& cluster, const Job& job, const Candidate& candidate,
                         const ZoneCount& zones);
 
+/// How a search treats the machine that the job avoids (Job::avoids).
+enum class AvoidedMachine { excluded, included };
+
 /// The schedulable machine with the lowest cost for one task of the job, the first one on a tie;
 /// null if the task fits on none. A non-empty `only_zone` restricts the search to that zone.
 Candidate* find_best_fit(CandidateSet& candidates, const Job& job, const ZoneCount& zones,
-                         const std::string& only_zone = {});
+                         const std::string& only_zone = {},
+                         AvoidedMachine avoided = AvoidedMachine::excluded);
+
+/// As find_best_fit(), among the machines that it leaves out because tasks failed there:
+/// quarantined ones and the one that the job avoids. Null unless a retry is due on one of them, and
+/// while another machine that is starting may soon take the task.
+Candidate* find_retry_fit(CandidateSet& candidates, const Job& job, const ZoneCount& zones,
+                          double now);
 
 }  // namespace cranklock::sched
--- a/src/sched/candidates.cpp
+++ b/src/sched/candidates.cpp
@@ -30,11 +30,13 @@
     const auto* type = cluster.type(machine.kind.type);
     if (type == nullptr) continue;
     const wire::Resources free = type->resources - machine.allocated;
-    if (is_schedulable(cluster, machine)) {
+    const bool retriable = is_retriable(cluster, machine);
+    if (retriable || is_schedulable(cluster, machine)) {
       const auto released = releasing.find(id);
-      schedulable_.push_back({machine.kind, free, &machine,
-                              released == releasing.end() ? wire::Resources{} : released->second,
-                              nullptr, type, cluster.reservations().any_on(id)});
+      auto& list = retriable ? retriable_ : schedulable_;
+      list.push_back({machine.kind, free, &machine,
+                      released == releasing.end() ? wire::Resources{} : released->second, nullptr,
+                      type, cluster.reservations().any_on(id)});
     } else if (is_starting(cluster, machine)) {
       starting_.push_back({machine.kind, free, nullptr, {}, nullptr, type});
     }
--- a/src/sched/candidates.hpp
+++ b/src/sched/candidates.hpp
@@ -33,6 +33,8 @@
   /// Schedulable machines, ordered by id.
   std::vector<Candidate>& schedulable() { return schedulable_; }
   const std::vector<Candidate>& schedulable() const { return schedulable_; }
+  /// Quarantined machines for which is_retriable() holds, ordered by id.
+  std::vector<Candidate>& retriable() { return retriable_; }
   /// Machines for which is_starting() holds, ordered by id.
   std::vector<Candidate>& starting() { return starting_; }
   /// The schedulable machine with this id, or null.
@@ -65,7 +67,7 @@
   wire::Resources reserved_for_others(const Job& job, const Candidate& candidate);
 
   ClusterState& cluster_;
-  std::vector<Candidate> schedulable_, starting_;
+  std::vector<Candidate> schedulable_, retriable_, starting_;
   std::vector<const Reservation*> reservations_;
   bool blocked_by_reservation_ = false;
   std::size_t examined_ = 0;
--- a/src/sched/cluster_state.hpp
+++ b/src/sched/cluster_state.hpp
@@ -137,6 +137,22 @@
     return boots_.penalty(type, zone, now);
   }
   double quarantine_period_s() const { return failures_.quarantine_period_s(); }
+  /// See FailureTracker::is_retry_due.
+  bool is_retry_due(const Job& job, const Machine& machine, double now) const {
+    return failures_.is_retry_due(job, machine, now);
+  }
+  /// Whether the job avoids the machine and no retry is due there.
+  bool is_avoided(const Job& job, const Machine& machine, double now) const {
+    return job.avoids(machine.id) && !failures_.is_retry_due(job, machine, now);
+  }
+  /// See FailureTracker::record_retry.
+  void record_retry(Job& job, Machine& machine, double now) const {
+    failures_.record_retry(job, machine, now);
+  }
+  /// See FailureTracker::expire_quarantine.
+  void expire_quarantine(Machine& machine, double now) {
+    failures_.expire_quarantine(machine, now);
+  }
 
   // Quota and reservations.
   const wire::Resources& team_allocation(const std::string& team) const {
--- a/src/sched/gang_placement.cpp
+++ b/src/sched/gang_placement.cpp
@@ -33,12 +33,12 @@
 
 /// As fit_gang(), within one zone, or in all zones if `only_zone` is empty.
 std::vector<Candidate*> fit_gang_in_zone(CandidateSet& candidates, const Job& job,
-                                         const std::string& only_zone) {
+                                         const std::string& only_zone, AvoidedMachine avoided) {
   TrialAllocation trial;
   ZoneCount zones;
   std::vector<Candidate*> chosen;
   for (std::uint32_t task = 0; task < job.spec.tasks; ++task) {
-    Candidate* candidate = find_best_fit(candidates, job, zones, only_zone);
+    Candidate* candidate = find_best_fit(candidates, job, zones, only_zone, avoided);
     if (candidate == nullptr) return {};
     trial.allocate(*candidate, job.spec.resources);
     zones.add(candidate->kind.zone);
@@ -47,14 +47,32 @@
   return chosen;
 }
 
-}  // namespace
-
-std::vector<Candidate*> fit_gang(CandidateSet& candidates, const Job& job) {
+std::vector<Candidate*> fit_gang_in_any_zone(CandidateSet& candidates, const Job& job,
+                                             AvoidedMachine avoided) {
   for (const auto& zone : gang_zones(candidates, job.spec)) {
-    auto chosen = fit_gang_in_zone(candidates, job, zone);
+    auto chosen = fit_gang_in_zone(candidates, job, zone, avoided);
     if (!chosen.empty()) return chosen;
   }
   return {};
 }
 
+}  // namespace
+
+std::vector<Candidate*> fit_gang(CandidateSet& candidates, const Job& job) {
+  return fit_gang_in_any_zone(candidates, job, AvoidedMachine::excluded);
+}
+
+std::vector<Candidate*> fit_gang_for_retry(CandidateSet& candidates, const Job& job, double now) {
+  if (job.spec.tasks == 1) {
+    Candidate* candidate = find_retry_fit(candidates, job, {}, now);
+    if (candidate == nullptr) return {};
+    return {candidate};
+  }
+  if (job.retry.failed_machines.size() != 1) return {};
+  const Candidate* avoided = candidates.find(*job.retry.failed_machines.begin());
+  if (avoided == nullptr) return {};
+  if (!candidates.cluster().is_retry_due(job, *avoided->machine, now)) return {};
+  return fit_gang_in_any_zone(candidates, job, AvoidedMachine::included);
+}
+
 }  // namespace cranklock::sched
--- a/src/sched/job.hpp
+++ b/src/sched/job.hpp
@@ -123,6 +123,13 @@
   bool too_large = false;  ///< for one transaction; set so that it is logged only once
 };
 
+/// Pace of the retries on a machine on which tasks have failed; maintained by FailureTracker.
+struct RetryPacing {
+  double due_at = 0;         ///< when the next task may be placed there
+  bool in_progress = false;  ///< a task was placed there as a retry and has not failed so far
+  int failures = 0;          ///< failed retries since a task last ran there without failing
+};
+
 /// Task failures and retry backoff of a job; maintained by FailureTracker.
 struct RetryState {
   double backoff_until = 0;  ///< no task is placed before this time
@@ -131,7 +138,10 @@
   int earlier_failed_rounds = 0;  ///< under former leaders, estimated from the attempt numbers
   /// Machines on which a task of the job failed since the last completion or long-running replica.
   std::set<std::string> failed_machines;
-  bool succeeded = false;  ///< a task of the job has completed on some machine
+  /// Of the job's tasks on the only machine in `failed_machines`, for want of another machine.
+  RetryPacing same_machine;
+  bool same_machine_works = false;  ///< a task of the job has run there since without failing
+  bool succeeded = false;           ///< a task of the job has completed on some machine
 };
 
 /// A live job: its stored record and the runtime state of this leader. Times in milliseconds are
@@ -161,6 +171,12 @@
 
   /// Its tasks fail on several machines and none has completed: the job is at fault.
   bool crash_looping() const { return retry.failed_machines.size() >= 2 && !retry.succeeded; }
+  /// Whether another machine is preferred to this one. A failure on a single machine may be that
+  /// machine's fault; failures on several indicate a fault of the job.
+  bool avoids(const std::string& machine) const {
+    return retry.failed_machines.size() == 1 && !retry.same_machine_works &&
+           retry.failed_machines.contains(machine);
+  }
   bool cancelled() const { return cancelled_at_ms != 0; }
   bool complete() const { return done.size() == spec.tasks; }
   /// Records that a task has completed. The tasks of a gang complete together (PROTOCOL, "Gangs"),
--- a/src/sched/machine.hpp
+++ b/src/sched/machine.hpp
@@ -94,7 +94,7 @@
   double grace_until = 0;
 };
 
-/// Whether a machine takes no tasks because tasks failed on it.
+/// Whether tasks failed on a machine so that it takes none but a retry now and then.
 enum class Quarantine {
   none,
   suspected,  ///< tasks of several jobs failed; the jobs may turn out to be at fault
@@ -107,6 +107,8 @@
   double quarantined_since = 0;
   /// Jobs with failed tasks here since a task last completed here, except crash-looping jobs.
   std::set<std::string> failed_jobs;
+  double last_failure_at = 0;  ///< of a task of a job that is not crash looping
+  RetryPacing retry;           ///< of single tasks while the machine is quarantined
 };
 
 /// A machine. All times are seconds on the steady clock of this leader.
--- a/src/sched/nomination.cpp
+++ b/src/sched/nomination.cpp
@@ -29,6 +29,7 @@
   std::vector<Candidate*> fitting, others;
   for (auto& candidate : candidates.schedulable()) {
     if (candidate.nominated_for != nullptr || !allows(job.spec, candidate.kind)) continue;
+    if (candidates.cluster().is_avoided(job, *candidate.machine, now)) continue;
     if (!only_zone.empty() && candidate.kind.zone != only_zone) continue;
     const bool waited_for_boot = now - job.known_since > candidate.type->ready_s;
     if (fits_after_release(candidates, job, candidate)) {
@@ -53,6 +54,7 @@
   Candidate* best = nullptr;
   for (auto& candidate : candidates.schedulable()) {
     if (candidate.nominated_for != nullptr) continue;
+    if (candidates.cluster().is_avoided(job, *candidate.machine, now)) continue;
     // A machine where stopping tasks release enough is nominated at once, so that resources
     // released by a preemption go to the job that the preemption was for.
     const bool being_released = candidate.releasing.gpus + candidate.releasing.cpus > 0 &&
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -22,6 +22,11 @@
 /// Preemption searches per pass; each examines all schedulable machines.
 constexpr std::size_t kMaxPreemptionSearches = 100;
 
+/// Whether a placement of the job on the candidate is a retry after failures there.
+bool is_retry(const Job& job, const Candidate& candidate) {
+  return candidate.machine->quarantined() || job.avoids(candidate.machine->id);
+}
+
 /// One placement pass: places the waiting jobs in order, then passes those left unplaced to
 /// preemption and to the shortfall estimate.
 class PlacementPass {
@@ -49,6 +54,7 @@
   void place_job(Job& job);
   void place_gang(Job& job, const std::vector<std::uint32_t>& tasks);
   void place_tasks(Job& job, const std::vector<std::uint32_t>& tasks);
+  Candidate* find_candidate(const Job& job, const ZoneCount& zones);
   void place_task(Candidate& candidate, Job& job, std::uint32_t task, std::uint64_t attempt);
   void preempt_for_unplaced(const PlacedPriorities& placed);
   void estimate_shortfall();
@@ -122,6 +128,7 @@
   candidates_.clear_blocked_by_reservation();
   std::vector<Candidate*> chosen;
   if (!failed_searches_.rules_out(cluster_, job)) chosen = fit_gang(candidates_, job);
+  if (chosen.empty()) chosen = fit_gang_for_retry(candidates_, job, now_);
   if (chosen.empty()) {
     unplaced_.push_back(&job);
     nominate_gang_machines(candidates_, job, now_);
@@ -138,13 +145,10 @@
   for (const auto task : tasks) {
     if (!within_quota_limit(cluster_, job.spec.team, job.spec.resources)) return;
     // The best fit for one task is also the best fit for the next one for as long as it fits, since
-    // placing a task reduces the unused capacity there.
-    if (candidate == nullptr || job.spec.spread ||
+    // placing a task reduces the unused capacity there. A retry takes one task only.
+    if (candidate == nullptr || job.spec.spread || is_retry(job, *candidate) ||
         !job.spec.resources.fits_in(candidates_.available_to(job, *candidate))) {
-      candidates_.clear_blocked_by_reservation();
-      candidate = failed_searches_.rules_out(cluster_, job)
-                      ? nullptr
-                      : find_best_fit(candidates_, job, zones);
+      candidate = find_candidate(job, zones);
     }
     if (candidate == nullptr) {
       failed_searches_.record(candidates_, job);
@@ -157,9 +161,21 @@
   }
 }
 
+/// A machine for one task of the job, one that has failed tasks only if there is no other; null if
+/// there is none.
+Candidate* PlacementPass::find_candidate(const Job& job, const ZoneCount& zones) {
+  candidates_.clear_blocked_by_reservation();
+  if (!failed_searches_.rules_out(cluster_, job)) {
+    Candidate* best = find_best_fit(candidates_, job, zones);
+    if (best != nullptr) return best;
+  }
+  return find_retry_fit(candidates_, job, zones, now_);
+}
+
 void PlacementPass::place_task(Candidate& candidate, Job& job, std::uint32_t task,
                                std::uint64_t attempt) {
   cluster_.add_placement(job, task, attempt, candidate.machine->id, now_);
+  if (is_retry(job, candidate)) cluster_.record_retry(job, *candidate.machine, now_);
   candidate.free -= job.spec.resources;
   ++result_.placed;
 }
--- a/src/sched/preemption.cpp
+++ b/src/sched/preemption.cpp
@@ -80,6 +80,7 @@
     if (!zone_rules_allow(job.spec, zones, candidate.kind.zone)) continue;
     if (!only_zone.empty() && candidate.kind.zone != only_zone) continue;
     if (excluded.contains(&candidate)) continue;
+    if (candidates_.cluster().is_avoided(job, *candidate.machine, now_)) continue;
     if (fits) return PreemptionChoice{&candidate, {}, 0};
     auto choice = choose_victims(job, candidate, available);
     if (choice && (!best || choice->cost_s < best->cost_s)) best = std::move(choice);
--- a/src/sched/task_reconciler.cpp
+++ b/src/sched/task_reconciler.cpp
@@ -37,8 +37,11 @@
                              type != nullptr ? std::optional(type->cache_gb) : std::nullopt);
     if (running) placement.running_since = now;
   }
-  if (running && placement.running_since > 0 && job.spec.kind == wire::JobKind::service) {
-    failures_.record_running_replica(job, placement.running_since, now);
+  if (running && placement.running_since > 0) {
+    if (job.spec.kind == wire::JobKind::service) {
+      failures_.record_running_replica(job, placement.running_since, now);
+    }
+    failures_.record_running_task(job, machine, placement.running_since, now);
   }
   placement.reported = true;
   placement.state = status.state;
@@ -85,11 +88,19 @@
 void TaskReconciler::apply_completion(Machine& machine, Job& job, Placement& placement,
                                       double now) {
   job.mark_completed(placement.task);
-  failures_.record_completion(job, machine);
+  record_completion(job, machine, placement);
   placements_.end(job, placement, now);
   if (job.spec.kind == wire::JobKind::gang) end_completed_gang(job, placement.attempt, now);
 }
 
+void TaskReconciler::record_completion(Job& job, Machine& machine, const Placement& placement) {
+  // A short task may never have been reported as running.
+  const double started_at =
+      placement.running_since > 0 ? placement.running_since : placement.decided_at;
+  failures_.record_completion(job, machine);
+  failures_.record_healthy_task(job, machine, started_at);
+}
+
 // Invariant 4: the tasks of a gang complete together, so the report of one completion proves that
 // the other tasks have exited. Guards against waiting for reports that may never come: an agent
 // that can't send heartbeats drops its tasks with its lease, and a machine may be lost.
@@ -98,7 +109,7 @@
     if (placement.attempt != attempt || placement.ended) continue;
     Machine* machine = machines_.find(placement.machine);
     const bool has_run = placement.state == TaskState::running;
-    if (machine != nullptr && has_run) failures_.record_completion(job, *machine);
+    if (machine != nullptr && has_run) record_completion(job, *machine, placement);
     placements_.end(job, placement, now);
   }
 }
--- a/src/sched/task_reconciler.hpp
+++ b/src/sched/task_reconciler.hpp
@@ -52,6 +52,7 @@
   void apply_exit(Machine& machine, Job& job, Placement& placement, const wire::TaskStatus& status,
                   double now);
   void apply_completion(Machine& machine, Job& job, Placement& placement, double now);
+  void record_completion(Job& job, Machine& machine, const Placement& placement);
   void end_completed_gang(Job& job, std::uint64_t attempt, double now);
   /// Classifies the absence of the placement's task from a heartbeat with sequence `reported`.
   static Absence classify_absence(const Job& job, const Placement& placement,
--- a/tests/best_fit_test.cpp
+++ b/tests/best_fit_test.cpp
@@ -57,6 +57,75 @@
   EXPECT_NE(find_best_fit(candidates, job, {}), nullptr);
 }
 
+/// A fleet of one machine on which one job has failed, and the time from which it may be retried.
+struct FailedOnce {
+  Fleet fleet;
+  Job& job = fleet.add(make_job("j-000001", JobKind::job_array, 1, 4));
+  double due_at = kNow + fleet.settings.lease_s / 2;
+
+  FailedOnce() {
+    job.retry.failed_machines = {"n-1"};
+    job.retry.same_machine.due_at = due_at;
+    fleet.cluster.machine("n-1")->faults.last_failure_at = kNow;
+  }
+};
+
+TEST(RetryFit, AMachineThatTheJobAvoidsIsFoundOnceARetryIsDue) {
+  FailedOnce failed;
+  CandidateSet candidates(failed.fleet.cluster);
+  EXPECT_EQ(find_retry_fit(candidates, failed.job, {}, failed.due_at - 0.1), nullptr);
+  EXPECT_NE(find_retry_fit(candidates, failed.job, {}, failed.due_at), nullptr);
+  failed.job.spec.resources.gpus = 9;
+  EXPECT_EQ(find_retry_fit(candidates, failed.job, {}, failed.due_at), nullptr);
+}
+
+TEST(RetryFit, OnlyAQuarantinedMachineWithTasksIsFound) {
+  Fleet fleet;
+  Job& running = fleet.add(make_job("j-000001", JobKind::service, 1, 4));
+  Job& job = fleet.add(make_job("j-000002", JobKind::job_array, 1, 4));
+  fleet.cluster.machine("n-1")->faults.quarantine = Quarantine::suspected;
+  CandidateSet idle(fleet.cluster);  // it is deleted instead
+  EXPECT_EQ(find_retry_fit(idle, job, {}, kNow), nullptr);
+  fleet.cluster.add_placement(running, 0, 1, "n-1", 0);
+  CandidateSet busy(fleet.cluster);
+  EXPECT_EQ(find_best_fit(busy, job, {}), nullptr);
+  EXPECT_NE(find_retry_fit(busy, job, {}, kNow), nullptr);
+}
+
+// Guards against tasks that fail one after the other while another machine boots, and against a
+// job that waits for ever for one that never boots.
+TEST(RetryFit, AMachineThatIsStartingIsAwaitedForABootTime) {
+  FailedOnce failed;
+  failed.fleet.cluster.upsert_machine("n-2", {"g8", "a", false}, kNow);
+  CandidateSet candidates(failed.fleet.cluster);
+  ASSERT_EQ(candidates.starting().size(), 1U);
+  const double boot_s = testing::machine_type().ready_s;
+  EXPECT_EQ(find_retry_fit(candidates, failed.job, {}, kNow + boot_s - 0.1), nullptr);
+  EXPECT_NE(find_retry_fit(candidates, failed.job, {}, kNow + boot_s), nullptr);
+}
+
+TEST(RetryFit, AnAvoidedMachineIsNominatedOnlyOnceARetryIsDue) {
+  FailedOnce failed;
+  failed.due_at = kNow + 2 * testing::machine_type().ready_s;
+  failed.job.retry.same_machine.due_at = failed.due_at;
+  CandidateSet candidates(failed.fleet.cluster);
+  nominate_machine(candidates, failed.job, failed.due_at - 0.1);
+  EXPECT_EQ(candidates.schedulable()[0].nominated_for, nullptr);
+  nominate_machine(candidates, failed.job, failed.due_at);
+  EXPECT_EQ(candidates.schedulable()[0].nominated_for, &failed.job);
+}
+
+// A gang is retried as a whole on the machine that it avoids.
+TEST(RetryFit, AGangIsRetriedOnTheMachineThatItAvoids) {
+  FailedOnce failed;
+  failed.job.spec.kind = JobKind::gang;
+  failed.job.spec.tasks = 2;
+  CandidateSet candidates(failed.fleet.cluster);
+  EXPECT_TRUE(fit_gang(candidates, failed.job).empty());
+  EXPECT_TRUE(fit_gang_for_retry(candidates, failed.job, failed.due_at - 0.1).empty());
+  EXPECT_EQ(fit_gang_for_retry(candidates, failed.job, failed.due_at).size(), 2U);
+}
+
 TEST(FailedSearches, JobsWithEqualOrHigherRequirementsAreRuledOut) {
   Fleet fleet;
   const CandidateSet candidates(fleet.cluster);
--- a/tests/preemption_test.cpp
+++ b/tests/preemption_test.cpp
@@ -56,6 +56,16 @@
   EXPECT_EQ(full.preempt(), 0);  // the resources being released suffice
 }
 
+// Guards against victims that are stopped again and again for a job that is not placed there.
+TEST(Preemption, NothingIsPreemptedOnAMachineThatTheJobAvoidsUntilARetryIsDue) {
+  FullMachine full;
+  full.urgent.retry.failed_machines = {"n-1"};
+  full.urgent.retry.same_machine.due_at = 101;
+  EXPECT_EQ(full.preempt(), 0);
+  full.urgent.retry.same_machine.due_at = 100;
+  EXPECT_EQ(full.preempt(), 1);
+}
+
 TEST(Preemption, ATaskThatCheckpointsGetsAGracePeriod) {
   FullMachine full;
   full.victim.spec.checkpoint_interval_s = 60;
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -184,6 +184,8 @@
   std::map<std::string, double> run_s_by_task;  ///< of tasks that differ from run_s
   std::set<std::string> broken_jobs;            ///< jobs whose tasks fail on every machine
   std::set<std::string> faulty_machines;        ///< machines on which every task fails
+  /// By machine: tasks that begin to run there from then on fail; earlier ones keep running.
+  std::map<std::string, double> new_tasks_fail_since;
   /// Share of heartbeats that are delivered a second time, to a random node, 2 s to 1.5 leases
   /// later.
   double late_heartbeat_share = 0;
--- a/tests/test_cluster_agents.cpp
+++ b/tests/test_cluster_agents.cpp
@@ -43,6 +43,14 @@
   return present.size();
 }
 
+bool TestCluster::AgentEnvironment::fails_new_task(const WorkerStandIn& worker,
+                                                   const wire::TaskName& task) const {
+  const auto since = cluster_.new_tasks_fail_since.find(worker.id);
+  if (since == cluster_.new_tasks_fail_since.end()) return false;
+  const auto held = worker.tasks.find(wire::to_string(task));
+  return held != worker.tasks.end() && held->second.state_since >= since->second;
+}
+
 double TestCluster::AgentEnvironment::gang_run_s(const wire::JobSpec& spec) const {
   double longest = 0;
   for (std::uint32_t task = 0; task < spec.tasks; ++task) {
--- a/tests/test_cluster_internals.hpp
+++ b/tests/test_cluster_internals.hpp
@@ -72,7 +72,8 @@
   std::optional<GangState> gang_state(const wire::TaskName& task, std::uint64_t attempt) override;
   double gang_wait_s() const override { return cluster_.base_settings.gang_wait_s; }
   bool must_fail(const WorkerStandIn& worker, const wire::TaskName& task) const override {
-    return cluster_.broken_jobs.contains(task.job) || cluster_.faulty_machines.contains(worker.id);
+    return cluster_.broken_jobs.contains(task.job) ||
+           cluster_.faulty_machines.contains(worker.id) || fails_new_task(worker, task);
   }
   void on_task_completed(const wire::TaskName& task) override {
     cluster_.rules.on_task_completed(task.job, task.index);
@@ -82,6 +83,7 @@
   /// The number of the gang's tasks that have their image and have not exited, on machines that are
   /// not hung.
   std::size_t present_tasks(const GangAttempt& gang) const;
+  bool fails_new_task(const WorkerStandIn& worker, const wire::TaskName& task) const;
   /// The run time of the slowest task, which is that of the gang.
   double gang_run_s(const wire::JobSpec& spec) const;
 
