What is accepted can be cancelled and run within the limits; repeats are looked up first

Cause: acceptance checked the record as first stored, not with a cancellation (12 bytes more) or with the numbers of a started job; the length was judged before the lookup, by limits that the node had learned; each 400 halved those until the process ended, also for a transaction known to be beyond them. Change: a cancelled record leaves out what it needs no more, and moves list items to further parts, if it does not fit otherwise (all versions read it); a started one leaves out its dependencies, which are known to be done; acceptance counts the whole life, by the announced limits; every refusal looks the job up first; a 400 teaches only within the limits believed, for ten times cancel_s. Why it works: no record of an accepted job's life is longer than a value (property test over descriptions, lists and limits), so nothing is refused; and no refusal of a submission rests on what one node believes.

--- a/src/control/job_api.cpp
+++ b/src/control/job_api.cpp
@@ -1,5 +1,7 @@
 #include "control/job_api.hpp"
 
+#include <algorithm>
+#include <cstddef>
 #include <optional>
 
 #include "control/feasibility.hpp"
@@ -21,6 +23,8 @@
 /// Response time up to which the limiters do not lower the maximum number of requests in progress.
 constexpr double kSlowResponseS = 0.1;
 constexpr double kMinInProgress = 4;
+/// Cancellations to send in smaller and smaller records if the store refuses them as too large.
+constexpr int kMaxTriesTooLarge = 4;
 
 double max_in_progress(const base::Settings& settings) {
   return settings.fd_limit / 8.0;
@@ -39,6 +43,20 @@
   return unprocessable(to_text(reason));
 }
 
+/// The mutations that write the first new parts, at most so many; removes them from the record.
+std::vector<wire::Mutation> part_mutations(const std::string& id, CancelledRecord& record,
+                                           std::size_t max_count) {
+  const std::size_t count = std::min(max_count, record.new_parts.size());
+  std::vector<wire::Mutation> mutations;
+  for (std::size_t i = 0; i < count; ++i) {
+    mutations.push_back({part_key(id, record.first_new_part), std::move(record.new_parts[i]), 0});
+    ++record.first_new_part;
+  }
+  record.new_parts.erase(record.new_parts.begin(),
+                         record.new_parts.begin() + static_cast<std::ptrdiff_t>(count));
+  return mutations;
+}
+
 /// Counts a request against a limiter during its lifetime.
 class RequestInProgress {
  public:
@@ -159,13 +177,22 @@
   sched::Job job;
   job.spec = std::move(spec);
   job.created_ms = services_.reactor.wall_ms();
-  if (cancelled) job.cancelled_at_ms = job.created_ms;
-  const auto values = write_record(job, services_.store.max_value_bytes());
-  if (values[0].size() > services_.store.max_value_bytes()) {
-    co_return bad_request("the description is too long");
+  // Judged by the announced limits: a refusal is final, and the limits that the store seems to have
+  // at present may be lower for a while.
+  const std::size_t max_bytes = services_.store.configured_max_value_bytes();
+  if (!fits_for_life(job, max_bytes)) {
+    auto refusing = refuse_unless_stored(id, bad_request("the description is too long"));
+    auto response = co_await refusing;
+    co_return response;
+  }
+  std::string main_value = write_record(job, max_bytes)[0];
+  if (cancelled) {
+    auto record = cancel_record(main_value, 0, job.created_ms, max_bytes);
+    if (!record || !*record) co_return store_unavailable();
+    main_value = std::move((*record)->main_value);
   }
   std::vector<wire::Compare> compares{{job_key(id), 0}, {outcome_key(id), 0}};
-  std::vector<wire::Mutation> mutations{{job_key(id), values[0], 0}};
+  std::vector<wire::Mutation> mutations{{job_key(id), std::move(main_value), 0}};
   auto creating =
       services_.store.compare_and_swap(std::move(compares), std::move(mutations),
                                        kClientRequestTimeoutS, store::Client::Priority::user);
@@ -173,6 +200,12 @@
   if (created.status == Status::ok) {
     co_return state_response(201, id, cancelled ? JobState::cancelled : JobState::queued);
   }
+  if (created.too_large) {
+    // The limits are lower than announced. The job may have been stored before they fell.
+    auto refusing = refuse_unless_stored(id, retry_later("the state service takes no such value"));
+    auto response = co_await refusing;
+    co_return response;
+  }
   if (created.status == Status::rejected)
     co_return retry_later("the state service is not available");
   // The job already exists or the write was unanswered: respond with the state that is stored.
@@ -210,7 +243,7 @@
     const std::string id = found.job.spec.id;
     auto writing = write_cancellation(id, found);
     const auto written = co_await writing;
-    if (written == Status::ok) co_return JobState::cancelled;
+    if (written.status == Status::ok) co_return JobState::cancelled;
     auto finding = lookup_.find(id);
     auto found_again = co_await finding;
     if (!found_again) co_return Failure(StateError::lookup_failed);
@@ -250,21 +283,49 @@
 
 // ---- cancellations ----
 
-Task<Status> JobApi::write_cancellation(std::string id, const StoredJob& found) {
-  auto main_value = with_cancellation(found.main_value, services_.reactor.wall_ms());
-  if (!main_value) co_return Status::rejected;
-  std::vector<wire::Compare> compares{{job_key(id), found.job.record.revision}};
-  std::vector<wire::Mutation> mutations{{job_key(id), std::move(*main_value), 0}};
+Task<store::CompareAndSwapResult> JobApi::write_first_parts(const std::string& id,
+                                                            std::uint64_t revision,
+                                                            CancelledRecord& record) {
+  store::CompareAndSwapResult written;
+  written.status = Status::ok;
+  while (written.status == Status::ok &&
+         record.new_parts.size() + 1 > services_.store.max_mutations()) {
+    auto mutations = part_mutations(id, record, services_.store.max_mutations());
+    std::vector<wire::Compare> compares{{job_key(id), revision}};
+    auto writing =
+        services_.store.compare_and_swap(std::move(compares), std::move(mutations),
+                                         kClientRequestTimeoutS, store::Client::Priority::user);
+    written = co_await writing;
+  }
+  co_return written;
+}
+
+Task<store::CompareAndSwapResult> JobApi::write_cancellation(std::string id,
+                                                             const StoredJob& found) {
+  const std::uint64_t revision = found.job.record.revision;
+  auto cancelled = cancel_record(found.main_value, revision, services_.reactor.wall_ms(),
+                                 services_.store.max_value_bytes());
+  store::CompareAndSwapResult rejected;
+  rejected.status = Status::rejected;
+  if (!cancelled || !*cancelled) co_return rejected;
+  CancelledRecord& record = **cancelled;
+  auto writing_parts = write_first_parts(id, revision, record);
+  auto parts_written = co_await writing_parts;
+  if (parts_written.status != Status::ok) co_return parts_written;
+  auto mutations = part_mutations(id, record, record.new_parts.size());
+  mutations.push_back({job_key(id), std::move(record.main_value), 0});
+  std::vector<wire::Compare> compares{{job_key(id), revision}};
   auto writing =
       services_.store.compare_and_swap(std::move(compares), std::move(mutations),
                                        kClientRequestTimeoutS, store::Client::Priority::user);
-  const auto written = co_await writing;
-  co_return written.status;
+  auto written = co_await writing;
+  co_return written;
 }
 
 Task<Response> JobApi::cancel(std::string id) {
   if (!wire::valid_job_id(id)) co_return no_such_job();
   const double deadline = services_.reactor.now() + 2 * kClientRequestTimeoutS;
+  int tries_too_large = 0;
   while (services_.reactor.now() < deadline) {
     auto finding = lookup_.find(id);
     const auto found = co_await finding;
@@ -276,8 +337,10 @@
     if (found->cancelled()) co_return state_response(200, id, JobState::cancelled);
     auto writing = write_cancellation(id, *found);
     const auto written = co_await writing;
-    if (written == Status::ok) co_return state_response(200, id, JobState::cancelled);
-    if (written == Status::rejected) break;
+    if (written.status == Status::ok) co_return state_response(200, id, JobState::cancelled);
+    // The next try writes a smaller record.
+    const bool try_smaller = written.too_large && ++tries_too_large < kMaxTriesTooLarge;
+    if (written.status == Status::rejected && !try_smaller) break;
     // The record has changed, or the write was unanswered: look the job up again.
   }
   co_return store_unavailable();
--- a/src/control/job_api.hpp
+++ b/src/control/job_api.hpp
@@ -11,6 +11,7 @@
 #include "control/api_responses.hpp"
 #include "control/dependency_check.hpp"
 #include "control/job_lookup.hpp"
+#include "control/job_record.hpp"
 #include "control/job_routes.hpp"
 #include "control/leader_term.hpp"
 #include "control/services.hpp"
@@ -60,8 +61,14 @@
   /// The job's state to report to a client. If a dependency was cancelled, first marks the job as
   /// cancelled in its record.
   net::Task<base::Result<wire::JobState, StateError>> reportable_state(StoredJob found);
-  /// Marks a live record as cancelled, without any other change.
-  net::Task<store::Status> write_cancellation(std::string id, const StoredJob& found);
+  /// Writes new parts of a record, of this revision, until the others and the main value fit into
+  /// one transaction; removes them from the list. Readers ignore them until the main value counts
+  /// them.
+  net::Task<store::CompareAndSwapResult> write_first_parts(const std::string& id,
+                                                           std::uint64_t revision,
+                                                           CancelledRecord& record);
+  /// Marks a live record as cancelled, and makes it smaller if it would not fit otherwise.
+  net::Task<store::CompareAndSwapResult> write_cancellation(std::string id, const StoredJob& found);
 
   Services services_;
   JobLookup lookup_;
--- a/src/control/job_record.cpp
+++ b/src/control/job_record.cpp
@@ -63,10 +63,14 @@
   return list;
 }
 
+/// Kept free in each value for brackets, field names, the part count, and a cancellation time in
+/// place of the 0.
+constexpr std::size_t kReservedBytes = 64;
+/// Of a main value after its fixed part, if all items are in parts.
+constexpr std::size_t kEmptyListsBytes = std::string_view(R"(,"d":[],"p":[],"parts":64})").size();
+
 /// Appends a list field with as many items as fit into the value, possibly none.
 void append_list(std::string& value, ItemList& list, std::size_t max_bytes) {
-  // Kept free for brackets, field names, the part count, and a cancellation time in place of the 0.
-  constexpr std::size_t kReservedBytes = 64;
   value += "," + field_text(list.field) + "[";
   bool is_first = true;
   while (!list.is_written() &&
@@ -79,25 +83,61 @@
 }
 
 /// The main value up to its lists, without the closing brace.
-std::string begin_main_value(const sched::Job& job) {
+std::string begin_main_value(const sched::Job& job, const wire::JobSpec& spec,
+                             std::uint64_t generation) {
   JsonWriter writer;
-  writer.begin_object().key(job.spec.dependencies.empty() ? kSpecField : kDependentSpecField);
-  wire::write_job(writer, job.spec);
+  writer.begin_object().key(spec.dependencies.empty() ? kSpecField : kDependentSpecField);
+  wire::write_job(writer, spec);
   writer.key(kCreatedField).integer(job.created_ms);
   writer.key(kCancelledField).integer(job.cancelled_at_ms);
   writer.key(kLastAttemptField).count(job.last_attempt);
-  // The revision that a write is conditional on identifies the write: at most one write per
-  // revision succeeds.
-  writer.key(kGenerationField).count(job.record.revision);
+  writer.key(kGenerationField).count(generation);
   writer.end_object();
   std::string value = writer.take();
   value.pop_back();
   return value;
 }
 
-/// A part up to its lists, without the closing brace.
-std::string begin_part(const sched::Job& job) {
-  return "{" + field_text(kGenerationField) + std::to_string(job.record.revision);
+void end_main_value(std::string& value, std::size_t part_count) {
+  value += "," + field_text(kPartCountField) + std::to_string(part_count) + "}";
+}
+
+/// The lists of a job as they are distributed over the values of its record.
+struct Lists {
+  ItemList done, placements;
+
+  explicit Lists(const sched::Job& job)
+      : done(format_done(job)), placements(format_placements(job)) {}
+  void append_to(std::string& value, std::size_t max_bytes) {
+    append_list(value, done, max_bytes);
+    append_list(value, placements, max_bytes);
+  }
+  bool are_written() const { return done.is_written() && placements.is_written(); }
+  /// Parts for the items that are not written yet.
+  std::vector<std::string> take_parts(std::uint64_t generation, std::size_t max_bytes) {
+    std::vector<std::string> parts;
+    while (!are_written()) {
+      std::string part = "{" + field_text(kGenerationField) + std::to_string(generation);
+      append_to(part, max_bytes);
+      parts.push_back(part + "}");
+    }
+    return parts;
+  }
+};
+
+/// Removes what is of no use once a job is cancelled: no task of it will be placed again.
+void strip_for_cancellation(wire::JobSpec& spec) {
+  spec.dependencies.clear();
+  spec.types.clear();
+  spec.zone.clear();
+  spec.deadline_s.reset();
+}
+
+/// Shortens texts that may not be empty. They only label a cancelled job.
+void shorten_labels(wire::JobSpec& spec) {
+  constexpr const char* kNoLabel = "-";
+  spec.job_class = kNoLabel;
+  spec.image = kNoLabel;
 }
 
 // ---- parsing ----
@@ -141,21 +181,35 @@
 }  // namespace
 
 std::vector<std::string> write_record(const sched::Job& job, std::size_t max_bytes) {
-  ItemList done = format_done(job);
-  ItemList placements = format_placements(job);
-  std::string main_value = begin_main_value(job);
-  append_list(main_value, done, max_bytes);
-  append_list(main_value, placements, max_bytes);
-  std::vector<std::string> parts;
-  while (!done.is_written() || !placements.is_written()) {
-    std::string part = begin_part(job);
-    append_list(part, done, max_bytes);
-    append_list(part, placements, max_bytes);
-    parts.push_back(part + "}");
+  // The revision that a write is conditional on identifies the write: at most one write per
+  // revision succeeds.
+  const std::uint64_t generation = job.record.revision;
+  std::string main_value = begin_main_value(job, job.spec, generation);
+  const bool has_started = job.last_attempt > 0;
+  if (has_started && main_value.size() + kReservedBytes > max_bytes) {
+    wire::JobSpec spec = job.spec;
+    spec.dependencies.clear();
+    std::string shorter = begin_main_value(job, spec, generation);
+    if (shorter.size() + kEmptyListsBytes <= max_bytes) main_value = std::move(shorter);
   }
-  main_value += "," + field_text(kPartCountField) + std::to_string(parts.size()) + "}";
-  parts.insert(parts.begin(), std::move(main_value));
-  return parts;
+  Lists lists(job);
+  lists.append_to(main_value, max_bytes);
+  std::vector<std::string> values = lists.take_parts(generation, max_bytes);
+  end_main_value(main_value, values.size());
+  values.insert(values.begin(), std::move(main_value));
+  return values;
+}
+
+bool fits_for_life(const sched::Job& job, std::size_t max_bytes) {
+  // Longer than the numbers that a job's record ever holds.
+  constexpr std::uint64_t kLargestAttempt = 9'999'999'999;
+  constexpr std::uint64_t kLargestRevision = 999'999'999'999'999;
+  sched::Job running = job;
+  running.last_attempt = kLargestAttempt;
+  running.record.revision = kLargestRevision;
+  running.placements.emplace_back();  // in a part, if the main value has no room
+  return write_record(job, max_bytes)[0].size() <= max_bytes &&
+         write_record(running, max_bytes)[0].size() <= max_bytes;
 }
 
 RecordResult<sched::Job> read_record(const std::string& text) {
@@ -205,6 +259,37 @@
   return std::strtoll(text.c_str() + position + field.size(), nullptr, 10);
 }
 
+RecordResult<std::optional<CancelledRecord>> cancel_record(const std::string& main_value,
+                                                           std::uint64_t revision,
+                                                           std::int64_t cancelled_at_ms,
+                                                           std::size_t max_bytes) {
+  using Cancelled = std::optional<CancelledRecord>;
+  auto unchanged = with_cancellation(main_value, cancelled_at_ms);
+  if (!unchanged) return base::Failure(unchanged.error());
+  if (unchanged->size() <= max_bytes) return Cancelled({std::move(*unchanged), 0, {}});
+  auto job = read_record(main_value);
+  if (!job) return base::Failure(job.error());
+  // Parts of versions before generations are valid only beside the revision of their main value.
+  const int old_parts = job->record.parts;
+  if (job->record.generation == 0 && old_parts > 0) return Cancelled();
+  const std::uint64_t generation = job->record.generation != 0 ? job->record.generation : revision;
+  job->cancelled_at_ms = cancelled_at_ms;
+  strip_for_cancellation(job->spec);
+  std::string value = begin_main_value(*job, job->spec, generation);
+  if (value.size() + kReservedBytes > max_bytes) {
+    shorten_labels(job->spec);
+    value = begin_main_value(*job, job->spec, generation);
+  }
+  Lists lists(*job);
+  lists.append_to(value, max_bytes);
+  CancelledRecord cancelled{"", old_parts, lists.take_parts(generation, max_bytes)};
+  const std::size_t parts = static_cast<std::size_t>(old_parts) + cancelled.new_parts.size();
+  end_main_value(value, parts);
+  if (value.size() > max_bytes || parts > kMaxParts) return Cancelled();
+  cancelled.main_value = std::move(value);
+  return Cancelled(std::move(cancelled));
+}
+
 RecordResult<std::string> with_cancellation(std::string text, std::int64_t cancelled_at_ms) {
   const std::string field = field_text(kCancelledField);
   const std::string not_cancelled = field + "0";
--- a/src/store/client.cpp
+++ b/src/store/client.cpp
@@ -61,8 +61,8 @@
       settings_(settings),
       request_bucket_(reactor, settings.state_rps),
       mutation_bucket_(reactor, settings.state_write_rps),
-      max_value_bytes_(static_cast<std::size_t>(settings.value_kb * 1024)),
-      max_mutations_(static_cast<std::size_t>(settings.txn_ops)) {
+      configured_limits_{static_cast<std::size_t>(settings.value_kb * 1024),
+                         static_cast<std::size_t>(settings.txn_ops)} {
   set_leading(false);
 }
 
@@ -128,12 +128,26 @@
   co_return reply;
 }
 
+const Client::Limits& Client::current_limits() const {
+  return reactor_.now() < lowered_until_ ? lowered_limits_ : configured_limits_;
+}
+
 // The store's limits can fall without notice. A write that exceeds them would be refused on every
 // retry if it were not made smaller.
-void Client::lower_limits() {
+void Client::lower_limits(const std::vector<wire::Mutation>& refused) {
   constexpr std::size_t kMinBytes = 1024, kMinMutations = 2;
-  max_value_bytes_ = std::max(max_value_bytes_ / 2, kMinBytes);
-  max_mutations_ = std::max(max_mutations_ / 2, kMinMutations);
+  // One refusal must not slow down all writes of this controller for good.
+  constexpr double kForgottenAfterCancelTimes = 10;
+  const Limits limits = current_limits();
+  const bool was_within_limits =
+      refused.size() <= limits.mutations &&
+      std::all_of(refused.begin(), refused.end(), [&](const wire::Mutation& mutation) {
+        return mutation.data.size() <= limits.value_bytes;
+      });
+  if (!was_within_limits) return;
+  lowered_limits_ = {std::max(limits.value_bytes / 2, kMinBytes),
+                     std::max(limits.mutations / 2, kMinMutations)};
+  lowered_until_ = reactor_.now() + kForgottenAfterCancelTimes * settings_.cancel_s;
 }
 
 Client::Charge Client::urgent_charge() {
@@ -170,7 +184,10 @@
   CompareAndSwapResult result;
   result.status = to_status(reply, Status::precondition_failed);
   // A 400 to a mutation with a lease may also mean that the lease has ended.
-  if (reply.status() == 400 && !any_has_lease(mutations)) lower_limits();
+  if (reply.status() == 400 && !any_has_lease(mutations)) {
+    result.too_large = true;
+    lower_limits(mutations);
+  }
   if (result.status == Status::ok || result.status == Status::precondition_failed) {
     const auto response = wire::parse_compare_and_swap_response(reply.response.body);
     if (!response) {
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -28,6 +28,9 @@
   Status status = Status::indeterminate;
   std::uint64_t revision = 0;            ///< if ok: revision of the written keys
   std::vector<std::string> failed_keys;  ///< keys whose compared revisions differ
+  /// If rejected: as malformed, which for a well-formed transaction means that it exceeds the
+  /// limits of the store. It will be rejected again.
+  bool too_large = false;
 };
 
 struct ReadResult {
@@ -89,9 +92,12 @@
   /// Requests per second that this controller may send.
   double request_rate() const { return request_bucket_.rate(); }
   /// Maximum size of a value and maximum number of mutations in a compare-and-swap: the limits of
-  /// the settings, or less after the store has refused a transaction as malformed.
-  std::size_t max_value_bytes() const { return max_value_bytes_; }
-  std::size_t max_mutations() const { return max_mutations_; }
+  /// the settings, or less for some time after the store has refused a smaller transaction as
+  /// malformed.
+  std::size_t max_value_bytes() const { return current_limits().value_bytes; }
+  std::size_t max_mutations() const { return current_limits().mutations; }
+  /// Maximum size of a value according to the settings, whatever the store has refused.
+  std::size_t configured_max_value_bytes() const { return configured_limits_.value_bytes; }
 
  private:
   /// Cost of a request, charged to the rate limits.
@@ -112,8 +118,16 @@
   /// Returns false and takes no tokens if they are not available by the deadline.
   net::Task<bool> wait_for_tokens(net::TokenBucket& bucket, double tokens, double overdraft,
                                   double deadline);
-  /// Halves the limits of a value and of a transaction.
-  void lower_limits();
+  /// Limits of one compare-and-swap.
+  struct Limits {
+    std::size_t value_bytes = 0;
+    std::size_t mutations = 0;
+  };
+  /// The lowered limits until they are forgotten, then those of the settings.
+  const Limits& current_limits() const;
+  /// Halves the limits of a value and of a transaction, unless the refused mutations exceeded them:
+  /// then the refusal was to be expected and shows nothing.
+  void lower_limits(const std::vector<wire::Mutation>& refused);
 
   net::Reactor& reactor_;
   net::Transport& transport_;
@@ -122,7 +136,9 @@
   net::TokenBucket request_bucket_;
   net::TokenBucket mutation_bucket_;
   double user_overdraft_ = 0;  ///< in mutations, for transactions of the job API
-  std::size_t max_value_bytes_, max_mutations_;
+  Limits configured_limits_;
+  Limits lowered_limits_;
+  double lowered_until_ = 0;
 };
 
 }  // namespace cranklock::store
--- a/tests/store_client_test.cpp
+++ b/tests/store_client_test.cpp
@@ -113,6 +113,30 @@
   EXPECT_EQ(client.max_mutations(), max_mutations / 2);
 }
 
+// Guards against a record that can't be written and, refused again and again, slows down all
+// others.
+TEST_F(StoreClientTest, RefusalOfATransactionBeyondTheLimitsShowsNothing) {
+  const auto max_value_bytes = client.max_value_bytes();
+  const auto max_mutations = client.max_mutations();
+  set_response(400);
+  compare_and_swap({{"jobs/j-1", std::string(max_value_bytes + 1, 'x'), 0}});
+  compare_and_swap(std::vector<wire::Mutation>(max_mutations + 1, {"jobs/j-1", "1", 0}));
+  EXPECT_EQ(client.max_value_bytes(), max_value_bytes);
+  EXPECT_EQ(client.max_mutations(), max_mutations);
+}
+
+TEST_F(StoreClientTest, LoweredLimitsAreForgottenWithoutARestart) {
+  const auto max_value_bytes = client.max_value_bytes();
+  set_response(400);
+  compare_and_swap();
+  ASSERT_EQ(client.max_value_bytes(), max_value_bytes / 2);
+  EXPECT_EQ(client.configured_max_value_bytes(), max_value_bytes);
+  reactor.run_until(reactor.now() + 10 * settings.cancel_s - 1);
+  EXPECT_EQ(client.max_value_bytes(), max_value_bytes / 2);
+  reactor.run_until(reactor.now() + 2);
+  EXPECT_EQ(client.max_value_bytes(), max_value_bytes);
+}
+
 TEST_F(StoreClientTest, TransactionWithLeaseDoesNotLowerTheLimits) {
   const auto max_value_bytes = client.max_value_bytes();
   set_response(400);
--- a/tests/versions_test.cpp
+++ b/tests/versions_test.cpp
@@ -6,6 +6,7 @@
 #include "control/job_record.hpp"
 #include "control/small_records.hpp"
 #include "fixtures.hpp"
+#include "older_version.hpp"
 #include "peer/frames.hpp"
 #include "sched/availability.hpp"
 
@@ -29,54 +30,6 @@
 
 constexpr std::size_t kMaxBytes = 8192;  ///< of a value, by the current limits
 
-/// Whether the production version accepts a main value. The required fields are taken from its
-/// sources; it leaves any other record unchanged as malformed.
-bool older_version_reads(const std::string& text) {
-  const wire::JsonDocument document(text);
-  if (!document.is_object()) return false;
-  const wire::Json& record = document.root();
-  const wire::Json* job = wire::find(record, "job");
-  const auto parts = wire::read_count(record, "parts");
-  if (job == nullptr || !wire::read_amount(record, "at") || !wire::read_amount(record, "w")) {
-    return false;
-  }
-  if (!wire::read_count(record, "n") || !parts || *parts > 64) return false;
-  for (const char* text_field : {"Id", "Gear", "Crew", "Shape", "Rank", "Cast"}) {
-    if (!wire::read_text(*job, text_field)) return false;
-  }
-  for (const char* amount :
-       {"Cpus", "Accelerators", "MemGb", "SizeGb", "ExpectS", "NotchS", "StowS"}) {
-    if (!wire::read_amount(*job, amount)) return false;
-  }
-  for (const char* flag : {"OneZone", "Apart", "Loaners"}) {
-    if (!wire::read_flag(*job, flag)) return false;
-  }
-  return wire::read_count(*job, "Teeth").has_value();
-}
-
-/// Number of placements that the older version reads from a main value and its parts; -1 if a part
-/// belongs to another write or a placement does not have the three required fields.
-int placements_of_older_version(const std::vector<std::string>& values) {
-  int placements = 0;
-  std::uint64_t main_generation = 0;
-  for (std::size_t i = 0; i < values.size(); ++i) {
-    const wire::JsonDocument document(values[i]);
-    const auto generation = wire::read_count(document.root(), "g").value_or(0);
-    if (i == 0) main_generation = generation;
-    if (generation != main_generation) return -1;
-    const wire::Json* list = wire::find(document.root(), "p");
-    if (list == nullptr) continue;
-    for (const auto& placement : list->GetArray()) {
-      if (placement.Size() != 3 || !placement[0].IsUint() || !placement[1].IsUint64() ||
-          !placement[2].IsString()) {
-        return -1;
-      }
-      ++placements;
-    }
-  }
-  return placements;
-}
-
 /// A job array with all tasks placed.
 sched::Job long_job(std::uint32_t tasks) {
   sched::Job job = make_job("j-000001", wire::JobKind::job_array, tasks, 1);
