Job API: the writes of a cancellation have a module of their own

Change: CancellationWriter makes a cancelled record fit and writes it; JobApi asks for it in its two places. No change in behaviour.

--- a/src/control/job_api.cpp
+++ b/src/control/job_api.cpp
@@ -1,6 +1,5 @@
 #include "control/job_api.hpp"
 
-#include <algorithm>
 #include <cstddef>
 #include <optional>
 
@@ -43,20 +42,6 @@
   return unprocessable(to_text(reason));
 }
 
-/// The mutations that write the first new parts, at most so many; removes them from the record.
-std::vector<wire::Mutation> part_mutations(const std::string& id, CancelledRecord& record,
-                                           std::size_t max_count) {
-  const std::size_t count = std::min(max_count, record.new_parts.size());
-  std::vector<wire::Mutation> mutations;
-  for (std::size_t i = 0; i < count; ++i) {
-    mutations.push_back({part_key(id, record.first_new_part), std::move(record.new_parts[i]), 0});
-    ++record.first_new_part;
-  }
-  record.new_parts.erase(record.new_parts.begin(),
-                         record.new_parts.begin() + static_cast<std::ptrdiff_t>(count));
-  return mutations;
-}
-
 /// Counts a request against a limiter during its lifetime.
 class RequestInProgress {
  public:
@@ -79,6 +64,7 @@
       lookup_(services.store, std::move(store_reachable)),
       dependency_check_(services.reactor, services.settings.cancel_s, lookup_),
       status_cache_(services.reactor, services.settings, services.store),
+      cancellations_(services),
       write_limiter_(kMinInProgress, max_in_progress(services.settings), kSlowResponseS),
       // Waiting for a delta sync does not count as slow.
       read_limiter_(kMinInProgress, max_in_progress(services.settings),
@@ -241,7 +227,7 @@
     }
     if (verdict != DependencyCheck::Verdict::cancelled) co_return JobState::queued;
     const std::string id = found.job.spec.id;
-    auto writing = write_cancellation(id, found);
+    auto writing = cancellations_.write(id, found);
     const auto written = co_await writing;
     if (written.status == Status::ok) co_return JobState::cancelled;
     auto finding = lookup_.find(id);
@@ -283,45 +269,6 @@
 
 // ---- cancellations ----
 
-Task<store::CompareAndSwapResult> JobApi::write_first_parts(const std::string& id,
-                                                            std::uint64_t revision,
-                                                            CancelledRecord& record) {
-  store::CompareAndSwapResult written;
-  written.status = Status::ok;
-  while (written.status == Status::ok &&
-         record.new_parts.size() + 1 > services_.store.max_mutations()) {
-    auto mutations = part_mutations(id, record, services_.store.max_mutations());
-    std::vector<wire::Compare> compares{{job_key(id), revision}};
-    auto writing =
-        services_.store.compare_and_swap(std::move(compares), std::move(mutations),
-                                         kClientRequestTimeoutS, store::Client::Priority::user);
-    written = co_await writing;
-  }
-  co_return written;
-}
-
-Task<store::CompareAndSwapResult> JobApi::write_cancellation(std::string id,
-                                                             const StoredJob& found) {
-  const std::uint64_t revision = found.job.record.revision;
-  auto cancelled = cancel_record(found.main_value, revision, services_.reactor.wall_ms(),
-                                 services_.store.max_value_bytes());
-  store::CompareAndSwapResult rejected;
-  rejected.status = Status::rejected;
-  if (!cancelled || !*cancelled) co_return rejected;
-  CancelledRecord& record = **cancelled;
-  auto writing_parts = write_first_parts(id, revision, record);
-  auto parts_written = co_await writing_parts;
-  if (parts_written.status != Status::ok) co_return parts_written;
-  auto mutations = part_mutations(id, record, record.new_parts.size());
-  mutations.push_back({job_key(id), std::move(record.main_value), 0});
-  std::vector<wire::Compare> compares{{job_key(id), revision}};
-  auto writing =
-      services_.store.compare_and_swap(std::move(compares), std::move(mutations),
-                                       kClientRequestTimeoutS, store::Client::Priority::user);
-  auto written = co_await writing;
-  co_return written;
-}
-
 Task<Response> JobApi::cancel(std::string id) {
   if (!wire::valid_job_id(id)) co_return no_such_job();
   const double deadline = services_.reactor.now() + 2 * kClientRequestTimeoutS;
@@ -335,7 +282,7 @@
       co_return state_response(200, id, found->outcome.state);
     }
     if (found->cancelled()) co_return state_response(200, id, JobState::cancelled);
-    auto writing = write_cancellation(id, *found);
+    auto writing = cancellations_.write(id, *found);
     const auto written = co_await writing;
     if (written.status == Status::ok) co_return state_response(200, id, JobState::cancelled);
     // The next try writes a smaller record.
--- a/src/control/job_api.hpp
+++ b/src/control/job_api.hpp
@@ -9,9 +9,9 @@
 
 #include "base/result.hpp"
 #include "control/api_responses.hpp"
+#include "control/cancellation_writer.hpp"
 #include "control/dependency_check.hpp"
 #include "control/job_lookup.hpp"
-#include "control/job_record.hpp"
 #include "control/job_routes.hpp"
 #include "control/leader_term.hpp"
 #include "control/services.hpp"
@@ -61,19 +61,12 @@
   /// The job's state to report to a client. If a dependency was cancelled, first marks the job as
   /// cancelled in its record.
   net::Task<base::Result<wire::JobState, StateError>> reportable_state(StoredJob found);
-  /// Writes new parts of a record, of this revision, until the others and the main value fit into
-  /// one transaction; removes them from the list. Readers ignore them until the main value counts
-  /// them.
-  net::Task<store::CompareAndSwapResult> write_first_parts(const std::string& id,
-                                                           std::uint64_t revision,
-                                                           CancelledRecord& record);
-  /// Marks a live record as cancelled, and makes it smaller if it would not fit otherwise.
-  net::Task<store::CompareAndSwapResult> write_cancellation(std::string id, const StoredJob& found);
 
   Services services_;
   JobLookup lookup_;
   DependencyCheck dependency_check_;
   StatusCache status_cache_;
+  CancellationWriter cancellations_;
   net::Limiter write_limiter_;  ///< for submissions and cancellations
   net::Limiter read_limiter_;   ///< separate, so that status requests do not delay writes
   std::vector<wire::MachineType> types_;
