Randomized clusters with machines that fail tasks for a while: 120 seeds in the suite

Some machines fail the tasks that begin to run there for up to a minute, beside the other faults; half of the seeds have gangs. Every job must end within the recovery time of pipelines.

--- a/tests/randomized_cluster_test.cpp
+++ b/tests/randomized_cluster_test.cpp
@@ -32,13 +32,16 @@
     while (cluster.reactor.now() < kFaultPhaseS) {
       if (submitted_ < kMaxJobs && draw() < 0.35) add_job();
       if (active_faults_.size() < kMaxFaults && draw() < 0.25) inject_fault();
+      if (failing_machines && draw() < 0.1) fail_new_tasks();
       cluster.run(1);
       end_faults(false);
     }
     end_faults(true);
     // The stages of a pipeline run one after the other, and a gang waits until its team's limit has
-    // room for all its tasks.
-    const double recovery_s = pipelines || gangs ? 1.5 * kRecoveryPhaseS : kRecoveryPhaseS;
+    // room for all its tasks. Retries on a machine that failed tasks are up to half of cancel_s
+    // apart.
+    const bool takes_longer = pipelines || gangs || failing_machines;
+    const double recovery_s = takes_longer ? 1.5 * kRecoveryPhaseS : kRecoveryPhaseS;
     for (double waited_s = 0; waited_s < recovery_s && ended_jobs() < submitted_; ++waited_s)
       cluster.run(1);
     EXPECT_EQ(ended_jobs(), submitted_) << "jobs not ended:" << unfinished_records();
@@ -51,6 +54,8 @@
 
   bool pipelines = false;  ///< half of the jobs depend on others
   bool gangs = false;      ///< half of the jobs that are no services are gangs
+  /// Some machines fail the tasks that begin to run there, while earlier ones go on.
+  bool failing_machines = false;
 
  private:
   static constexpr int kMaxJobs = 25;
@@ -215,6 +220,15 @@
     }
   }
 
+  void fail_new_tasks() {
+    constexpr double kMaxDurationS = 60;
+    const TestCluster::Worker* worker = random_worker();
+    if (worker == nullptr) return;
+    cluster.new_tasks_fail_since[worker->id] = cluster.reactor.now();
+    end_after(kMaxDurationS * draw(),
+              [this, id = worker->id] { cluster.new_tasks_fail_since.erase(id); });
+  }
+
   void end_faults(bool all) {
     for (std::size_t i = 0; i < active_faults_.size();) {
       if (!all && active_faults_[i].ends_at > cluster.reactor.now()) {
@@ -337,5 +351,18 @@
 
 INSTANTIATE_TEST_SUITE_P(Seed, OverlappingFaultsWithGangs, ::testing::Range(201U, 321U));
 
+class OverlappingFaultsWithFailingMachines : public OverlappingFaults {};
+
+// Guards against machines and jobs that are kept apart for good after tasks have failed. Half of
+// the seeds have gangs.
+TEST_P(OverlappingFaultsWithFailingMachines, ViolatesNoRuleAndEndsAllJobs) {
+  RandomizedCluster randomized(GetParam());
+  randomized.failing_machines = true;
+  randomized.gangs = GetParam() % 4 < 2;
+  randomized.run();
+}
+
+INSTANTIATE_TEST_SUITE_P(Seed, OverlappingFaultsWithFailingMachines, ::testing::Range(401U, 521U));
+
 }  // namespace
 }  // namespace cranklock::testing
