A placement is stored only with or after the quota releases that it rests on

What users saw: a team with a limit of 36 GPUs had 37 on machines, a second after all five controllers, which had been killed, were back.

Cause: a placement that is proven gone was free for its team at once, in the leader's memory. Its job's record was written later, and behind the records of new placements (starts go first, releases wait up to a second, a transaction holds 24 changes). In between the store named both the placement that had ended and the one that had taken its quota. If every controller ended then, the next leader read both. The proof was its predecessor's alone: where a lease had run out, no agent reported the old task, and the new leader started it again.

Fix: RecordBatchBuilder asks StoredQuota before it adds a record. A record that would take the stored placements of its team over the limit is preceded, in the same transaction where it fits, by just the releases that it needs; else it waits for the next one. Where earlier writes are unanswered each record counts with the most that it may hold; a job whose release and new placement are both undecided is written without the new placement if others wait for it. Cancelled jobs are left out, since no leader starts them. Placement itself is unchanged: no part of a limit is kept free, and teams below their limits are written as before.

Regions gave quota away on the same premise (allocated_quota); they count releases until they are stored.

The test cluster checks the stored placements after every transaction, and the limits at the agents whenever a task gets its image.

--- a/src/control/job_record.cpp
+++ b/src/control/job_record.cpp
@@ -56,7 +56,7 @@
 ItemList format_placements(const sched::Job& job) {
   ItemList list{kPlacementsField, {}};
   for (const auto& placement : job.placements) {
-    if (placement.ended || placement.abandoned()) continue;
+    if (!placement.is_recorded()) continue;
     list.items.push_back("[" + std::to_string(placement.task) + "," +
                          std::to_string(placement.attempt) + ",\"" + placement.machine + "\"]");
   }
--- a/src/control/record_writer.cpp
+++ b/src/control/record_writer.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/event_log.hpp"
+#include "control/record_batch_builder.hpp"
 #include "control/record_keys.hpp"
 #include "control/services.hpp"
 #include "control/write_order.hpp"
@@ -29,11 +30,6 @@
          (result.failed_keys.empty() || contains(result.failed_keys, job_key(job_id)));
 }
 
-/// Whether the job has ended: no placement is left on a machine, and none will be made.
-bool has_ended(const Job& job) {
-  return job.cancelled() ? job.live_count() == 0 : job.complete();
-}
-
 }  // namespace
 
 RecordWriter::RecordWriter(LeaderContext& context, RecordReloader& reloader)
@@ -57,46 +53,17 @@
   co_return WriteResult::unresolved;
 }
 
-// ---- building batches ----
-
 RecordBatch RecordWriter::next_batch() {
   RecordBatch batch(context_.lease.fencing_token(), {context_.services.store.max_value_bytes(),
                                                      context_.services.store.max_mutations()});
   const auto is_reloading = [&](const std::string& id) { return reloader_.is_requested(id); };
-  for (Job* job :
-       order_writes(context_.cluster, {now(), context_.services.settings.cancel_s, is_reloading})) {
-    BatchEntry entry = make_entry(*job);
-    const std::size_t bytes = request_bytes(entry);
-    const auto result = batch.add(std::move(entry));
-    if (result == RecordBatch::AddResult::batch_full) break;
-    if (result == RecordBatch::AddResult::added) {
-      job->record.dirty = false;
-      job->record.dirty_since = 0;
-    } else if (!std::exchange(job->record.too_large, true)) {
-      // Skipped and logged once: a record that fits no batch must not block all other writes.
-      base::log_error("record too large", base::field("job", job->spec.id),
-                      base::field("bytes", bytes));
-    }
-  }
+  const auto jobs =
+      order_writes(context_.cluster, {now(), context_.services.settings.cancel_s, is_reloading});
+  RecordBatchBuilder(context_, jobs, batch).add_records();
   batch.remove_stale_parts(stale_parts_);
   return batch;
 }
 
-BatchEntry RecordWriter::make_entry(const Job& job) const {
-  if (!has_ended(job)) return make_record_entry(job, context_.services.store.max_value_bytes());
-  return make_outcome_entry(job, outcome_of(job), context_.services.store.max_mutations());
-}
-
-JobOutcome RecordWriter::outcome_of(const Job& job) const {
-  JobOutcome outcome;
-  outcome.state = job.cancelled() ? wire::JobState::cancelled : wire::JobState::done;
-  outcome.tasks = job.done.size();
-  // Stored only for dependents: their waiting time starts at this time.
-  const bool has_dependents = context_.cluster.dependencies().has_dependents(job.spec.id);
-  if (has_dependents) outcome.ended_ms = context_.services.reactor.wall_ms();
-  return outcome;
-}
-
 // ---- failed and unanswered writes ----
 
 // Marks records for another write if the write was rejected, failed because of another record or
@@ -122,6 +89,7 @@
   if (job == nullptr) return;
   job->record.dirty = true;
   if (result.status != Status::indeterminate) return;
+  job->record.placements.extend(entry.live.size());
   for (const auto& [task, attempt] : entry.live) {
     auto* placement = job->find(task, attempt);
     if (placement == nullptr || placement->ended) continue;
@@ -147,6 +115,7 @@
 void RecordWriter::apply_record_stored(const BatchEntry& entry, Job& job, std::uint64_t revision) {
   job.record.revision = revision;
   job.record.parts = entry.parts;
+  job.record.placements.set(entry.live.size());
   for (const auto& [task, attempt] : entry.live) {
     auto* placement = job.find(task, attempt);
     if (placement == nullptr) continue;
@@ -164,6 +133,10 @@
     ended.push_back(abandoned);
   }
   context_.cluster.erase_ended(job, ended);
+  // The record was written without the other placements, so no earlier write can still add them.
+  for (auto& placement : job.placements) {
+    if (placement.write == PlacementWrite::unresolved) placement.write = PlacementWrite::pending;
+  }
 }
 
 // Dependents may rely on the outcome only now that its write was confirmed (invariant 14).
--- a/src/control/record_writer.hpp
+++ b/src/control/record_writer.hpp
@@ -40,8 +40,6 @@
 
  private:
   RecordBatch next_batch();
-  BatchEntry make_entry(const sched::Job& job) const;
-  JobOutcome outcome_of(const sched::Job& job) const;
   void apply_stored(const RecordBatch& batch, std::uint64_t revision);
   void apply_record_stored(const BatchEntry& entry, sched::Job& job, std::uint64_t revision);
   void apply_outcome_stored(const BatchEntry& entry, const sched::Job& job);
--- a/src/regions/demand.cpp
+++ b/src/regions/demand.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include "sched/availability.hpp"
+#include "sched/stored_quota.hpp"
 
 namespace cranklock::regions {
 namespace {
@@ -41,7 +42,7 @@
 }
 
 QuotaAmounts allocated_quota(const sched::ClusterState& cluster, const std::string& team) {
-  return quota_used_by(cluster.team_allocation(team));
+  return quota_used_by(cluster.team_allocation(team) + sched::unrecorded_releases(cluster, team));
 }
 
 }  // namespace cranklock::regions
--- a/src/regions/demand.hpp
+++ b/src/regions/demand.hpp
@@ -14,7 +14,8 @@
 /// not for each message.
 std::map<std::string, TeamDemand> demands_of_waiting_work(sched::ClusterState& cluster, double now);
 
-/// Quota that the team's placements use now.
+/// Quota that the team's placements use now, or would use again under a new leader: also that of
+/// placements that have ended and that a stored record may still contain. Iterates over all jobs.
 QuotaAmounts allocated_quota(const sched::ClusterState& cluster, const std::string& team);
 
 }  // namespace cranklock::regions
--- a/src/sched/availability.hpp
+++ b/src/sched/availability.hpp
@@ -14,6 +14,11 @@
 /// in a single transaction, so the size limits of the key-value store bound this number.
 std::size_t max_live_tasks(const base::Settings& settings);
 
+/// Whether this sum of resources is within the team's quota limit. False for a team that is not in
+/// the settings.
+bool is_within_limit(const ClusterState& cluster, const std::string& team,
+                     const wire::Resources& sum);
+
 /// Whether the team stays within its quota limit if it uses `additional` resources on top of its
 /// current allocation, which includes every placement not yet proven gone (invariant 9). False for
 /// a team that is not in the settings.
--- a/src/sched/cluster_state.cpp
+++ b/src/sched/cluster_state.cpp
@@ -18,6 +18,7 @@
       commands_(settings, jobs_) {}
 
 Job& ClusterState::upsert_job(Job job, double now) {
+  job.record.placements.set(job.placements.size());
   if (Job* known = jobs_.find(job.spec.id)) {
     carry_over_runtime_state(job, *known);
     placements_.detach_all(*known, now);
--- a/src/sched/cluster_state.hpp
+++ b/src/sched/cluster_state.hpp
@@ -67,6 +67,7 @@
   /// nullptr: the job is not live.
   Job* job(const std::string& id) { return jobs_.find(id); }
   std::map<std::string, Job>& jobs() { return jobs_.all(); }
+  const std::map<std::string, Job>& jobs() const { return jobs_.all(); }
 
   // Placements; see PlacementTracker.
   Placement& add_placement(Job& job, std::uint32_t task, std::uint64_t attempt,
@@ -81,7 +82,7 @@
   }
   void end_all_placements(Machine& machine, double now) { placements_.end_all(machine, now); }
   void erase_ended(Job& job, const std::vector<PlacementKey>& written) {
-    PlacementTracker::erase_ended(job, {written.begin(), written.end()});
+    placements_.erase_ended(job, {written.begin(), written.end()});
   }
 
   // Machines.
@@ -158,6 +159,8 @@
   const wire::Resources& team_allocation(const std::string& team) const {
     return quota_.allocated(team);
   }
+  /// See QuotaUsage::ended.
+  const wire::Resources& team_ended(const std::string& team) const { return quota_.ended(team); }
   /// See QuotaUsage::set_shares.
   void set_team_shares(const TeamShares* shares) { quota_.set_shares(shares); }
   wire::Resources guarantee_for(const base::Team& team) const { return quota_.guarantee(team); }
--- a/src/sched/job.cpp
+++ b/src/sched/job.cpp
@@ -77,6 +77,11 @@
                                                 [](const Placement& p) { return !p.ended; }));
 }
 
+std::size_t Job::recorded_count() const {
+  return static_cast<std::size_t>(std::count_if(
+      placements.begin(), placements.end(), [](const Placement& p) { return p.is_recorded(); }));
+}
+
 // Binary search, since arrays may have a thousand live tasks and a heartbeat may name hundreds: a
 // linear search for each would overload a small processor.
 std::vector<Placement>::iterator Job::position(std::uint32_t task, std::uint64_t attempt) {
--- a/src/sched/job.hpp
+++ b/src/sched/job.hpp
@@ -1,7 +1,9 @@
 // The leader's state of a job: its specification, completed tasks and placements.
 #pragma once
 
+#include <algorithm>
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <set>
@@ -91,6 +93,8 @@
     return write == PlacementWrite::unresolved || write == PlacementWrite::abandoned;
   }
   bool abandoned() const { return write == PlacementWrite::abandoned; }
+  /// Whether records written from now on contain it.
+  bool is_recorded() const { return !ended && !abandoned(); }
   /// Requests a stop; the first request sets the grace period.
   void request_stop(double grace, double now);
   /// Requests the stop of a replica that a router keeps drained until `deadline`, or extends the
@@ -111,8 +115,23 @@
   std::int64_t start_by_ms = kNoDeadline;
 };
 
+/// Bounds of the number of placements in a stored record. They differ while it is unknown whether a
+/// write was applied.
+struct StoredPlacementCount {
+  std::size_t least = 0, most = 0;
+
+  /// The record is known to contain this number.
+  void set(std::size_t count) { least = most = count; }
+  /// A write with this number of placements may be applied.
+  void extend(std::size_t count) {
+    least = std::min(least, count);
+    most = std::max(most, count);
+  }
+};
+
 /// State of a job's record in the state service, as known to this leader.
 struct RecordStatus {
+  StoredPlacementCount placements;
   std::uint64_t revision = 0;  ///< of the main value; writes compare and swap on it
   int parts = 0;               ///< number of values stored in addition to the main value
   /// Generation of the write that created the record, equal in the main value and its parts; a
@@ -187,6 +206,8 @@
   void complete_partly_done_gang();
   /// The number of placements that have not ended.
   std::size_t live_count() const;
+  /// The number of placements that a record written now would contain.
+  std::size_t recorded_count() const;
   /// The position of the task's attempt in `placements`, or its insertion point.
   std::vector<Placement>::iterator position(std::uint32_t task, std::uint64_t attempt);
   /// nullptr: no such placement.
--- a/src/sched/job_table.hpp
+++ b/src/sched/job_table.hpp
@@ -32,6 +32,7 @@
   Job* find(const std::string& id);
   const Job* find(const std::string& id) const;
   std::map<std::string, Job>& all() { return jobs_; }
+  const std::map<std::string, Job>& all() const { return jobs_; }
   const Dependencies& dependencies() const { return dependencies_; }
 
   /// Cancels the job and all its live direct and transitive dependents. `at_ms` is the time of day
--- a/src/sched/placement_tracker.cpp
+++ b/src/sched/placement_tracker.cpp
@@ -27,8 +27,9 @@
     placement.write = PlacementWrite::abandoned;
     return;
   }
-  placement.ended = true;
   detach(job, placement, now);
+  placement.ended = true;
+  attach(job, placement);
 }
 
 void PlacementTracker::resolve_abandoned(Job& job, Placement& placement, double now) {
@@ -40,7 +41,9 @@
 
 void PlacementTracker::erase_ended(Job& job, const std::set<PlacementKey>& written) {
   std::erase_if(job.placements, [&](const Placement& placement) {
-    return placement.ended && written.contains(placement.key());
+    if (!placement.ended || !written.contains(placement.key())) return false;
+    quota_.remove_ended(job.spec.team, job.spec.resources);
+    return true;
   });
 }
 
@@ -68,18 +71,17 @@
 }
 
 void PlacementTracker::detach_all(Job& job, double now) {
-  for (const Placement& placement : job.placements) {
-    if (!placement.ended) detach(job, placement, now);
-  }
+  for (const Placement& placement : job.placements) detach(job, placement, now);
 }
 
 void PlacementTracker::attach(Job& job, const Placement& placement) {
-  if (placement.ended) return;
+  if (placement.ended) return quota_.add_ended(job.spec.team, job.spec.resources);
   quota_.add(job.spec.team, job.spec.resources);
   machines_.attach({&job, placement.task, placement.attempt}, placement.machine);
 }
 
 void PlacementTracker::detach(Job& job, const Placement& placement, double now) {
+  if (placement.ended) return quota_.remove_ended(job.spec.team, job.spec.resources);
   quota_.release(job.spec.team, job.spec.resources);
   machines_.detach({&job, placement.task, placement.attempt}, placement.machine, now);
 }
--- a/src/sched/placement_tracker.hpp
+++ b/src/sched/placement_tracker.hpp
@@ -12,7 +12,8 @@
 namespace cranklock::sched {
 
 /// Keeps the placements of jobs, the allocation of machines and the quota use of teams consistent:
-/// a placement counts in all three from its decision until it is proven gone (invariants 4 and 9).
+/// a placement counts in all three from its decision until it is proven gone (invariants 4 and 9),
+/// and after that among the ended ones of its team until a record without it is stored.
 class PlacementTracker {
  public:
   /// All three must outlive this object.
@@ -30,7 +31,7 @@
   void resolve_abandoned(Job& job, Placement& placement, double now);
   /// Erases those of the `written` placements that have ended. The durable record no longer
   /// contains them, since they were left out of a write that has succeeded.
-  static void erase_ended(Job& job, const std::set<PlacementKey>& written);
+  void erase_ended(Job& job, const std::set<PlacementKey>& written);
   /// Ends all placements on a machine whose tasks are all proven gone. Requests a stop of the other
   /// tasks of their gangs.
   void end_all(Machine& machine, double now);
--- a/src/sched/quota_usage.cpp
+++ b/src/sched/quota_usage.cpp
@@ -11,9 +11,25 @@
 }
 
 const wire::Resources& QuotaUsage::allocated(const std::string& team) const {
+  return find(allocated_, team);
+}
+
+void QuotaUsage::add_ended(const std::string& team, const wire::Resources& resources) {
+  ended_[team] += resources;
+}
+
+void QuotaUsage::remove_ended(const std::string& team, const wire::Resources& resources) {
+  ended_[team] -= resources;
+}
+
+const wire::Resources& QuotaUsage::ended(const std::string& team) const {
+  return find(ended_, team);
+}
+
+const wire::Resources& QuotaUsage::find(const ResourcesByTeam& sums, const std::string& team) {
   static const wire::Resources none;
-  const auto found = allocated_.find(team);
-  return found == allocated_.end() ? none : found->second;
+  const auto found = sums.find(team);
+  return found == sums.end() ? none : found->second;
 }
 
 wire::Resources QuotaUsage::guarantee(const base::Team& team) const {
--- a/tests/fixtures.hpp
+++ b/tests/fixtures.hpp
@@ -101,6 +101,7 @@
       placement.write = sched::PlacementWrite::durable;
     }
     cluster.erase_ended(job, ended);
+    job.record.placements.set(job.placements.size());
     job.record.dirty = false;
   }
 };
--- a/tests/placement_tracker_test.cpp
+++ b/tests/placement_tracker_test.cpp
@@ -66,7 +66,7 @@
   for (std::uint32_t task = 0; task < 3; ++task) placements.add(job, task, task + 1, "n-1", 0);
   placements.end(job, job.placements[0], 1);
   placements.end(job, job.placements[1], 1);
-  PlacementTracker::erase_ended(job, {{0, 1}, {2, 3}});
+  placements.erase_ended(job, {{0, 1}, {2, 3}});
   ASSERT_EQ(job.placements.size(), 2U);
   EXPECT_EQ(job.placements[0].task, 1U);
   EXPECT_EQ(job.placements[1].task, 2U);
--- a/tests/rule_checker.cpp
+++ b/tests/rule_checker.cpp
@@ -201,8 +201,7 @@
     }
   }
   for (const auto& [name, resources] : use) {
-    const auto* team = settings_.find_team(name);
-    if (team != nullptr && team->gpus_max > 0 && resources.gpus > team->gpus_max + 1e-6) {
+    if (exceeds_limit(name, resources)) {
       std::string tasks;
       for (const auto& task : held) {
         if (jobs_.at(task.job).spec.team != name) continue;
@@ -214,4 +213,22 @@
   }
 }
 
+bool RuleChecker::exceeds_limit(const std::string& team, const wire::Resources& use) const {
+  constexpr double kAmountTolerance = 1e-6;  // rounding of sums of decimals
+  const auto* limits = settings_.find_team(team);
+  if (limits == nullptr) return false;
+  return (limits->gpus_max > 0 && use.gpus > limits->gpus_max + kAmountTolerance) ||
+         (limits->cpus_max > 0 && use.cpus > limits->cpus_max + kAmountTolerance);
+}
+
+void RuleChecker::check_stored_use(const std::map<std::string, wire::Resources>& use_by_team,
+                                   double now) {
+  for (const auto& [team, use] : use_by_team) {
+    if (!exceeds_limit(team, use)) continue;
+    report_violation("stored_quota", team + ": " + std::to_string(use.gpus) + " GPUs, " +
+                                         std::to_string(use.cpus) + " CPUs at " +
+                                         std::to_string(now));
+  }
+}
+
 }  // namespace cranklock::testing
--- a/tests/rule_checker.hpp
+++ b/tests/rule_checker.hpp
@@ -58,6 +58,9 @@
   void on_task_started(const HeldTask& task, const std::vector<HeldTask>& others, double now);
   /// Checks that the tasks held now exceed no quota and include none cancelled over cancel_s ago.
   void check_held_tasks(const std::vector<HeldTask>& held, double now);
+  /// Checks that the placements in the stored job records, summed by team, exceed no quota. Not a
+  /// rule of PROTOCOL: a new leader would start them all.
+  void check_stored_use(const std::map<std::string, wire::Resources>& use_by_team, double now);
   /// Records that a start command has reached a machine.
   void on_start_command(const std::string& job, double now);
 
@@ -86,6 +89,7 @@
   bool cancel_requested(const std::string& job) const;
   void check_dependencies_done(const std::string& job, const std::string& task);
   void report_violation(const std::string& rule, const std::string& how);
+  bool exceeds_limit(const std::string& team, const wire::Resources& use) const;
   const base::Settings& settings_;
   std::map<std::string, Job> jobs_;
 };
--- a/tests/test_cluster.hpp
+++ b/tests/test_cluster.hpp
@@ -21,6 +21,7 @@
 #include "fixtures.hpp"
 #include "rule_checker.hpp"
 #include "state_stand_in.hpp"
+#include "stored_placements.hpp"
 #include "traffic_event.hpp"
 #include "worker_stand_in.hpp"
 
@@ -242,6 +243,8 @@
   bool is_write_delayed(int node);
   bool write_response_is_lost();
   net::Task<void> apply_late(net::Request request, double delay_s);
+  /// Executes the request, and checks what is stored if that has changed it.
+  net::Response handle_state_request(const net::Request& request);
 
   // test_cluster_cloud.cpp
   /// Calls the cloud, stores the reply in `call` and signals the caller.
@@ -296,6 +299,7 @@
   net::Task<void> send_peer_heartbeats(int node);
   net::Task<void> deliver_peer_frame(int from, int to, peer::Frame frame);
 
+  StoredPlacements stored_placements_;
   std::unique_ptr<AgentEnvironment> environment_;
   std::vector<std::string> zones_;
   std::vector<std::unique_ptr<Host>> hosts_;
--- a/tests/test_cluster_agents.cpp
+++ b/tests/test_cluster_agents.cpp
@@ -21,8 +21,15 @@
 
 bool TestCluster::AgentEnvironment::on_image_fetched(const WorkerStandIn& worker,
                                                      const wire::TaskName& task) {
+  auto held_tasks = cluster_.tasks_on_machines();
+  for (auto& held : held_tasks) {
+    const bool is_this_task =
+        held.job == task.job && held.task == task.index && held.machine == worker.id;
+    if (is_this_task) held.has_image = true;
+  }
+  cluster_.rules.check_held_tasks(held_tasks, cluster_.reactor.now());
   std::vector<HeldTask> others;
-  for (auto& held : cluster_.tasks_on_machines()) {
+  for (auto& held : held_tasks) {
     if (held.job != task.job || !held.has_image) continue;
     cluster_.duplicate_starts += held.task == task.index && held.machine != worker.id ? 1 : 0;
     others.push_back(std::move(held));
--- a/tests/test_cluster_state_service.cpp
+++ b/tests/test_cluster_state_service.cpp
@@ -48,7 +48,7 @@
     const bool hangs = watch && (state_refuses(node) || hanging_watches.contains(node));
     if (hangs && reactor.now() >= until) co_return Reply{};
     if (!hangs) {
-      Response response = state_service.handle(request);
+      Response response = handle_state_request(request);
       const bool waits = watch && has_no_changes(response) && reactor.now() < opened + hold_s;
       if (!waits) {
         if (write && response.status == 200 && write_response_is_lost()) {
@@ -83,7 +83,15 @@
     Sleep outage(reactor, 0.1);
     co_await outage;
   }
-  state_service.handle(request);
+  handle_state_request(request);
+}
+
+net::Response TestCluster::handle_state_request(const net::Request& request) {
+  const auto writes_before = state_service.writes;
+  Response response = state_service.handle(request);
+  if (state_service.writes == writes_before) return response;
+  rules.check_stored_use(stored_placements_.use_by_team(state_service.values), reactor.now());
+  return response;
 }
 
 }  // namespace cranklock::testing
