What an earlier version stored beyond a team's limit is not started

What users would see: the same rule broken while versions are replaced. The version in production stores placements beyond a team's limit in the time between two transactions; a new leader of this version that reads them would start all of them.

Cause: the limit was checked where a placement is decided, and not where a stored one is started by a new leader.

Fix: StartPolicy holds the conditions of a start for both ways in which it is sent. While the placements of a team exceed its limit, one that this leader has not started is not started; the first heartbeat with our token that does not name it proves it gone, since nobody can start it any more, and its task waits in the queue again. So the placements come within the limit by themselves. Placements decided by this leader are within the limit and not affected. The same holds after a restart with a lower limit.

--- a/src/control/command_sender.cpp
+++ b/src/control/command_sender.cpp
@@ -26,12 +26,12 @@
   return {lease.may_start(now), lease.valid(now)};
 }
 
-/// Only durable placements are started (invariant 2), and only if no earlier start command may have
-/// reached the agent (invariant 5).
-bool is_start_due(const Job& job, const Placement& placement, PermittedCommands permitted) {
-  return permitted.start && !job.cancelled() && job.dependencies_met && placement.durable() &&
-         !placement.ended && !placement.stop_requested && !placement.reported &&
-         placement.last_start_sequence.epoch == 0 && placement.indeterminate_start_epoch == 0;
+/// A start is sent directly only if no earlier start command may have reached the agent (invariant
+/// 5).
+bool is_start_due(const sched::ClusterState& cluster, const Job& job, const Placement& placement,
+                  PermittedCommands permitted) {
+  return permitted.start && !placement.ended && !placement.stop_requested && !placement.reported &&
+         !placement.start_sent() && cluster.may_start(job, placement);
 }
 
 /// A draining placement is stopped only in heartbeat responses (invariant 19).
@@ -62,7 +62,8 @@
   std::set<std::string> due;
   for (const auto& [id, job] : context_.cluster.jobs()) {
     for (const auto& placement : job.placements) {
-      if (is_start_due(job, placement, permitted) || is_stop_due(job, placement, permitted)) {
+      if (is_start_due(context_.cluster, job, placement, permitted) ||
+          is_stop_due(job, placement, permitted)) {
         due.insert(placement.machine);
       }
     }
@@ -83,7 +84,7 @@
     const Job& job = *placement_ref.job;
     Placement& placement = placement_ref.placement();
     const wire::TaskName task{job.spec.id, placement.task};
-    if (is_start_due(job, placement, permitted)) {
+    if (is_start_due(context_.cluster, job, placement, permitted)) {
       commands.push_back({wire::CommandKind::start, task, placement.attempt, 0});
       placement.indeterminate_start_epoch = machine.agent.newest_message.epoch;
       machine.agent.indeterminate_starts.insert({task, placement.attempt});
--- a/src/sched/availability.cpp
+++ b/src/sched/availability.cpp
@@ -17,12 +17,8 @@
 
 bool is_within_limit(const ClusterState& cluster, const std::string& team,
                      const wire::Resources& sum) {
-  constexpr double kAmountTolerance = 1e-6;  // rounding of sums of decimals
   const auto* team_settings = cluster.settings().find_team(team);
-  if (team_settings == nullptr) return false;
-  const wire::Resources limit = cluster.limit_for(*team_settings);
-  return (team_settings->gpus_max <= 0 || sum.gpus <= limit.gpus + kAmountTolerance) &&
-         (team_settings->cpus_max <= 0 || sum.cpus <= limit.cpus + kAmountTolerance);
+  return team_settings != nullptr && cluster.is_within_limit(*team_settings, sum);
 }
 
 bool within_quota_limit(const ClusterState& cluster, const std::string& team,
--- a/src/sched/cluster_state.cpp
+++ b/src/sched/cluster_state.cpp
@@ -8,14 +8,15 @@
       fencing_token_(fencing_token),
       jobs_(changes_),
       machines_(changes_),
+      start_policy_(settings, quota_),
       placements_(machines_, quota_, changes_),
       failures_(settings, machines_, changes_),
       leases_(settings, leader_since),
       zones_(settings, machines_, changes_),
       boots_(machines_, changes_),
-      tasks_(settings, jobs_, machines_, placements_, failures_, changes_),
+      tasks_(settings, jobs_, machines_, start_policy_, placements_, failures_, changes_),
       heartbeats_(settings, fencing_token, machines_, boots_, tasks_, changes_),
-      commands_(settings, jobs_) {}
+      commands_(settings, jobs_, start_policy_) {}
 
 Job& ClusterState::upsert_job(Job job, double now) {
   job.record.placements.set(job.placements.size());
--- a/src/sched/cluster_state.hpp
+++ b/src/sched/cluster_state.hpp
@@ -22,6 +22,7 @@
 #include "sched/placement_tracker.hpp"
 #include "sched/quota_usage.hpp"
 #include "sched/reservations.hpp"
+#include "sched/start_policy.hpp"
 #include "sched/task_reconciler.hpp"
 #include "sched/team_shares.hpp"
 #include "sched/zone_reachability.hpp"
@@ -165,6 +166,14 @@
   void set_team_shares(const TeamShares* shares) { quota_.set_shares(shares); }
   wire::Resources guarantee_for(const base::Team& team) const { return quota_.guarantee(team); }
   wire::Resources limit_for(const base::Team& team) const { return quota_.limit(team); }
+  /// See QuotaUsage::is_within_limit.
+  bool is_within_limit(const base::Team& team, const wire::Resources& sum) const {
+    return quota_.is_within_limit(team, sum);
+  }
+  /// See StartPolicy::may_start.
+  bool may_start(const Job& job, const Placement& placement) const {
+    return start_policy_.may_start(job, placement);
+  }
   /// Replaces all reservations by those of the current move plan.
   void set_reservations(Reservations reservations);
   const Reservations& reservations() const { return reservations_; }
@@ -186,6 +195,7 @@
   MachineInventory machines_;
   QuotaUsage quota_;
   Reservations reservations_;
+  StartPolicy start_policy_;
   PlacementTracker placements_;
   FailureTracker failures_;
   LeaseTracker leases_;
--- a/src/sched/heartbeat_commands.cpp
+++ b/src/sched/heartbeat_commands.cpp
@@ -61,7 +61,7 @@
 }
 
 void HeartbeatCommands::add_starts(Machine& machine, const wire::Heartbeat& heartbeat,
-                                   std::vector<wire::Command>& commands) {
+                                   std::vector<wire::Command>& commands) const {
   std::set<TaskAttempt> reported;
   for (const wire::TaskStatus& status : heartbeat.tasks) {
     reported.insert({status.task, status.attempt});
@@ -69,8 +69,7 @@
   for (const PlacementRef& ref : machine.tasks) {
     const Job& job = *ref.job;
     Placement& placement = ref.placement();
-    // Invariants 2 and 14.
-    if (job.cancelled() || !placement.durable() || !job.dependencies_met) continue;
+    if (!start_policy_.may_start(job, placement)) continue;
     // A placement that is to stop is started only if an earlier start is indeterminate in this
     // agent epoch. Its absence proves nothing then, so it would never end. Once the agent has
     // executed a start and a stop from one response, the indeterminate start has no effect.
--- a/src/sched/heartbeat_commands.hpp
+++ b/src/sched/heartbeat_commands.hpp
@@ -7,6 +7,7 @@
 #include "base/settings.hpp"
 #include "sched/job_table.hpp"
 #include "sched/machine.hpp"
+#include "sched/start_policy.hpp"
 
 namespace cranklock::sched {
 
@@ -14,9 +15,9 @@
 /// commands that reconcile the two.
 class HeartbeatCommands {
  public:
-  /// Both must outlive this object.
-  HeartbeatCommands(const base::Settings& settings, JobTable& jobs)
-      : settings_(settings), jobs_(jobs) {}
+  /// All references must outlive this object.
+  HeartbeatCommands(const base::Settings& settings, JobTable& jobs, const StartPolicy& start_policy)
+      : settings_(settings), jobs_(jobs), start_policy_(start_policy) {}
 
   /// The commands for the response to this heartbeat, which must have been reconciled before. Adds
   /// start commands only if `may_start`, and records in each started placement that this response
@@ -29,11 +30,12 @@
                        std::vector<wire::Command>& commands);
   void add_stop(const Placement& placement, const wire::TaskStatus& status, double now,
                 std::vector<wire::Command>& commands) const;
-  static void add_starts(Machine& machine, const wire::Heartbeat& heartbeat,
-                         std::vector<wire::Command>& commands);
+  void add_starts(Machine& machine, const wire::Heartbeat& heartbeat,
+                  std::vector<wire::Command>& commands) const;
 
   const base::Settings& settings_;
   JobTable& jobs_;
+  const StartPolicy& start_policy_;
 };
 
 }  // namespace cranklock::sched
--- a/src/sched/job.hpp
+++ b/src/sched/job.hpp
@@ -95,6 +95,10 @@
   bool abandoned() const { return write == PlacementWrite::abandoned; }
   /// Whether records written from now on contain it.
   bool is_recorded() const { return !ended && !abandoned(); }
+  /// Whether this leader has sent its start, directly or in the response to a heartbeat.
+  bool start_sent() const {
+    return last_start_sequence.epoch != 0 || indeterminate_start_epoch != 0;
+  }
   /// Requests a stop; the first request sets the grace period.
   void request_stop(double grace, double now);
   /// Requests the stop of a replica that a router keeps drained until `deadline`, or extends the
--- a/src/sched/quota_usage.cpp
+++ b/src/sched/quota_usage.cpp
@@ -40,4 +40,15 @@
   return shares_ != nullptr ? shares_->limit(team) : full_limit(team);
 }
 
+bool QuotaUsage::is_within_limit(const base::Team& team, const wire::Resources& sum) const {
+  constexpr double kAmountTolerance = 1e-6;  // rounding of sums of decimals
+  const wire::Resources most = limit(team);
+  return (team.gpus_max <= 0 || sum.gpus <= most.gpus + kAmountTolerance) &&
+         (team.cpus_max <= 0 || sum.cpus <= most.cpus + kAmountTolerance);
+}
+
+bool QuotaUsage::exceeds_limit(const base::Team& team) const {
+  return !is_within_limit(team, allocated(team.name));
+}
+
 }  // namespace cranklock::sched
--- a/src/sched/quota_usage.hpp
+++ b/src/sched/quota_usage.hpp
@@ -30,6 +30,12 @@
   void set_shares(const TeamShares* shares) { shares_ = shares; }
   wire::Resources guarantee(const base::Team& team) const;
   wire::Resources limit(const base::Team& team) const;
+  /// Whether this sum of resources is within the team's limit.
+  bool is_within_limit(const base::Team& team, const wire::Resources& sum) const;
+  /// Whether the allocation exceeds the limit. This leader never adds a placement beyond the limit,
+  /// but the records of a former leader may contain more: one of an earlier version, or one whose
+  /// settings had a higher limit.
+  bool exceeds_limit(const base::Team& team) const;
 
  private:
   using ResourcesByTeam = std::map<std::string, wire::Resources>;
--- a/src/sched/task_reconciler.cpp
+++ b/src/sched/task_reconciler.cpp
@@ -136,7 +136,7 @@
 }
 
 TaskReconciler::Absence TaskReconciler::classify_absence(const Job& job, const Placement& placement,
-                                                         AgentSequence reported) {
+                                                         AgentSequence reported) const {
   const AgentSequence start = placement.last_start_sequence;
   const std::uint64_t indeterminate_epoch = placement.indeterminate_start_epoch;
   // An indeterminate start may still be executed in this agent epoch.
@@ -147,7 +147,9 @@
   const bool certainly_gone = placement.reported || (start_sent && start.epoch != reported.epoch) ||
                               (indeterminate_epoch != 0 && indeterminate_epoch != reported.epoch);
   if (certainly_gone || placement.stop_requested || job.cancelled()) return Absence::proven;
-  // A start that was never sent can't be executed.
+  // A start that was never sent can't be executed, nor can a former leader's any more. If it must
+  // not be sent either, the placement would hold its quota for ever.
+  if (start_policy_.is_excess(job, placement)) return Absence::proven;
   return start_sent ? Absence::start_unacknowledged : Absence::indeterminate;
 }
 
--- a/src/sched/task_reconciler.hpp
+++ b/src/sched/task_reconciler.hpp
@@ -8,6 +8,7 @@
 #include "sched/job_table.hpp"
 #include "sched/machine_inventory.hpp"
 #include "sched/placement_tracker.hpp"
+#include "sched/start_policy.hpp"
 
 namespace cranklock::sched {
 
@@ -20,10 +21,12 @@
  public:
   /// All references must outlive this object.
   TaskReconciler(const base::Settings& settings, JobTable& jobs, MachineInventory& machines,
-                 PlacementTracker& placements, FailureTracker& failures, ChangeSignal& changes)
+                 const StartPolicy& start_policy, PlacementTracker& placements,
+                 FailureTracker& failures, ChangeSignal& changes)
       : settings_(settings),
         jobs_(jobs),
         machines_(machines),
+        start_policy_(start_policy),
         placements_(placements),
         failures_(failures),
         changes_(changes) {}
@@ -55,8 +58,8 @@
   void record_completion(Job& job, Machine& machine, const Placement& placement);
   void end_completed_gang(Job& job, std::uint64_t attempt, double now);
   /// Classifies the absence of the placement's task from a heartbeat with sequence `reported`.
-  static Absence classify_absence(const Job& job, const Placement& placement,
-                                  AgentSequence reported);
+  Absence classify_absence(const Job& job, const Placement& placement,
+                           AgentSequence reported) const;
   /// Counts a heartbeat that does not name a task whose start was sent. Returns whether the agent
   /// now counts as unresponsive.
   bool record_unacknowledged_start(Machine& machine, Placement& placement, double now) const;
@@ -64,6 +67,7 @@
   const base::Settings& settings_;
   JobTable& jobs_;
   MachineInventory& machines_;
+  const StartPolicy& start_policy_;
   PlacementTracker& placements_;
   FailureTracker& failures_;
   ChangeSignal& changes_;
--- a/tests/heartbeat_commands_test.cpp
+++ b/tests/heartbeat_commands_test.cpp
@@ -14,7 +14,7 @@
 using wire::TaskState;
 
 struct HeartbeatCommandsTest : ::testing::Test, testing::HeartbeatParts {
-  HeartbeatCommands commands{settings, jobs};
+  HeartbeatCommands commands{settings, jobs, start_policy};
 
   std::vector<wire::Command> respond(std::vector<wire::TaskStatus> tasks, bool may_start = true,
                                      double now = 1) {
@@ -60,6 +60,18 @@
   EXPECT_EQ(placement.last_start_sequence, AgentSequence());
 }
 
+// Guards against starting all that an earlier version stored, which may exceed a team's limit.
+TEST_F(HeartbeatCommandsTest, NothingIsStartedBeyondTheLimitOfTheTeam) {
+  Placement& placement = place(0, 1);
+  quota.add("red", {0, 16, 0});
+  EXPECT_TRUE(respond({}).empty());
+  EXPECT_FALSE(placement.start_sent());
+  quota.release("red", {0, 16, 0});
+  EXPECT_EQ(respond({}).size(), 1U);
+  quota.add("red", {0, 16, 0});
+  EXPECT_EQ(respond({}).size(), 1U);  // the start may have been executed, and is only repeated
+}
+
 TEST_F(HeartbeatCommandsTest, ATaskWithoutAPlacementHereIsStopped) {
   EXPECT_EQ(response_to(TaskState::running), Kinds{CommandKind::stop});
   Placement& placement = place(0, 1);
--- a/tests/heartbeat_parts.hpp
+++ b/tests/heartbeat_parts.hpp
@@ -5,6 +5,7 @@
 #include "sched/failure_tracker.hpp"
 #include "sched/job_table.hpp"
 #include "sched/placement_tracker.hpp"
+#include "sched/start_policy.hpp"
 
 namespace cranklock::testing {
 
@@ -15,6 +16,7 @@
   sched::JobTable jobs{changes};
   sched::MachineInventory machines{changes};
   sched::QuotaUsage quota;
+  sched::StartPolicy start_policy{settings, quota};
   sched::PlacementTracker placements{machines, quota, changes};
   sched::FailureTracker failures{settings, machines, changes};
   sched::Machine& machine = machines.upsert("n-1", {"g8", "a", false}, 0);
--- a/tests/heartbeat_reconciler_test.cpp
+++ b/tests/heartbeat_reconciler_test.cpp
@@ -15,7 +15,7 @@
 
 struct HeartbeatReconcilerTest : ::testing::Test, testing::HeartbeatParts {
   BootMonitor boots{machines, changes};
-  TaskReconciler tasks{settings, jobs, machines, placements, failures, changes};
+  TaskReconciler tasks{settings, jobs, machines, start_policy, placements, failures, changes};
   HeartbeatReconciler heartbeats{settings, kFencingToken, machines, boots, tasks, changes};
 
   HeartbeatFreshness reconcile(std::uint64_t epoch, std::uint64_t sequence, double now = 1,
--- a/tests/task_reconciler_test.cpp
+++ b/tests/task_reconciler_test.cpp
@@ -16,7 +16,7 @@
 using wire::TaskState;
 
 struct TaskReconcilerTest : ::testing::Test, testing::HeartbeatParts {
-  TaskReconciler tasks{settings, jobs, machines, placements, failures, changes};
+  TaskReconciler tasks{settings, jobs, machines, start_policy, placements, failures, changes};
 
   void report(TaskState state, ExitReason reason = ExitReason::none, bool token_acknowledged = true,
               double now = 1) {
@@ -175,6 +175,28 @@
   EXPECT_TRUE(placement.ended);
 }
 
+// Guards against a placement that must not be started and would hold its quota for ever.
+TEST_F(TaskReconcilerTest, AnAbsentPlacementBeyondTheLimitOfTheTeamEnds) {
+  Placement& placement = place(0, 1);
+  report_absence(1, 2);
+  EXPECT_FALSE(placement.ended);
+  quota.add("red", {0, 16, 0});
+  report_absence(1, 3);
+  EXPECT_TRUE(placement.ended);
+}
+
+TEST_F(TaskReconcilerTest, AStartedPlacementBeyondTheLimitOfTheTeamEndsByTheUsualProofs) {
+  Placement& placement = place(0, 1);
+  quota.add("red", {0, 16, 0});
+  placement.indeterminate_start_epoch = 1;
+  report_absence(1, 2);
+  EXPECT_FALSE(placement.ended);
+  placement.indeterminate_start_epoch = 0;
+  placement.last_start_sequence = {1, 3};
+  report_absence(1, 3);
+  EXPECT_FALSE(placement.ended);
+}
+
 TEST_F(TaskReconcilerTest, AnAbsenceCountsOnlyAfterTheResponseThatCarriedTheStart) {
   Placement& placement = place(0, 1);
   placement.last_start_sequence = {1, 5};
