Log: what a leader loaded, each start with what it rests on, each end with its proof

The records of the incident of quota named neither the proof by which a placement was given up nor what a new leader had read.

--- a/src/control/command_sender.cpp
+++ b/src/control/command_sender.cpp
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "base/event_log.hpp"
+#include "control/term_log.hpp"
 
 namespace cranklock::control {
 
@@ -88,6 +89,7 @@
       commands.push_back({wire::CommandKind::start, task, placement.attempt, 0});
       placement.indeterminate_start_epoch = machine.agent.newest_message.epoch;
       machine.agent.indeterminate_starts.insert({task, placement.attempt});
+      record_start(context_, task, machine.id, StartChannel::command);
     } else if (is_stop_due(job, placement, permitted)) {
       const double grace_s = job.cancelled() ? 0 : placement.grace_s;
       commands.push_back({wire::CommandKind::stop, task, placement.attempt, grace_s});
@@ -132,7 +134,12 @@
   const auto reply = co_await calling;
   calls_in_progress_.erase(machine_id);
   if (reply.kind != net::Reply::Kind::not_sent && reply.status() != 200 && reply.status() != 409) {
-    base::log_debug("commands unanswered", base::field("machine", machine_id));
+    const auto starts = std::count_if(
+        commands.begin(), commands.end(),
+        [](const wire::Command& command) { return command.kind == wire::CommandKind::start; });
+    context_.counters.unanswered_commands += static_cast<std::uint64_t>(starts);
+    base::log_debug("commands unanswered", base::field("machine", machine_id),
+                    base::field("agent_epoch", agent_epoch), base::field("starts", starts));
     co_return;
   }
   const auto heartbeat =
--- a/src/control/heartbeat_forwarder.cpp
+++ b/src/control/heartbeat_forwarder.cpp
@@ -187,7 +187,8 @@
       co_return response;
     }
   }
-  if (cut_off() && may_respond_as_delegate(heartbeat)) co_return respond_as_delegate();
+  if (cut_off() && may_respond_as_delegate(heartbeat))
+    co_return respond_as_delegate(heartbeat.machine);
   response.status = 421;
   co_return response;
 }
@@ -205,11 +206,13 @@
 }
 
 // Extends the agent's lease; contains no commands.
-Response HeartbeatForwarder::respond_as_delegate() {
+Response HeartbeatForwarder::respond_as_delegate(const std::string& machine) {
   const double now = reactor_.now();
   if (delegate_responded_at_ < 0 || now - delegate_responded_at_ > settings_.lease_s) {
     base::log_info("responding as delegate", base::field("fencing_token", fencing_token_));
   }
+  base::log_debug("delegate response", base::field("machine", machine),
+                  base::field("fencing_token", fencing_token_));
   delegate_responded_at_ = now;
   Response response;
   response.body = wire::heartbeat_response(fencing_token_, {});
--- a/src/control/heartbeat_forwarder.hpp
+++ b/src/control/heartbeat_forwarder.hpp
@@ -115,7 +115,7 @@
   net::Task<void> await_response(Forwarding& forwarding, double until,
                                  std::function<bool()> cut_off);
   bool may_respond_as_delegate(const wire::Heartbeat& heartbeat) const;
-  net::Response respond_as_delegate();
+  net::Response respond_as_delegate(const std::string& machine);
   bool has_other_controllers(const wire::Heartbeat& heartbeat) const;
   bool is_first_within_lease(const std::string& machine) const;
   bool redirected_within_lease(const std::string& machine) const;
--- a/src/control/heartbeat_handler.cpp
+++ b/src/control/heartbeat_handler.cpp
@@ -6,6 +6,7 @@
 
 #include "base/event_log.hpp"
 #include "control/heartbeat_forwarder.hpp"
+#include "control/term_log.hpp"
 
 namespace cranklock::control {
 
@@ -74,6 +75,10 @@
   if (freshness == Freshness::fresh) {
     commands = context_.cluster.commands_for(heartbeat, context_.lease.may_start(now), now);
   }
+  for (const auto& command : commands) {
+    if (command.kind == wire::CommandKind::start)
+      record_start(context_, command.task, heartbeat.machine, StartChannel::heartbeat_response);
+  }
   context_.cluster.record_response(heartbeat.machine, now);
   context_.state_changed.set();
   Response response;
--- a/src/control/job_watcher.hpp
+++ b/src/control/job_watcher.hpp
@@ -38,6 +38,8 @@
   void apply_changes();
   /// Adds or replaces a job in the cluster state with its stored record.
   void upsert_job(sched::Job job);
+  /// All changes up to this revision have been received.
+  std::uint64_t revision() const { return revision_; }
 
  private:
   net::Task<bool> load_job(const wire::StoredValue& value);
--- a/src/control/leader_context.hpp
+++ b/src/control/leader_context.hpp
@@ -4,6 +4,7 @@
 #include "control/leader_lease.hpp"
 #include "control/leadership_status.hpp"
 #include "control/services.hpp"
+#include "control/term_counters.hpp"
 #include "net/reactor.hpp"
 #include "sched/cluster_state.hpp"
 
@@ -20,6 +21,7 @@
   net::Signal& state_changed;
   /// Steady time in seconds at which the term began.
   double term_started_at;
+  TermCounters& counters;
 
   /// Steady time in seconds.
   double now() const { return services.reactor.now(); }
--- a/src/control/leader_election.cpp
+++ b/src/control/leader_election.cpp
@@ -138,6 +138,7 @@
                    base::field("jobs", term_->cluster().jobs().size()));
     auto renewing = renew_until_lost(grant.lease_id);
     co_await renewing;
+    term_->log_counters();
   } else if (outcome == LeaderTerm::LoadOutcome::ineligible) {
     abstain();
   }
--- a/src/control/leader_lease.hpp
+++ b/src/control/leader_lease.hpp
@@ -32,6 +32,9 @@
   /// When the last successful renewal was sent.
   double last_renewal_sent_at() const { return last_renewal_sent_at_; }
 
+  /// The time up to which both the leadership and all cancellations are known.
+  double known_until() const { return std::min(last_renewal_sent_at_, last_caught_up_sent_at_); }
+
   // ---- recording results ----
 
   /// A renewal sent at `sent_at` succeeded.
@@ -80,9 +83,6 @@
 
   /// The lease TTL in seconds, reduced by twice the maximum relative drift between two clocks.
   double validity_s() const { return lease_ttl_s(settings_) * (1 - 2 * base::kMaxClockDrift); }
-  /// The time up to which both the leadership and all cancellations are known.
-  double known_until() const { return std::min(last_renewal_sent_at_, last_caught_up_sent_at_); }
-
   const base::Settings& settings_;
   std::uint64_t fencing_token_;
   double last_renewal_sent_at_;
--- a/src/control/leader_term.cpp
+++ b/src/control/leader_term.cpp
@@ -18,7 +18,9 @@
     : status_(lease.fencing_token(), lost),
       cluster_(services.settings, lease.fencing_token(), services.reactor.now()),
       state_changed_(services.reactor),
-      context_{services, lease, status_, cluster_, state_changed_, services.reactor.now()},
+      context_{services, lease, status_, cluster_, state_changed_, services.reactor.now(),
+               counters_},
+      log_(context_),
       machines_(context_),
       heartbeats_(context_, machines_),
       outcomes_(context_),
@@ -30,7 +32,12 @@
       quota_shares_(make_quota_shares(regions)),
       moves_(make_moves()),
       decisions_(context_, {jobs_, outcomes_, writer_, commands_, scaler_, quota_shares_.get(),
-                            moves_.get()}) {}
+                            moves_.get()}) {
+  cluster_.set_end_observer(
+      [this](const Job& job, const sched::Placement& placement, sched::EndProof proof) {
+        log_.record_end(job, placement, proof);
+      });
+}
 
 std::unique_ptr<regions::QuotaService> LeaderTerm::make_quota_shares(
     regions::RegionNetwork* regions) {
@@ -74,6 +81,7 @@
   if (!co_await loading_pools) co_return LoadOutcome::store_unavailable;
   auto loading_jobs = jobs_.load();
   if (!co_await loading_jobs) co_return LoadOutcome::store_unavailable;
+  log_.log_loaded(jobs_.revision());
   if (!moves_) co_return LoadOutcome::loaded;
   auto loading_moves = moves_->load();
   const bool moves_loaded = co_await loading_moves;
@@ -112,6 +120,7 @@
 
 void LeaderTerm::start(net::Scope& scope) {
   scope.spawn(decisions_.run());
+  scope.spawn(log_.run());
   scope.spawn(reloader_.run());
   scope.spawn(jobs_.follow());
   machines_.start(scope);
--- a/src/control/leader_term.hpp
+++ b/src/control/leader_term.hpp
@@ -17,6 +17,7 @@
 #include "control/record_reloader.hpp"
 #include "control/record_writer.hpp"
 #include "control/services.hpp"
+#include "control/term_log.hpp"
 #include "net/reactor.hpp"
 #include "net/task.hpp"
 #include "peer/frames.hpp"
@@ -64,6 +65,8 @@
   bool agents_timed_out() const { return heartbeats_.agents_timed_out(); }
 
   sched::ClusterState& cluster() { return cluster_; }
+  /// Logs what this leader has done in its term.
+  void log_counters() const { log_.log_counters(); }
   /// Quota shared with other regions; nullptr if the settings name no regions.
   const regions::QuotaService* quotas() const { return quota_shares_.get(); }
 
@@ -80,7 +83,9 @@
   LeadershipStatus status_;
   sched::ClusterState cluster_;
   net::Signal state_changed_;
+  TermCounters counters_;
   LeaderContext context_;
+  TermLog log_;
 
   // Components. Each may use those above it at any time, and those below it only after start().
   MachineLifecycle machines_;
--- a/src/control/machine_supervisor.cpp
+++ b/src/control/machine_supervisor.cpp
@@ -28,8 +28,9 @@
 }
 
 void MachineSupervisor::expire_leases(double now) {
-  for (const auto& machine : context_.cluster.expire_leases(now)) {
-    base::log_info("machine lease expired", base::field("machine", machine));
+  for (const auto& [machine, placements] : context_.cluster.expire_leases(now)) {
+    base::log_info("machine lease expired", base::field("machine", machine),
+                   base::field("placements", placements));
     context_.state_changed.set();
   }
   for (const auto& zone : context_.cluster.update_zone_reachability(now)) {
--- a/src/control/record_batch_builder.cpp
+++ b/src/control/record_batch_builder.cpp
@@ -38,8 +38,10 @@
 bool RecordBatchBuilder::add_with_releases(Job& job) {
   if (!stored_quota_.may_write(job) && !add_releases_for(job)) return false;
   if (stored_quota_.may_write(job)) return add_record(job);
-  base::log_debug("record waits for quota release", base::field("job", job.spec.id),
-                  base::field("team", job.spec.team));
+  ++context_.counters.writes_held_back;
+  base::log_debug("record held back", base::field("job", job.spec.id),
+                  base::field("team", job.spec.team),
+                  base::field("reason", "quota release not stored"));
   return true;
 }
 
--- a/src/control/record_writer.cpp
+++ b/src/control/record_writer.cpp
@@ -49,6 +49,7 @@
   if (result.status == Status::precondition_failed && contains(result.failed_keys, kLeaderKey)) {
     co_return WriteResult::leadership_lost;
   }
+  if (result.status == Status::indeterminate) ++context_.counters.unanswered_writes;
   handle_failed_write(batch, result);
   co_return WriteResult::unresolved;
 }
--- /dev/null
+++ b/src/control/term_counters.hpp
@@ -0,0 +1,29 @@
+// Counts of what a leader has done in its term, for operators.
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "sched/end_proof.hpp"
+
+namespace cranklock::control {
+
+/// Counted from the begin of the term; logged at intervals (TermLog).
+struct TermCounters {
+  static constexpr std::size_t kEndProofs =
+      static_cast<std::size_t>(sched::EndProof::write_superseded) + 1;
+
+  std::uint64_t starts_in_responses = 0;  ///< starts in responses to heartbeats
+  std::uint64_t starts_in_commands = 0;   ///< starts sent straight to agents
+  std::uint64_t unanswered_commands = 0;  ///< starts sent straight whose outcome is unknown
+  std::uint64_t unanswered_writes = 0;    ///< transactions whose outcome is unknown
+  std::uint64_t writes_held_back = 0;     ///< records that had to wait for a release of quota
+  std::array<std::uint64_t, kEndProofs> ends{};  ///< placements that ended, by proof
+
+  std::uint64_t& ended_by(sched::EndProof proof) {
+    return ends.at(static_cast<std::size_t>(proof));
+  }
+};
+
+}  // namespace cranklock::control
--- a/src/sched/cluster_state.cpp
+++ b/src/sched/cluster_state.cpp
@@ -48,7 +48,7 @@
   changes_.raise();
   Machine* machine = machines_.find(id);
   if (machine == nullptr) return;
-  placements_.end_all(*machine, now);
+  placements_.end_all(*machine, EndProof::machine_deleted, now);
   machines_.erase(id);
 }
 
@@ -63,15 +63,15 @@
   if (Machine* machine = machines_.find(id)) machine->lease.last_response = now;
 }
 
-std::vector<std::string> ClusterState::expire_leases(double now) {
-  std::vector<std::string> expired;
+std::vector<ClusterState::ExpiredLease> ClusterState::expire_leases(double now) {
+  std::vector<ExpiredLease> expired;
   for (auto& [id, machine] : machines_.all()) {
     const bool holds_lease = machine.agent.heartbeat_received || !machine.tasks.empty();
     if (machine.lease.expired || !holds_lease) continue;
     if (!leases_.has_expired(machine, now)) continue;
     machine.lease.expired = true;
-    expired.push_back(id);
-    placements_.end_all(machine, now);
+    expired.push_back({id, machine.tasks.size()});
+    placements_.end_all(machine, EndProof::lease_expired, now);
   }
   return expired;
 }
--- a/src/sched/cluster_state.hpp
+++ b/src/sched/cluster_state.hpp
@@ -1,6 +1,7 @@
 // The leader's state of jobs, placements, machines and quota use. No I/O; callers pass the time.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -75,13 +76,16 @@
                            const std::string& machine, double now) {
     return placements_.add(job, task, attempt, machine, now);
   }
-  void end_placement(Job& job, Placement& placement, double now) {
-    placements_.end(job, placement, now);
+  void end_placement(Job& job, Placement& placement, EndProof proof, double now) {
+    placements_.end(job, placement, proof, now);
+  }
+  /// Sets what is called for each placement that ends.
+  void set_end_observer(PlacementTracker::EndObserver observer) {
+    placements_.set_end_observer(std::move(observer));
   }
   void resolve_abandoned(Job& job, Placement& placement, double now) {
     placements_.resolve_abandoned(job, placement, now);
   }
-  void end_all_placements(Machine& machine, double now) { placements_.end_all(machine, now); }
   void erase_ended(Job& job, const std::vector<PlacementKey>& written) {
     placements_.erase_ended(job, {written.begin(), written.end()});
   }
@@ -122,8 +126,12 @@
     return leases_.latest_possible_response(machine, now);
   }
   double lease_upper_bound_s() const { return leases_.lease_upper_bound_s(); }
-  /// Ends the placements of machines whose lease has certainly expired; returns the machine ids.
-  std::vector<std::string> expire_leases(double now);
+  struct ExpiredLease {
+    std::string machine;
+    std::size_t placements = 0;  ///< that ended with it
+  };
+  /// Ends the placements of machines whose lease has certainly expired.
+  std::vector<ExpiredLease> expire_leases(double now);
 
   // Health of machines and zones.
   /// See ZoneReachability::update.
--- a/src/sched/placement_tracker.cpp
+++ b/src/sched/placement_tracker.cpp
@@ -19,7 +19,7 @@
   return *added;
 }
 
-void PlacementTracker::end(Job& job, Placement& placement, double now) {
+void PlacementTracker::end(Job& job, Placement& placement, EndProof proof, double now) {
   if (placement.ended) return;
   job.record.dirty = true;
   changes_.raise();
@@ -30,12 +30,13 @@
   detach(job, placement, now);
   placement.ended = true;
   attach(job, placement);
+  end_observer_(job, placement, proof);
 }
 
 void PlacementTracker::resolve_abandoned(Job& job, Placement& placement, double now) {
   const bool dirty = job.record.dirty;
   if (placement.write_unresolved()) placement.write = PlacementWrite::pending;
-  end(job, placement, now);
+  end(job, placement, EndProof::write_superseded, now);
   job.record.dirty = dirty;
 }
 
@@ -47,10 +48,10 @@
   });
 }
 
-void PlacementTracker::end_all(Machine& machine, double now) {
+void PlacementTracker::end_all(Machine& machine, EndProof proof, double now) {
   const auto tasks = machine.tasks;  // a copy: ending a placement changes the list
   for (const PlacementRef& ref : tasks) {
-    end(*ref.job, ref.placement(), now);
+    end(*ref.job, ref.placement(), proof, now);
     stop_gang(*ref.job, ref.attempt, now);
   }
 }
--- a/src/sched/placement_tracker.hpp
+++ b/src/sched/placement_tracker.hpp
@@ -2,10 +2,13 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <set>
 #include <string>
+#include <utility>
 
 #include "sched/change_signal.hpp"
+#include "sched/end_proof.hpp"
 #include "sched/machine_inventory.hpp"
 #include "sched/quota_usage.hpp"
 
@@ -16,16 +19,21 @@
 /// and after that among the ended ones of its team until a record without it is stored.
 class PlacementTracker {
  public:
+  /// Called for each placement that ends.
+  using EndObserver = std::function<void(const Job&, const Placement&, EndProof)>;
+
   /// All three must outlive this object.
   PlacementTracker(MachineInventory& machines, QuotaUsage& quota, ChangeSignal& changes)
       : machines_(machines), quota_(quota), changes_(changes) {}
 
+  void set_end_observer(EndObserver observer) { end_observer_ = std::move(observer); }
+
   /// Adds a placement that has been decided on. Its start is sent only once it is durable.
   Placement& add(Job& job, std::uint32_t task, std::uint64_t attempt, const std::string& machine,
                  double now);
   /// Ends a placement that is proven gone. While a write that contains it is unresolved, it is only
   /// marked as abandoned and remains allocated, since the write may still be applied.
-  void end(Job& job, Placement& placement, double now);
+  void end(Job& job, Placement& placement, EndProof proof, double now);
   /// Ends an abandoned placement after a write of the record without it has succeeded. Does not
   /// make the record dirty.
   void resolve_abandoned(Job& job, Placement& placement, double now);
@@ -34,7 +42,7 @@
   void erase_ended(Job& job, const std::set<PlacementKey>& written);
   /// Ends all placements on a machine whose tasks are all proven gone. Requests a stop of the other
   /// tasks of their gangs.
-  void end_all(Machine& machine, double now);
+  void end_all(Machine& machine, EndProof proof, double now);
   /// If the job is a gang, requests a stop of all its tasks of this attempt.
   static void stop_gang(Job& job, std::uint64_t attempt, double now);
 
@@ -50,6 +58,7 @@
   MachineInventory& machines_;
   QuotaUsage& quota_;
   ChangeSignal& changes_;
+  EndObserver end_observer_ = [](const Job&, const Placement&, EndProof) {};
 };
 
 }  // namespace cranklock::sched
--- a/src/sched/task_reconciler.cpp
+++ b/src/sched/task_reconciler.cpp
@@ -81,7 +81,7 @@
     default:
       break;
   }
-  placements_.end(job, placement, now);
+  placements_.end(job, placement, EndProof::exit_reported, now);
   PlacementTracker::stop_gang(job, placement.attempt, now);
 }
 
@@ -89,7 +89,7 @@
                                       double now) {
   job.mark_completed(placement.task);
   record_completion(job, machine, placement);
-  placements_.end(job, placement, now);
+  placements_.end(job, placement, EndProof::exit_reported, now);
   if (job.spec.kind == wire::JobKind::gang) end_completed_gang(job, placement.attempt, now);
 }
 
@@ -110,7 +110,7 @@
     Machine* machine = machines_.find(placement.machine);
     const bool has_run = placement.state == TaskState::running;
     if (machine != nullptr && has_run) record_completion(job, *machine, placement);
-    placements_.end(job, placement, now);
+    placements_.end(job, placement, EndProof::gang_completed, now);
   }
 }
 
@@ -130,7 +130,9 @@
     const bool start_may_have_been_lost = absence == Absence::start_unacknowledged &&
                                           !record_unacknowledged_start(machine, placement, now);
     if (start_may_have_been_lost) continue;  // it is sent again
-    placements_.end(job, placement, now);
+    const EndProof proof =
+        absence == Absence::over_limit ? EndProof::over_limit : EndProof::not_reported;
+    placements_.end(job, placement, proof, now);
     PlacementTracker::stop_gang(job, ref.attempt, now);
   }
 }
@@ -149,7 +151,7 @@
   if (certainly_gone || placement.stop_requested || job.cancelled()) return Absence::proven;
   // A start that was never sent can't be executed, nor can a former leader's any more. If it must
   // not be sent either, the placement would hold its quota for ever.
-  if (start_policy_.is_excess(job, placement)) return Absence::proven;
+  if (start_policy_.is_excess(job, placement)) return Absence::over_limit;
   return start_sent ? Absence::start_unacknowledged : Absence::indeterminate;
 }
 
--- a/src/sched/task_reconciler.hpp
+++ b/src/sched/task_reconciler.hpp
@@ -45,6 +45,7 @@
   enum class Absence {
     indeterminate,         ///< the attempt may be on the machine, or may still start there
     proven,                ///< the attempt is not on the machine and will not start there
+    over_limit,            ///< as proven; it must not be started, since its team exceeds its limit
     start_unacknowledged,  ///< the response that carried the start may not have arrived
   };
 
--- a/tests/cluster_state_test.cpp
+++ b/tests/cluster_state_test.cpp
@@ -504,7 +504,7 @@
   Fleet fleet;
   Job& job = fleet.add(make_job("j-000001", wire::JobKind::job_array, 1, 4));
   fleet.cluster.add_placement(job, 0, 1, "n-1", 1).write = PlacementWrite::unresolved;
-  fleet.cluster.end_placement(job, job.placements.front(), 2);
+  fleet.cluster.end_placement(job, job.placements.front(), sched::EndProof::exit_reported, 2);
   EXPECT_EQ(fleet.cluster.team_allocation("red").gpus, 4);
   auto stored = make_job("j-000001", wire::JobKind::job_array, 1, 4);
   stored.record.revision = 9;
--- a/tests/leader_part.hpp
+++ b/tests/leader_part.hpp
@@ -17,12 +17,14 @@
   control::LeaderLease lease_{settings_, kFencingToken, reactor_.now()};
   control::LeadershipStatus leadership_{kFencingToken, lost_};
   sched::ClusterState cluster_{settings_, kFencingToken, reactor_.now()};
+  control::TermCounters counters_;
   control::LeaderContext context_{{reactor_, transport_, settings_, store_, cloud_},
                                   lease_,
                                   leadership_,
                                   cluster_,
                                   state_changed_,
-                                  reactor_.now()};
+                                  reactor_.now(),
+                                  counters_};
 };
 
 }  // namespace cranklock::testing
--- a/tests/move_executor_test.cpp
+++ b/tests/move_executor_test.cpp
@@ -114,7 +114,8 @@
   halves.advance(successor);
   EXPECT_TRUE(halves.source(move).stop_requested);
   // Confirmed free: the next placement pass places the task on its target and nowhere else.
-  halves.fleet.cluster.end_placement(halves.job(move.task.job), halves.source(move), halves.now);
+  halves.fleet.cluster.end_placement(halves.job(move.task.job), halves.source(move),
+                                     sched::EndProof::exit_reported, halves.now);
   halves.advance(successor);
   EXPECT_EQ(successor.desired().plan->moves.at(0).step, MoveStep::freed);
   halves.fleet.run_pass(halves.now);
@@ -343,7 +344,8 @@
     EXPECT_FALSE(drains.is_stop_commanded());
     if (gone) {
       auto& job = drains.halves.job(move.task.job);
-      drains.halves.fleet.cluster.end_placement(job, drains.source(), drains.halves.now);
+      drains.halves.fleet.cluster.end_placement(job, drains.source(),
+                                                sched::EndProof::exit_reported, drains.halves.now);
     }
     drains.halves.now += 4;
     drains.halves.advance(drains.executor);
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -291,7 +291,8 @@
   }
   void end_batch_on(const std::string& machine, double now) {
     for (auto& placement : batch.placements) {
-      if (placement.machine == machine) fleet.cluster.end_placement(batch, placement, now);
+      if (placement.machine == machine)
+        fleet.cluster.end_placement(batch, placement, EndProof::exit_reported, now);
     }
   }
 };
--- a/tests/placement_tracker_test.cpp
+++ b/tests/placement_tracker_test.cpp
@@ -30,12 +30,12 @@
   EXPECT_EQ(first.allocated, job.spec.resources);
   EXPECT_EQ(quota.allocated("red"), job.spec.resources);
   changes.take();
-  placements.end(job, placement, 6);
+  placements.end(job, placement, EndProof::exit_reported, 6);
   EXPECT_TRUE(placement.ended);
   EXPECT_TRUE(changes.take());
   EXPECT_TRUE(first.tasks.empty());
   EXPECT_EQ(quota.allocated("red"), wire::Resources());
-  placements.end(job, placement, 7);  // a repeated call has no effect
+  placements.end(job, placement, EndProof::exit_reported, 7);  // a repeated call has no effect
   EXPECT_EQ(quota.allocated("red"), wire::Resources());
 }
 
@@ -50,7 +50,7 @@
 TEST_F(TrackerTest, AnUnresolvedWriteKeepsItsAllocationUntilAnotherSucceeds) {
   Placement& placement = placements.add(job, 0, 1, "n-1", 0);
   placement.write = PlacementWrite::unresolved;
-  placements.end(job, placement, 1);
+  placements.end(job, placement, EndProof::exit_reported, 1);
   EXPECT_TRUE(placement.abandoned());
   EXPECT_FALSE(placement.ended);
   EXPECT_EQ(first.allocated, job.spec.resources);
@@ -64,8 +64,8 @@
 
 TEST_F(TrackerTest, OnlyEndedPlacementsThatWereWrittenAreErased) {
   for (std::uint32_t task = 0; task < 3; ++task) placements.add(job, task, task + 1, "n-1", 0);
-  placements.end(job, job.placements[0], 1);
-  placements.end(job, job.placements[1], 1);
+  placements.end(job, job.placements[0], EndProof::exit_reported, 1);
+  placements.end(job, job.placements[1], EndProof::exit_reported, 1);
   placements.erase_ended(job, {{0, 1}, {2, 3}});
   ASSERT_EQ(job.placements.size(), 2U);
   EXPECT_EQ(job.placements[0].task, 1U);
@@ -77,7 +77,7 @@
   placements.add(gang, 1, 1, "n-2", 0);
   placements.add(job, 0, 1, "n-1", 0);
   placements.add(job, 1, 2, "n-2", 0);
-  placements.end_all(first, 3);
+  placements.end_all(first, EndProof::lease_expired, 3);
   EXPECT_TRUE(first.tasks.empty());
   EXPECT_TRUE(gang.placements[0].ended);
   EXPECT_FALSE(gang.placements[1].ended);
--- a/tests/record_batch_builder_test.cpp
+++ b/tests/record_batch_builder_test.cpp
@@ -32,7 +32,8 @@
       job.record.placements.set(job.placements.size());
       job.record.dirty = false;
     }
-    cluster_.end_placement(released_, released_.placements.front(), 2);
+    cluster_.end_placement(released_, released_.placements.front(), sched::EndProof::exit_reported,
+                           2);
     place(waiting_, 1);
   }
 
@@ -75,7 +76,7 @@
 }
 
 TEST_F(RecordBatchBuilderTest, OnlyTheReleasesThatAreNeededGoFirst) {
-  cluster_.end_placement(small_, small_.placements.front(), 3);
+  cluster_.end_placement(small_, small_.placements.front(), sched::EndProof::exit_reported, 3);
   EXPECT_EQ(written_jobs({&waiting_, &released_, &small_}, 2), (Ids{"j-000002", "j-000003"}));
 }
 
@@ -96,7 +97,8 @@
     Job& job = add_job(id, 3);
     place(job, 1, 3, sched::PlacementWrite::durable);
     job.record.placements.set(3);
-    for (auto& placement : job.placements) cluster_.end_placement(job, placement, 2);
+    for (auto& placement : job.placements)
+      cluster_.end_placement(job, placement, sched::EndProof::exit_reported, 2);
     job.record.placements.extend(0);
     return job;
   }
--- a/tests/scaler_test.cpp
+++ b/tests/scaler_test.cpp
@@ -196,7 +196,7 @@
   auto replica = testing::make_job("j-000002", wire::JobKind::service, 1, 4, "blue");
   Job& job = fleet.add(std::move(replica));
   Job& first = *fleet.cluster.job("j-000001");
-  fleet.cluster.end_placement(first, first.placements[0], 1);
+  fleet.cluster.end_placement(first, first.placements[0], sched::EndProof::exit_reported, 1);
   fleet.cluster.add_placement(job, 0, 1, first.placements[1].machine, 1);
   readings = read_pools(fleet.cluster, {}, 0.9);
   EXPECT_EQ(readings.at({"g8", true}).deficit, 0);
--- a/tests/stored_jobs.hpp
+++ b/tests/stored_jobs.hpp
@@ -21,7 +21,8 @@
 struct SlowTransport : net::Transport {
   FakeReactor& reactor;
   StateStandIn& store;
-  int refusal_status = 0;  ///< HTTP status to refuse with; 0: requests are served
+  bool is_unanswered = false;  ///< requests are lost
+  int refusal_status = 0;      ///< HTTP status to refuse with; 0: requests are served
   int calls = 0;
 
   SlowTransport(FakeReactor& clock, StateStandIn& stand_in) : reactor(clock), store(stand_in) {}
@@ -29,6 +30,7 @@
     ++calls;
     net::Sleep request_latency(reactor, kLatencyS);
     co_await request_latency;
+    if (is_unanswered) co_return net::Reply{};
     if (refusal_status != 0) {
       co_return net::Reply{net::Reply::Kind::answered,
                            control::make_response(refusal_status, "{}")};
--- a/tests/stored_quota_test.cpp
+++ b/tests/stored_quota_test.cpp
@@ -29,7 +29,9 @@
     fleet.cluster.add_placement(job, 0, 1, machine, 0);
     return job;
   }
-  void end(Job& job) { fleet.cluster.end_placement(job, job.placements.front(), 1); }
+  void end(Job& job) {
+    fleet.cluster.end_placement(job, job.placements.front(), sched::EndProof::exit_reported, 1);
+  }
   bool may_write(const Job& job) const { return StoredQuota(fleet.cluster).may_write(job); }
 };
 
--- a/tests/term_fixture.hpp
+++ b/tests/term_fixture.hpp
@@ -17,7 +17,9 @@
   control::LeadershipStatus leadership{kFencingToken, lost};
   sched::ClusterState cluster{settings, kFencingToken, kTermStart};
   net::Signal state_changed{reactor};
-  control::LeaderContext context{services, lease, leadership, cluster, state_changed, kTermStart};
+  control::TermCounters counters;
+  control::LeaderContext context{services,      lease,      leadership, cluster,
+                                 state_changed, kTermStart, counters};
   control::MachineLifecycle machines{context};
 
   TermFixture() {
