Records: a job whose new placements have to wait still writes its own releases

Another job of the team may rest on them, while the release that this one rests on can't be written. Releases of a team are looked for once a batch: without that, hundreds of waiting records would each go through all others. AJobThatWaitsWritesItsOwnReleases fails without this (no entry in the batch).

--- a/src/control/record_batch_builder.cpp
+++ b/src/control/record_batch_builder.cpp
@@ -36,13 +36,17 @@
 }
 
 bool RecordBatchBuilder::add_with_releases(Job& job) {
-  if (!stored_quota_.may_write(job) && !add_releases_for(job)) return false;
   if (stored_quota_.may_write(job)) return add_record(job);
+  const std::string& team = job.spec.team;
+  if (!teams_without_releases_.contains(team)) {
+    if (!add_releases_for(job)) return false;
+    if (stored_quota_.may_write(job)) return add_record(job);
+    teams_without_releases_.insert(team);
+  }
   ++context_.counters.writes_held_back;
-  base::log_debug("record held back", base::field("job", job.spec.id),
-                  base::field("team", job.spec.team),
+  base::log_debug("record held back", base::field("job", job.spec.id), base::field("team", team),
                   base::field("reason", "quota release not stored"));
-  return true;
+  return add_release(job);
 }
 
 bool RecordBatchBuilder::add_releases_for(const Job& job) {
--- a/src/control/record_batch_builder.hpp
+++ b/src/control/record_batch_builder.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <set>
+#include <string>
 #include <vector>
 
 #include "control/leader_context.hpp"
@@ -25,8 +26,8 @@
 
  private:
   /// Adds the record of this job, preceded by records of other jobs whose releases its placements
-  /// rest on. Skips a record that is too large, or whose placements rest on releases that cannot be
-  /// written now. Returns false if the batch is full.
+  /// rest on. If these cannot be written now, adds only what the job itself releases. Skips a
+  /// record that is too large. Returns false if the batch is full.
   bool add_with_releases(sched::Job& job);
   /// Adds records that release quota of the job's team until the job's own may be added. Returns
   /// false if the batch is full.
@@ -45,6 +46,8 @@
   RecordBatch& batch_;
   sched::StoredQuota stored_quota_;
   std::set<const sched::Job*> added_;
+  /// Teams of which no further record in this batch would release quota.
+  std::set<std::string> teams_without_releases_;
 };
 
 }  // namespace cranklock::control
--- a/tests/record_batch_builder_test.cpp
+++ b/tests/record_batch_builder_test.cpp
@@ -126,5 +126,22 @@
   EXPECT_FALSE(third.record.dirty);
 }
 
+TEST_F(UnansweredBatchTest, AJobThatWaitsWritesItsOwnReleases) {
+  Job& unwritable = add_released_job("j-000001");
+  unwritable.record.placements.set(3);
+  Job& waiting = add_job("j-000002", 4);
+  place(waiting, 1, 3, sched::PlacementWrite::durable);
+  waiting.record.placements.set(3);
+  for (auto& placement : waiting.placements)
+    cluster_.end_placement(waiting, placement, sched::EndProof::not_reported, 2);
+  place(waiting, 2, 4, sched::PlacementWrite::pending);
+  const std::vector<Job*> jobs{&waiting};
+  RecordBatch batch(kFencingToken, {8192, 24});
+  RecordBatchBuilder(context_, jobs, batch).add_records();
+  ASSERT_EQ(batch.entries().size(), 1U);
+  EXPECT_TRUE(batch.entries()[0].live.empty());
+  EXPECT_TRUE(waiting.record.dirty);
+}
+
 }  // namespace
 }  // namespace cranklock::testing
