--- a/tests/placement_tracker_test.cpp
+++ b/tests/placement_tracker_test.cpp
@@ -67,6 +67,7 @@
   placements.end(job, job.placements[0], EndProof::exit_reported, 1);
   placements.end(job, job.placements[1], EndProof::exit_reported, 1);
   placements.erase_ended(job, {{0, 1}, {2, 3}});
+  EXPECT_EQ(quota.ended("red"), job.spec.resources);  // of the other one that has ended
   ASSERT_EQ(job.placements.size(), 2U);
   EXPECT_EQ(job.placements[0].task, 1U);
   EXPECT_EQ(job.placements[1].task, 2U);
--- a/tests/record_writer_test.cpp
+++ b/tests/record_writer_test.cpp
@@ -108,5 +108,23 @@
   EXPECT_TRUE(first.placements.back().durable());
 }
 
+TEST_F(RecordWriterTest, AnUnansweredPlacementIsPendingAgainAfterAWriteWithoutIt) {
+  settings_.teams.front().gpus_max = 12;
+  Job& first = add_job("j-000001");
+  Job& second = add_job("j-000002");
+  place(first, 0, 1);
+  for (std::uint32_t task = 0; task < 2; ++task) place(second, task, 1);
+  ASSERT_EQ(write_batch(), WriteResult::stored);
+  end(first, 0);
+  end(second, 0);
+  for (std::uint32_t task = 0; task < 2; ++task) place(first, task, 2);
+  ASSERT_EQ(write_batch_unanswered(), WriteResult::unresolved);
+  ASSERT_EQ(first.placements.back().write, PlacementWrite::unresolved);
+  reloader_.request("j-000002");  // its release can't be written now
+  EXPECT_EQ(write_batch(), WriteResult::stored);
+  EXPECT_EQ(stored_placements("j-000001"), 0U);
+  EXPECT_EQ(first.placements.back().write, PlacementWrite::pending);
+}
+
 }  // namespace
 }  // namespace cranklock::control
--- a/tests/stored_quota_test.cpp
+++ b/tests/stored_quota_test.cpp
@@ -95,6 +95,16 @@
   EXPECT_TRUE(may_write(place("j-000003", "n-3")));
 }
 
+TEST_F(StoredQuotaTest, TheRecordOfACancelledJobAddsNothingToABatch) {
+  end(second);
+  fleet.mark_written(second);
+  Job& cancelled = place("j-000004", "n-3");
+  cancelled.cancelled_at_ms = 1;
+  StoredQuota batch(fleet.cluster);
+  batch.add(cancelled, 1);
+  EXPECT_TRUE(batch.may_write(place("j-000003", "n-3")));
+}
+
 TEST_F(StoredQuotaTest, AReloadedRecordStillContainsWhatHasEnded) {
   end(second);
   Job stored = make_job("j-000002", JobKind::service, 1, 8);
