--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -134,13 +134,19 @@
   port = ntohs(address.sin_port);
   return fd;
 }
-/// A port that was free a moment ago.
+/// A port for a controller that was free a moment ago: below the range from which systems usually take
+/// the ports of outgoing connections, so that none of those can take it before the controller does.
 inline int free_port() {
+  static unsigned seed = static_cast<unsigned>(::getpid()) * 7919u;
   static std::set<int> used;
   for (;;) {
-    int port = 0;
-    ::close(listen_on_free_port(port));
-    if (used.insert(port).second) return port;
+    const int port = 10000 + rand_r(&seed) % 20000;
+    if (!used.insert(port).second) continue;
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const sockaddr_in address = loopback(port);
+    const bool is_free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::close(fd);
+    if (is_free) return port;
   }
 }
 
