--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -282,6 +282,7 @@
   double rps = 100, write_rps = 30, value_kb = 8;
   int txn_ops = 12;
   double cloud_rps = 5, list_lag_s = 8;
+  double ready_s = 45;  ///< nominal boot time of the machine type
 };
 
 // ---- state service ----
@@ -776,7 +777,8 @@
       std::string zones;
       for (const auto& zone : settings_.zones) zones += (zones.empty() ? "" : ",") + quoted(zone);
       return {200, "{\"Frames\":[{\"Label\":\"derwen\",\"Cpus\":96,\"Accelerators\":8,\"MemGb\":768,\"CacheGb\":600,"
-                   "\"PullGbPerS\":1.0,\"Price\":27.84,\"SpotPrice\":10.28,\"ReadyS\":45,\"Yards\":[" + zones + "]}]}"};
+                   "\"PullGbPerS\":1.0,\"Price\":27.84,\"SpotPrice\":10.28,\"ReadyS\":" +
+                   std::to_string(settings_.ready_s) + ",\"Yards\":[" + zones + "]}]}"};
     }
     if (request.path == "/rentals" && request.method == "POST") return {503, "{\"error\":\"no capacity\"}"};
     if (request.path == "/rentals/delete") {
