Review stand-ins: controllers end with their case

Cause: a case that left early, or was itself ended, could leave controllers running. Change: the processes get a signal when the case ends, none is started after the end of the run, and case 4 no longer joins its platform thread on early returns.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -11,8 +11,8 @@
 }
 
 static int play(const std::vector<std::string>& command, bool trouble) {
-  const double kRamMb = 40;    // facts.resources.ram_mb
-  const double kBackAfterS = 8;  // "back about 8 s after an end"
+  static const double kRamMb = 40;    // facts.resources.ram_mb
+  static const double kBackAfterS = 8;  // "back about 8 s after an end"
   const double kBoundS = 90;
   Deployment& deployment = *new Deployment(Settings{}, 3);
   running = &deployment;
@@ -21,9 +21,9 @@
   record("all controllers are ready and all machines report");
 
   // The platform: ends a process that is past its memory limit, and starts it again.
-  std::atomic<int> ended_for_memory{0};
-  std::atomic<bool> over{false};
-  std::thread platform([&] {
+  static std::atomic<int> ended_for_memory{0};
+  static std::atomic<bool> over{false}, platform_ended{false};
+  std::thread([&deployment] {
     std::vector<double> back_at(deployment.nodes.size(), 0);
     while (!over) {
       for (std::size_t i = 0; i < deployment.nodes.size(); ++i) {
@@ -42,7 +42,9 @@
       }
       sleep_s(0.02);
     }
-  });
+    platform_ended = true;
+    for (;;) sleep_s(3600);  // the processes that it started end with it
+  }).detach();
 
   Job replica;
   replica.id = job_id(500);
@@ -82,7 +84,7 @@
            running_replicas(), poll.status, poll.body.c_str(), ended_for_memory.load(), sessions);
   }
   over = true;
-  platform.join();
+  while (!platform_ended) sleep_s(0.01);
   for (const auto& node : deployment.nodes)
     if (node.pid > 0) record("%s: peak %.1f MB", node.name.c_str(), peak_mb(node.pid));
   record("%d controllers ended for memory in %.0f s; the replica did not run at %d of %d looks, %d polls not answered",
--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -12,6 +12,7 @@
 #include <rapidjson/stringbuffer.h>
 #include <rapidjson/writer.h>
 #include <signal.h>
+#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -839,6 +840,8 @@
     for (auto& worker : cloud.workers) worker->start();
   }
   void start_node(std::size_t index) {
+    const std::lock_guard lock(processes_mutex_);
+    if (ended_) return;
     Node& node = nodes[index];
     const std::string path = folder_ + "/" + node.name + ".toml";
     write_settings(path, node);
@@ -847,6 +850,7 @@
     const std::string log = folder_ + "/" + node.name + ".log";
     const pid_t pid = ::fork();
     if (pid == 0) {
+      ::prctl(PR_SET_PDEATHSIG, SIGKILL);  // ends with the case, however that ends
       const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
       ::dup2(out, 2);
       ::dup2(out, 1);
@@ -915,6 +919,8 @@
   Response poll(const std::string& id) { return user("GET", "/v1/jobs/" + id, "", 2); }
 
   void end() {
+    const std::lock_guard lock(processes_mutex_);
+    ended_ = true;
     for (std::size_t i = 0; i < nodes.size(); ++i) {
       if (nodes[i].pid <= 0) continue;
       ::kill(nodes[i].pid, SIGKILL);
@@ -973,6 +979,8 @@
         << "\nlist_lag_s = " << amount(settings.list_lag_s)
         << "\n\n[facts.resources]\ncore_share = 0.04\nram_mb = 40.0\nfd_limit = 500\n";
   }
+  std::mutex processes_mutex_;
+  bool ended_ = false;
   std::string folder_;
   std::vector<std::string> command_;
   std::atomic<std::size_t> next_node_{0};
