--- a/review/world-2.hpp
+++ b/review/world-2.hpp
@@ -135,19 +135,21 @@
   port = ntohs(address.sin_port);
   return fd;
 }
-/// A port for a controller that was free a moment ago: below the range from which systems usually take
-/// the ports of outgoing connections, so that none of those can take it before the controller does.
+/// A free port for a controller: below the range from which systems usually take the ports of outgoing
+/// connections. It stays bound here, without listening, so that no other case takes it; with
+/// SO_REUSEADDR on both sockets the controller can bind it as well and listen.
 inline int free_port() {
   static unsigned seed = static_cast<unsigned>(::getpid()) * 7919u;
-  static std::set<int> used;
   for (;;) {
     const int port = 10000 + rand_r(&seed) % 20000;
-    if (!used.insert(port).second) continue;
     const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const sockaddr_in address = loopback(port);
-    const bool is_free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0) {
+      const int one = 1;
+      ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+      return port;
+    }
     ::close(fd);
-    if (is_free) return port;
   }
 }
 
