The shortfall estimate holds no more new machines than one scale-out step adds

Cause: ShortfallEstimator::add packed task by task and appended a new machine, with its two strings, for each task that found none, for every waiting job: 599,998 machines for six such jobs. The scaler takes at most one step of them. A new leader reads the same jobs and makes the same pass.

Change: a kind has as many new machines as one step may add to its pool, and all together a 64th of the memory limit. What goes beyond is added to the requested resources of the pool as a product, so scores and deficits stay the same. Tasks are packed by machine instead of one by one, and the team's limit is found by bisection, so that the time of an estimate no longer grows with the tasks either. One function computes shares of the memory limit.

--- a/src/app/main.cpp
+++ b/src/app/main.cpp
@@ -43,14 +43,15 @@
 /// parsed JSON and the resulting records exist at the same time, together about six times the text.
 std::size_t max_response_bytes(const Settings& settings) {
   constexpr double kMemoryShare = 1.0 / 16;
-  const auto share_bytes = static_cast<std::size_t>(settings.ram_mb * kMemoryShare * kMiB);
+  const auto share_bytes =
+      static_cast<std::size_t>(cranklock::base::memory_bytes(settings, kMemoryShare));
   return std::clamp(share_bytes, kMiB, 4 * kMiB);
 }
 
 /// Limit for the total size of all requests that are being received or answered.
 std::size_t max_request_bytes(const Settings& settings) {
   constexpr double kMemoryShare = 1.0 / 6;
-  return static_cast<std::size_t>(settings.ram_mb * kMemoryShare * kMiB);
+  return static_cast<std::size_t>(cranklock::base::memory_bytes(settings, kMemoryShare));
 }
 
 int serve(const Settings& settings) {
--- a/src/base/settings.hpp
+++ b/src/base/settings.hpp
@@ -103,6 +103,12 @@
   return static_cast<std::size_t>(settings.fd_limit) * 6 / 10;
 }
 
+/// Bytes of a share of the memory limit.
+inline double memory_bytes(const Settings& settings, double share) {
+  constexpr double kBytesPerMb = 1024.0 * 1024;
+  return settings.ram_mb * kBytesPerMb * share;
+}
+
 /// Throws SettingsError.
 Settings load_settings(const std::string& toml_path, const std::string& xml_path);
 
--- a/src/control/forgotten_attempts.cpp
+++ b/src/control/forgotten_attempts.cpp
@@ -12,8 +12,7 @@
 std::size_t max_remembered(const base::Settings& settings) {
   constexpr double kMemoryShare = 1.0 / 64;
   constexpr double kBytesPerAttempt = 250;
-  constexpr double kBytesPerMb = 1024 * 1024;
-  return static_cast<std::size_t>(settings.ram_mb * kBytesPerMb * kMemoryShare / kBytesPerAttempt);
+  return static_cast<std::size_t>(base::memory_bytes(settings, kMemoryShare) / kBytesPerAttempt);
 }
 
 std::string key_of(const std::string& machine, const wire::TaskName& task, std::uint64_t attempt) {
--- a/src/defrag/plan_search.cpp
+++ b/src/defrag/plan_search.cpp
@@ -8,6 +8,7 @@
 #include <utility>
 
 #include "sched/availability.hpp"
+#include "sched/best_fit.hpp"
 #include "wire/client_api.hpp"
 
 namespace cranklock::defrag {
@@ -41,15 +42,6 @@
   return limits;
 }
 
-/// How many such tasks fit into these resources.
-double tasks_that_fit(const wire::Resources& task, const wire::Resources& resources) {
-  double tasks = wire::kMaxTasks;
-  if (task.cpus > 0) tasks = std::min(tasks, std::floor(resources.cpus / task.cpus));
-  if (task.gpus > 0) tasks = std::min(tasks, std::floor(resources.gpus / task.gpus));
-  if (task.memory_gb > 0) tasks = std::min(tasks, std::floor(resources.memory_gb / task.memory_gb));
-  return std::max(tasks, 0.0);
-}
-
 /// A job of which the plan moves more tasks than may move; nullptr if there is none.
 const sched::Job* job_over_move_limit(sched::ClusterState& cluster, const MoveRules& rules,
                                       const std::vector<Host>& hosts, const Plan& plan) {
@@ -91,16 +83,16 @@
 }
 
 bool has_booting_capacity(sched::ClusterState& cluster, const sched::Job& job) {
-  double tasks = 0;
+  std::size_t tasks = 0;
   for (const auto& [id, machine] : cluster.machines()) {
     const auto* type = cluster.type(machine.kind.type);
     if (type == nullptr || machine.agent.heartbeat_received ||
         !sched::is_starting(cluster, machine))
       continue;
     if (!sched::allows(job.spec, machine.kind)) continue;
-    tasks += tasks_that_fit(job.spec.resources, type->resources - machine.allocated);
+    tasks += sched::fitting_tasks(job.spec.resources, type->resources - machine.allocated);
   }
-  return tasks >= static_cast<double>(tasks_placed_together(job));
+  return tasks >= tasks_placed_together(job);
 }
 
 std::optional<FoundPlan> find_plan(sched::ClusterState& cluster, const MoveRules& rules,
--- a/src/peer/links.cpp
+++ b/src/peer/links.cpp
@@ -94,8 +94,7 @@
   // All agents of a zone may send heartbeats at once, each on its own connection.
   const auto max_frames = static_cast<std::size_t>(settings_.fd_limit);
   constexpr double kMemoryShare = 1.0 / 32;  // per peer
-  constexpr double kBytesPerMb = 1024 * 1024;
-  const auto max_bytes = static_cast<std::size_t>(settings_.ram_mb * kBytesPerMb * kMemoryShare);
+  const auto max_bytes = static_cast<std::size_t>(base::memory_bytes(settings_, kMemoryShare));
   const auto found = outboxes_.find(to);
   if (found == outboxes_.end()) return;
   Outbox& outbox = *found->second;
--- a/src/sched/best_fit.cpp
+++ b/src/sched/best_fit.cpp
@@ -13,6 +13,18 @@
   return share;
 }
 
+std::uint32_t fitting_tasks(const wire::Resources& task, const wire::Resources& available) {
+  constexpr double kAmountTolerance = 1e-6;  // rounding of sums of decimals
+  double tasks = wire::kMaxTasks;
+  const auto limit_by = [&](double amount, double available_amount) {
+    if (amount > 0) tasks = std::min(tasks, (available_amount + kAmountTolerance) / amount);
+  };
+  limit_by(task.cpus, available.cpus);
+  limit_by(task.gpus, available.gpus);
+  limit_by(task.memory_gb, available.memory_gb);
+  return static_cast<std::uint32_t>(std::max(tasks, 0.0));
+}
+
 bool lacks_local_controller(const ClusterState& cluster, const Job& job, const std::string& zone) {
   return job.spec.kind == wire::JobKind::service && !cluster.settings().has_controller_in(zone);
 }
--- a/src/sched/best_fit.hpp
+++ b/src/sched/best_fit.hpp
@@ -2,6 +2,7 @@
 // capacity.
 #pragma once
 
+#include <cstdint>
 #include <string>
 
 #include "sched/candidates.hpp"
@@ -16,6 +17,9 @@
 /// The largest fraction of `whole` that `part` takes of any single resource.
 double dominant_share(const wire::Resources& part, const wire::Resources& whole);
 
+/// How many tasks of this size fit into the resources together, at most wire::kMaxTasks.
+std::uint32_t fitting_tasks(const wire::Resources& task, const wire::Resources& available);
+
 /// Whether the task would be a service replica in a zone without a controller. While such a zone is
 /// partitioned from the others, no controller keeps its replicas running.
 bool lacks_local_controller(const ClusterState& cluster, const Job& job, const std::string& zone);
--- a/src/sched/scaler.cpp
+++ b/src/sched/scaler.cpp
@@ -5,6 +5,11 @@
 
 namespace cranklock::sched {
 
+int max_scale_out_step(const base::ScalerSettings& settings, int pool_machines) {
+  const int share_of_pool = static_cast<int>(settings.max_scale_out_step_share * pool_machines);
+  return std::max({settings.max_scale_out_step_machines, share_of_pool, 1});
+}
+
 void ScoreHistory::discard_before(double time) {
   while (!entries_.empty() && entries_.front().time < time) entries_.pop_front();
 }
@@ -71,8 +76,7 @@
 /// `high_score`, whichever is more, capped by the step and pool limits. Machines that are already
 /// booting are not requested again: both numbers are in addition to them.
 int Pool::scale_out_step(const PoolReading& reading) const {
-  const int share_of_pool = static_cast<int>(settings_.max_scale_out_step_share * reading.machines);
-  const int max_step = std::max(settings_.max_scale_out_step_machines, share_of_pool);
+  const int max_step = max_scale_out_step(settings_, reading.machines);
   const int max_added = std::min(max_step, settings_.max_machines - reading.machines);
   return std::clamp(std::max(reading.wanted, reading.deficit), 0, std::max(max_added, 0));
 }
--- a/src/sched/scaler.hpp
+++ b/src/sched/scaler.hpp
@@ -18,6 +18,10 @@
   bool operator==(const PoolState&) const = default;
 };
 
+/// The most machines that one scale-out step adds to a pool of this size, apart from the limit of
+/// the pool; at least 1.
+int max_scale_out_step(const base::ScalerSettings& settings, int pool_machines);
+
 /// The scores of a pool over its longest window.
 class ScoreHistory {
  public:
--- a/src/sched/shortfall_estimator.cpp
+++ b/src/sched/shortfall_estimator.cpp
@@ -6,8 +6,27 @@
 
 #include "sched/availability.hpp"
 #include "sched/best_fit.hpp"
+#include "sched/scaler.hpp"
 
 namespace cranklock::sched {
+namespace {
+
+std::size_t max_new_machines(const base::Settings& settings) {
+  constexpr double kMemoryShare = 1.0 / 64;
+  constexpr double kBytesPerMachine = 2 * sizeof(Candidate);  // the list may double its capacity
+  return static_cast<std::size_t>(
+      std::max(base::memory_bytes(settings, kMemoryShare) / kBytesPerMachine, 1.0));
+}
+
+}  // namespace
+
+ShortfallEstimator::ShortfallEstimator(CandidateSet& candidates,
+                                       const std::map<MachineKind, double>& refused_until,
+                                       double now)
+    : candidates_(candidates),
+      refused_until_(refused_until),
+      now_(now),
+      max_new_machines_(max_new_machines(candidates.cluster().settings())) {}
 
 void ShortfallEstimator::add_pending(const Job& job) {
   add({job, count_zones(candidates_.cluster(), job)}, job.pending_count(), DemandKind::pending);
@@ -36,17 +55,47 @@
 void ShortfallEstimator::add(Search search, std::uint32_t missing, DemandKind demand) {
   const Job& job = search.job;
   missing = std::min(missing, max_requested_tasks(job));
-  for (; missing > 0; --missing) {
-    if (demand == DemandKind::pending && !count_if_within_limit(job)) return;
+  if (demand == DemandKind::pending) missing = count_within_limit(job, missing);
+  while (missing > 0) {
     Candidate* candidate = find_candidate(search, demand);
-    if (candidate == nullptr) candidate = add_machine(search);
-    if (candidate == nullptr) return;
-    shortfall_.requested[pool_of(candidate->kind)] += job.spec.resources;
-    candidate->free -= job.spec.resources;
-    search.zones.add(candidate->kind.zone);
+    if (candidate != nullptr) {
+      missing -= allocate(search, *candidate, missing);
+      continue;
+    }
+    const auto kind = cheapest_kind(search);
+    if (!kind) return;
+    if (may_add_machine(*kind)) {
+      missing -= allocate(search, add_machine(*kind), missing);
+    } else {
+      missing -= request_resources(search, *kind, missing);
+    }
   }
 }
 
+/// Packs up to `max_tasks` tasks of the job onto a candidate on which one fits; returns how many.
+std::uint32_t ShortfallEstimator::allocate(Search& search, Candidate& candidate,
+                                           std::uint32_t max_tasks) {
+  const wire::JobSpec& spec = search.job.spec;
+  const auto available = candidates_.available_to(search.job, candidate);
+  const std::uint32_t fitting = std::max(fitting_tasks(spec.resources, available), 1U);
+  const std::uint32_t tasks = std::min(fitting, max_tasks);
+  const std::uint32_t requested = request_resources(search, candidate.kind, tasks);
+  candidate.free -= spec.resources * requested;
+  return requested;
+}
+
+/// Requests the resources of up to `max_tasks` tasks, as many as the zone rules allow there, from
+/// the pool of the kind; returns how many.
+std::uint32_t ShortfallEstimator::request_resources(Search& search, const MachineKind& kind,
+                                                    std::uint32_t max_tasks) {
+  const wire::JobSpec& spec = search.job.spec;
+  const std::uint32_t tasks =
+      std::min(tasks_allowed_in_zone(spec, search.zones, kind.zone), max_tasks);
+  shortfall_.requested[pool_of(kind)] += spec.resources * tasks;
+  search.zones.add(kind.zone, tasks);
+  return tasks;
+}
+
 /// How many tasks of the job may request machines. While a job fails wherever it runs, it is
 /// retried on existing machines. Guards against a wait without end where none is left (invariant
 /// 21).
@@ -57,14 +106,21 @@
   return job.spec.kind == wire::JobKind::gang ? job.spec.tasks : 1;
 }
 
-/// Adds one task to the planned resources of the team and returns true, unless that would exceed
-/// the team's quota limit.
-bool ShortfallEstimator::count_if_within_limit(const Job& job) {
+/// Adds up to `max_tasks` tasks of the job to the planned resources of its team, as many as the
+/// team's quota limit allows; returns how many.
+std::uint32_t ShortfallEstimator::count_within_limit(const Job& job, std::uint32_t max_tasks) {
   wire::Resources& planned = planned_by_team_[job.spec.team];
-  const wire::Resources more = planned + job.spec.resources;
-  if (!within_quota_limit(candidates_.cluster(), job.spec.team, more)) return false;
-  planned += job.spec.resources;
-  return true;
+  const auto within_limit = [&](std::uint32_t tasks) {
+    return within_quota_limit(candidates_.cluster(), job.spec.team,
+                              planned + job.spec.resources * tasks);
+  };
+  std::uint32_t allowed = 0, excessive = max_tasks + 1;  // the largest allowed number is between
+  while (excessive - allowed > 1) {
+    const std::uint32_t middle = allowed + (excessive - allowed) / 2;
+    (within_limit(middle) ? allowed : excessive) = middle;
+  }
+  planned += job.spec.resources * allowed;
+  return allowed;
 }
 
 /// A schedulable, starting or newly added machine with enough free resources; null if there is
@@ -95,14 +151,35 @@
   return nullptr;
 }
 
-/// A new machine for a task of the job; null if no kind is available. Valid until the next call.
-Candidate* ShortfallEstimator::add_machine(const Search& search) {
-  const auto kind = cheapest_kind(search);
-  if (!kind) return nullptr;
-  ++shortfall_.wanted[*kind];
-  const auto* type = candidates_.cluster().type(kind->type);
-  new_machines_.push_back({*kind, type->resources, nullptr, {}, nullptr, type});
-  return &new_machines_.back();
+/// Whether one more new machine of the kind is worth considering: its pool could still add it in
+/// one step, and the pass may hold it (invariant 23).
+bool ShortfallEstimator::may_add_machine(const MachineKind& kind) {
+  if (new_machines_.size() >= max_new_machines_) return false;
+  const auto wanted = shortfall_.wanted.find(kind);
+  return wanted == shortfall_.wanted.end() || wanted->second < max_step(pool_of(kind));
+}
+
+/// The most machines that one step adds to the pool.
+int ShortfallEstimator::max_step(const PoolId& pool) {
+  if (machines_by_pool_.empty()) {
+    for (const auto& candidate : candidates_.schedulable()) {
+      ++machines_by_pool_[pool_of(candidate.kind)];
+    }
+    for (const auto& candidate : candidates_.starting()) {
+      ++machines_by_pool_[pool_of(candidate.kind)];
+    }
+  }
+  const auto machines = machines_by_pool_.find(pool);
+  return max_scale_out_step(candidates_.cluster().settings().operator_settings.scaler,
+                            machines == machines_by_pool_.end() ? 0 : machines->second);
+}
+
+/// Adds a new machine. Valid until the next call.
+Candidate& ShortfallEstimator::add_machine(const MachineKind& kind) {
+  ++shortfall_.wanted[kind];
+  const auto* type = candidates_.cluster().type(kind.type);
+  new_machines_.push_back({kind, type->resources, nullptr, {}, nullptr, type});
+  return new_machines_.back();
 }
 
 /// Whether a machine of this kind may be requested now for a task of the job.
--- a/src/sched/shortfall_estimator.hpp
+++ b/src/sched/shortfall_estimator.hpp
@@ -1,6 +1,8 @@
 // Estimates the shortfall of machines at the end of a placement pass.
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,13 +17,17 @@
 /// Packs unplaced tasks onto starting machines, and the rest onto as few new machines of the
 /// cheapest kinds as possible. The resources of packed tasks are subtracted from the candidates of
 /// the pass.
+///
+/// Holds no more new machines of a kind than its pool can add in one step, and no more altogether
+/// than a share of the memory limit. Beyond that, only the requested resources of a task count. So
+/// neither the size nor the number of waiting jobs determines how much memory an estimate takes
+/// (invariant 23).
 class ShortfallEstimator {
  public:
   /// `refused_until` holds, for machine kinds that the cloud recently had no capacity for, the time
   /// until which none are requested.
   ShortfallEstimator(CandidateSet& candidates, const std::map<MachineKind, double>& refused_until,
-                     double now)
-      : candidates_(candidates), refused_until_(refused_until), now_(now) {}
+                     double now);
 
   /// Adds the demand of the job's pending tasks, up to its team's quota limit. A job that fails
   /// wherever it runs adds none until it has found no place for `cancel_s`.
@@ -49,11 +55,15 @@
 
   void add(Search search, std::uint32_t missing, DemandKind demand);
   std::uint32_t max_requested_tasks(const Job& job) const;
-  bool count_if_within_limit(const Job& job);
+  std::uint32_t count_within_limit(const Job& job, std::uint32_t max_tasks);
+  std::uint32_t allocate(Search& search, Candidate& candidate, std::uint32_t max_tasks);
+  std::uint32_t request_resources(Search& search, const MachineKind& kind, std::uint32_t max_tasks);
   Candidate* find_candidate(Search& search, DemandKind demand);
   Candidate* next_fitting(std::vector<Candidate>& list, std::size_t& position,
                           const Search& search);
-  Candidate* add_machine(const Search& search);
+  bool may_add_machine(const MachineKind& kind);
+  int max_step(const PoolId& pool);
+  Candidate& add_machine(const MachineKind& kind);
   bool may_scale_out(const Search& search, const MachineKind& kind) const;
   double weighted_price(const Search& search, const MachineKind& kind,
                         const wire::MachineType& type) const;
@@ -62,7 +72,9 @@
   CandidateSet& candidates_;
   const std::map<MachineKind, double>& refused_until_;
   double now_;
+  std::size_t max_new_machines_;
   std::vector<Candidate> new_machines_;
+  std::map<PoolId, int> machines_by_pool_;  ///< schedulable and starting; filled when first needed
   std::map<std::string, wire::Resources> planned_by_team_;  ///< of pending tasks already counted
   Shortfall shortfall_;
 };
--- a/src/sched/zone_count.hpp
+++ b/src/sched/zone_count.hpp
@@ -13,9 +13,9 @@
 /// (invariant 9).
 class ZoneCount {
  public:
-  void add(const std::string& zone) {
-    ++by_zone_[zone];
-    ++total_;
+  void add(const std::string& zone, std::uint32_t tasks = 1) {
+    by_zone_[zone] += tasks;
+    total_ += tasks;
   }
   /// Adds a task on a machine that neither the cloud's machine list nor a heartbeat has named yet,
   /// and that may therefore be in any zone.
@@ -42,4 +42,8 @@
 /// rounded up, in any zone) allow one more task in the zone.
 bool zone_rules_allow(const wire::JobSpec& spec, const ZoneCount& zones, const std::string& zone);
 
+/// How many more tasks of the job its zone rules allow in the zone; at most `spec.tasks`.
+std::uint32_t tasks_allowed_in_zone(const wire::JobSpec& spec, const ZoneCount& zones,
+                                    const std::string& zone);
+
 }  // namespace cranklock::sched
