A nomination keeps a machine only where the large job will fit, and only from what delays it

Cause: once a large job had waited as long as a boot takes, the machine with the most free GPUs was nominated for it, whatever stood there, and refused to all other jobs; for a gang also when only some of its tasks would ever find a place, and regardless of zone rules.

Change: a machine is nominated only where the job fits once all tasks that end by themselves have ended (replicas stand until they are stopped), within the job's zone rules, for a gang only if all tasks find a place. It is the machine that lacks the least, not the one with the most GPUs. Other work may use a nominated machine if it is expected to end before the nominee starts, by the owners' estimates with a margin, or if it fits beside the nominee (sched/run_time.*). Only tasks placed before the nomination was due put off that time, so a stream of small jobs cannot do so for ever. A gang's tasks may share a machine. Work that may preempt the nominee is not kept out. A failed search that a nomination caused rules out only jobs that take as long; one that was not made is not recorded.

--- a/src/control/job_window.cpp
+++ b/src/control/job_window.cpp
@@ -43,7 +43,7 @@
 bool JobWindow::admit(const Job& job) {
   if (!job.placements.empty() || context_.cluster.job(job.spec.id) != nullptr) return true;
   const std::size_t bytes = sched::job_memory_bytes(job);
-  if (!has_room(bytes)) {
+  if (!has_capacity_for(bytes)) {
     defer();
     return false;
   }
@@ -53,7 +53,7 @@
 
 bool JobWindow::admit_or_evict(const Job& job) {
   const bool needs_room = job.placements.empty() && context_.cluster.job(job.spec.id) == nullptr &&
-                          !has_room(sched::job_memory_bytes(job));
+                          !has_capacity_for(sched::job_memory_bytes(job));
   if (needs_room) evict(max_bytes_ / kEvictedFraction, &job);
   return admit(job);
 }
@@ -78,7 +78,7 @@
   mark_incomplete();
 }
 
-bool JobWindow::has_room(std::size_t bytes) {
+bool JobWindow::has_capacity_for(std::size_t bytes) {
   // Cheaper than a count of the waiting jobs, and enough unless there are very many jobs.
   if (context_.cluster.job_memory_bytes() + bytes <= max_bytes_) return true;
   return waiting_bytes() + bytes <= max_bytes_;
--- a/src/control/job_window.hpp
+++ b/src/control/job_window.hpp
@@ -49,7 +49,7 @@
   void rotate();
 
  private:
-  bool has_room(std::size_t bytes);
+  bool has_capacity_for(std::size_t bytes);
   std::size_t waiting_bytes();
   void defer();
   /// Evicts waiting jobs, the least entitled first, until `bytes` are freed: those less entitled
--- a/src/sched/best_fit.cpp
+++ b/src/sched/best_fit.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <limits>
 
+#include "sched/nomination.hpp"
+
 namespace cranklock::sched {
 
 double dominant_share(const wire::Resources& part, const wire::Resources& whole) {
@@ -58,8 +60,10 @@
   if (!job.spec.resources.fits_in(candidates.available_to(job, candidate))) return false;
   if (!allows(job.spec, candidate.kind)) return false;
   if (!only_zone.empty() && candidate.kind.zone != only_zone) return false;
-  if (candidate.nominated_for != nullptr && candidate.nominated_for != &job) return false;
-  return zone_rules_allow(job.spec, zones, candidate.kind.zone);
+  if (!zone_rules_allow(job.spec, zones, candidate.kind.zone)) return false;
+  if (!is_kept_for_nominee(candidate, job)) return true;
+  candidates.note_blocked_by_nomination();
+  return false;
 }
 
 /// The candidate with the lowest cost, the first one on a tie.
--- a/src/sched/candidates.cpp
+++ b/src/sched/candidates.cpp
@@ -5,6 +5,7 @@
 
 #include "sched/availability.hpp"
 #include "sched/entitlement.hpp"
+#include "sched/run_time.hpp"
 
 namespace cranklock::sched {
 namespace {
@@ -26,6 +27,7 @@
 
 CandidateSet::CandidateSet(ClusterState& cluster) : cluster_(cluster) {
   const auto releasing = releasing_by_machine(cluster);
+  any_releasing_ = !releasing.empty();
   for (auto& [id, machine] : cluster.machines()) {
     const auto* type = cluster.type(machine.kind.type);
     if (type == nullptr) continue;
@@ -79,6 +81,16 @@
   return available;
 }
 
+const wire::Resources& CandidateSet::held_by_replicas(Candidate& candidate) const {
+  if (candidate.held_by_replicas) return *candidate.held_by_replicas;
+  wire::Resources held;
+  for (const PlacementRef& ref : candidate.machine->tasks) {
+    const bool is_stopping = ref.job->cancelled() || ref.placement().stop_requested;
+    if (stands(ref.job->spec) && !is_stopping) held += ref.job->spec.resources;
+  }
+  return candidate.held_by_replicas.emplace(held);
+}
+
 std::vector<std::string> gang_zones(const CandidateSet& candidates, const wire::JobSpec& spec) {
   if (!spec.one_zone) return {""};
   std::vector<std::string> zones;
--- a/src/sched/candidates.hpp
+++ b/src/sched/candidates.hpp
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,10 +17,15 @@
   wire::Resources free;        ///< decreases during the pass as tasks are placed
   Machine* machine = nullptr;  ///< null unless the machine is schedulable
   wire::Resources releasing;   ///< held by tasks that are being stopped
-  /// The only job that may use the machine for the rest of the pass, if set; see nomination.hpp.
+  /// The job for which resources are kept on the machine for the rest of the pass, if set; see
+  /// nomination.hpp.
   const Job* nominated_for = nullptr;
   const wire::MachineType* type = nullptr;
-  bool has_reservations = false;  ///< a move plan has reserved resources on it
+  bool has_reservations = false;   ///< a move plan has reserved resources on it
+  double nominee_starts_in_s = 0;  ///< expected seconds until its nominee starts
+  wire::Resources spare = {};      ///< what will be free when its nominee has started
+  /// Held by replicas that are not being stopped; none: not known yet (CandidateSet).
+  std::optional<wire::Resources> held_by_replicas = std::nullopt;
 };
 
 /// The schedulable and the starting machines of one pass, and the active reservations. The order of
@@ -37,6 +43,8 @@
   std::vector<Candidate>& retriable() { return retriable_; }
   /// Machines for which is_starting() holds, ordered by id.
   std::vector<Candidate>& starting() { return starting_; }
+  /// Whether tasks on any machine were being stopped when the pass began.
+  bool any_releasing() const { return any_releasing_; }
   /// The schedulable machine with this id, or null.
   Candidate* find(const std::string& machine);
 
@@ -46,8 +54,17 @@
     return candidate.has_reservations ? unreserved_for(job, candidate) : candidate.free;
   }
 
-  /// Resets blocked_by_reservation() before a new search.
-  void clear_blocked_by_reservation() { blocked_by_reservation_ = false; }
+  /// The resources on a schedulable machine that its replicas hold, apart from those that are being
+  /// stopped. They do not become free by themselves.
+  const wire::Resources& held_by_replicas(Candidate& candidate) const;
+
+  /// Resets blocked_by_reservation() and blocked_by_nomination() before a new search.
+  void begin_search() { blocked_by_reservation_ = blocked_by_nomination_ = false; }
+  /// Records that a machine was left out because of a nomination.
+  void note_blocked_by_nomination() { blocked_by_nomination_ = true; }
+  /// Whether, since the last reset, a machine was left out because of a nomination. Shorter tasks
+  /// may still use it.
+  bool blocked_by_nomination() const { return blocked_by_nomination_; }
   /// Whether, since the last reset, a machine had too few resources only because of reservations.
   /// The same resources may still be available to other jobs.
   bool blocked_by_reservation() const { return blocked_by_reservation_; }
@@ -69,7 +86,9 @@
   ClusterState& cluster_;
   std::vector<Candidate> schedulable_, retriable_, starting_;
   std::vector<const Reservation*> reservations_;
+  bool any_releasing_ = false;
   bool blocked_by_reservation_ = false;
+  bool blocked_by_nomination_ = false;
   std::size_t examined_ = 0;
 };
 
--- a/src/sched/gang_placement.cpp
+++ b/src/sched/gang_placement.cpp
@@ -1,6 +1,9 @@
 #include "sched/gang_placement.hpp"
 
+#include <optional>
+
 #include "sched/best_fit.hpp"
+#include "sched/nomination.hpp"
 
 namespace cranklock::sched {
 namespace {
@@ -14,19 +17,23 @@
   TrialAllocation& operator=(const TrialAllocation&) = delete;
   ~TrialAllocation() {
     for (auto change = changes_.rbegin(); change != changes_.rend(); ++change) {
-      change->candidate->free = change->free_before;
+      change->candidate->free = change->free;
+      change->candidate->spare = change->spare;
+      change->candidate->held_by_replicas = change->held_by_replicas;
     }
   }
 
-  void allocate(Candidate& candidate, const wire::Resources& resources) {
-    changes_.push_back({&candidate, candidate.free});
-    candidate.free -= resources;
+  void allocate(Candidate& candidate, const Job& job) {
+    changes_.push_back({&candidate, candidate.free, candidate.spare, candidate.held_by_replicas});
+    allocate_task(candidate, job);
   }
 
  private:
   struct Change {
     Candidate* candidate;
-    wire::Resources free_before;
+    // As before the allocation.
+    wire::Resources free, spare;
+    std::optional<wire::Resources> held_by_replicas;
   };
   std::vector<Change> changes_;
 };
@@ -55,7 +62,7 @@
   for (std::uint32_t task = 0; task < job.spec.tasks; ++task) {
     Candidate* candidate = find_best_fit(candidates, job, zones, only_zone, avoided);
     if (candidate == nullptr) return {};
-    trial.allocate(*candidate, job.spec.resources);
+    trial.allocate(*candidate, job);
     zones.add(candidate->kind.zone);
     chosen.push_back(candidate);
   }
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -20,10 +20,10 @@
 // A long pass would delay heartbeats, user requests and the renewal of the leader lease. A burst,
 // or the loss of many machines, is therefore spread over several passes, most entitled jobs first.
 constexpr int kMaxPlacedPerPass = 400;  // tasks
-/// Preemption searches per pass, and jobs per pass that machines are nominated for; each examines
-/// all schedulable machines.
+/// Preemption searches per pass; each examines all schedulable machines.
 constexpr std::size_t kMaxPreemptionSearches = 100;
-constexpr std::size_t kMaxNominees = 100;
+/// Machines that a pass examines for nominations.
+constexpr std::size_t kMaxExaminedForNominations = 1'600'000;
 
 /// Whether a placement of the job on the candidate is a retry after failures there.
 bool is_retry(const Job& job, const Candidate& candidate) {
@@ -61,6 +61,7 @@
   void place_job(Job& job);
   void place_gang(Job& job, const std::vector<std::uint32_t>& tasks);
   void place_tasks(Job& job, const std::vector<std::uint32_t>& tasks);
+  void nominate(const Job& job);
   Candidate* find_candidate(const Job& job, const ZoneCount& zones);
   void place_task(Candidate& candidate, Job& job, std::uint32_t task, std::uint64_t attempt);
   void preempt_for_unplaced(const PlacedPriorities& placed);
@@ -71,6 +72,7 @@
   double now_;
   CandidateSet candidates_;
   std::size_t remaining_placements_;
+  std::size_t examined_for_nominations_ = 0;
   FailedSearches failed_searches_;
   std::vector<Job*> unplaced_;  ///< in queue order
   PassResult result_;
@@ -136,7 +138,7 @@
   // All tasks of the previous attempt must have ended before the next attempt begins.
   if (job.live_count() > 0 || tasks.size() != job.spec.tasks) return;
   if (!within_quota_limit(cluster_, job.spec.team, job.spec.resources * job.spec.tasks)) return;
-  candidates_.clear_blocked_by_reservation();
+  candidates_.begin_search();
   std::vector<Candidate*> chosen;
   if (!failed_searches_.rules_out(cluster_, job)) {
     chosen = fit_gang(candidates_, job);
@@ -145,13 +147,25 @@
   if (chosen.empty()) chosen = fit_gang_for_retry(candidates_, job, now_);
   if (chosen.empty()) {
     unplaced_.push_back(&job);
-    if (unplaced_.size() <= kMaxNominees) nominate_gang_machines(candidates_, job, now_);
+    nominate(job);
     return;
   }
   const std::uint64_t attempt = job.last_attempt + 1;
   for (std::size_t i = 0; i < tasks.size(); ++i) place_task(*chosen[i], job, tasks[i], attempt);
 }
 
+/// Nominates machines for a job that was not placed, the most entitled jobs first.
+void PlacementPass::nominate(const Job& job) {
+  if (examined_for_nominations_ >= kMaxExaminedForNominations) return;
+  if (!may_be_nominated(candidates_, job, now_)) return;
+  examined_for_nominations_ += candidates_.schedulable().size();
+  if (job.spec.kind == wire::JobKind::gang) {
+    nominate_gang_machines(candidates_, job, now_);
+  } else {
+    nominate_machine(candidates_, job, now_);
+  }
+}
+
 /// Places as many of the tasks as the team's quota and the free resources allow.
 void PlacementPass::place_tasks(Job& job, const std::vector<std::uint32_t>& tasks) {
   ZoneCount zones = count_zones(cluster_, job);
@@ -161,13 +175,13 @@
     // The best fit for one task is also the best fit for the next one for as long as it fits, since
     // placing a task reduces the unused capacity there. A retry takes one task only.
     if (candidate == nullptr || job.spec.spread || is_retry(job, *candidate) ||
-        !job.spec.resources.fits_in(candidates_.available_to(job, *candidate))) {
+        !job.spec.resources.fits_in(candidates_.available_to(job, *candidate)) ||
+        is_kept_for_nominee(*candidate, job)) {
       candidate = find_candidate(job, zones);
     }
     if (candidate == nullptr) {
-      failed_searches_.record(candidates_, job);
       unplaced_.push_back(&job);
-      if (unplaced_.size() <= kMaxNominees) nominate_machine(candidates_, job, now_);
+      nominate(job);
       return;
     }
     zones.add(candidate->kind.zone);
@@ -178,10 +192,11 @@
 /// A machine for one task of the job, one that has failed tasks only if there is no other; null if
 /// there is none.
 Candidate* PlacementPass::find_candidate(const Job& job, const ZoneCount& zones) {
-  candidates_.clear_blocked_by_reservation();
+  candidates_.begin_search();
   if (!failed_searches_.rules_out(cluster_, job)) {
     Candidate* best = find_best_fit(candidates_, job, zones);
     if (best != nullptr) return best;
+    failed_searches_.record(candidates_, job);
   }
   return find_retry_fit(candidates_, job, zones, now_);
 }
@@ -190,7 +205,7 @@
                                std::uint64_t attempt) {
   cluster_.add_placement(job, task, attempt, candidate.machine->id, now_);
   if (is_retry(job, candidate)) cluster_.record_retry(job, *candidate.machine, now_);
-  candidate.free -= job.spec.resources;
+  allocate_task(candidate, job);
   remaining_placements_ -= std::min<std::size_t>(remaining_placements_, 1);
   ++result_.placed;
 }
--- a/src/sched/preemption.cpp
+++ b/src/sched/preemption.cpp
@@ -13,7 +13,7 @@
   if (job.spec.kind == wire::JobKind::gang) return preempt_for_gang(job);
   ZoneCount zones = count_zones(candidates_.cluster(), job);
   FailedSearches& failed = failed_searches_[{job.spec.team, job.urgency.priority, job.guaranteed}];
-  candidates_.clear_blocked_by_reservation();
+  candidates_.begin_search();
   if (failed.rules_out(candidates_.cluster(), job)) return;
   wire::Resources planned;
   for (auto remaining = job.pending_count(); remaining > 0; --remaining) {
@@ -21,7 +21,11 @@
     planned += job.spec.resources;
     if (!within_quota_limit(candidates_.cluster(), job.spec.team, planned)) return;
     const auto choice = choose_preemption(job, zones, "", {});
-    if (!choice) return failed.record(candidates_, job);
+    if (!choice) {
+      // The nominee itself may need a machine that others were kept from.
+      if (!candidates_.blocked_by_nomination()) failed.record(candidates_, job);
+      return;
+    }
     zones.add(choice->candidate->kind.zone);
     preempt_victims(job, *choice);
   }
@@ -79,6 +83,14 @@
   return choices;
 }
 
+/// Whether the machine is nominated for a job that this one may not preempt.
+bool Preemptor::is_nominated_against(const Job& job, const Candidate& candidate) const {
+  const Job* nominee = candidate.nominated_for;
+  if (nominee == nullptr || nominee == &job || may_preempt(job, *nominee)) return false;
+  candidates_.note_blocked_by_nomination();
+  return true;
+}
+
 /// The machine on which freeing resources for one task of the job costs least. Returns at once if a
 /// machine needs no victims because the resources being released suffice.
 std::optional<Preemptor::PreemptionChoice> Preemptor::choose_preemption(
@@ -92,7 +104,7 @@
         candidates_.available_to(job, candidate) + candidate.releasing;
     const bool fits = job.spec.resources.fits_in(available);
     if (!may_have_victims && !fits) continue;
-    if (candidate.nominated_for != nullptr && candidate.nominated_for != &job) continue;
+    if (is_nominated_against(job, candidate)) continue;
     if (!allows(job.spec, candidate.kind)) continue;
     if (!zone_rules_allow(job.spec, zones, candidate.kind.zone)) continue;
     if (!only_zone.empty() && candidate.kind.zone != only_zone) continue;
--- a/src/sched/preemption.hpp
+++ b/src/sched/preemption.hpp
@@ -57,6 +57,7 @@
   std::optional<PreemptionChoice> choose_preemption(const Job& job, const ZoneCount& zones,
                                                     const std::string& only_zone,
                                                     const std::set<Candidate*>& excluded);
+  bool is_nominated_against(const Job& job, const Candidate& candidate) const;
   std::optional<PreemptionChoice> choose_victims(const Job& job, Candidate& candidate,
                                                  wire::Resources available) const;
   std::vector<Victim> victims_on(const Job& job, const Candidate& candidate) const;
--- a/tests/candidates_test.cpp
+++ b/tests/candidates_test.cpp
@@ -170,7 +170,7 @@
   EXPECT_FALSE(candidates.blocked_by_reservation());
   EXPECT_DOUBLE_EQ(candidates.available_to(equal, candidate).gpus, 2);
   EXPECT_TRUE(candidates.blocked_by_reservation());
-  candidates.clear_blocked_by_reservation();
+  candidates.begin_search();
   const Job urgent = prioritized("j-000003", Priority::production, false, "blue");
   EXPECT_DOUBLE_EQ(candidates.available_to(urgent, candidate).gpus, 8);
   EXPECT_FALSE(candidates.blocked_by_reservation());
