One definition each of work that may be placed, of an image's fetch time and of a page

Cause: whether a job's tasks may be placed was written out in four places, the fetch time of an image in three and the size of a page of the store in three. Change: Job::placeable, sched::image_fetch_s, store::kPageItems. No behaviour is meant to change.

--- a/src/control/job_pager.cpp
+++ b/src/control/job_pager.cpp
@@ -32,10 +32,10 @@
 }
 
 Task<void> JobPager::read_page() {
-  constexpr int kPageItems = 200;
   if (after_.empty()) change_count_at_round_start_ = window_.change_count();
   reading_ = true;
-  auto reading = context_.services.store.read_page(kJobsPrefix, after_, kPageItems, kStoreTimeoutS);
+  auto reading =
+      context_.services.store.read_page(kJobsPrefix, after_, store::kPageItems, kStoreTimeoutS);
   const auto read = co_await reading;
   reading_ = false;
   const auto changed = std::exchange(changed_while_reading_, {});
--- a/src/control/job_window.cpp
+++ b/src/control/job_window.cpp
@@ -135,7 +135,7 @@
 /// Whether it is known that the job cannot start now. Guards against a job that is evicted in every
 /// round before it could start.
 bool JobWindow::cannot_start(const Job& job) const {
-  if (job.dependencies_met) return job.considered || job.retry.backoff_until > context_.now();
+  if (job.dependencies_met) return job.considered || !job.placeable(context_.now());
   return std::any_of(job.spec.dependencies.begin(), job.spec.dependencies.end(),
                      [&](const std::string& id) {
                        return context_.cluster.job(id) != nullptr || outcome_not_found_(id);
--- a/src/control/status_cache.cpp
+++ b/src/control/status_cache.cpp
@@ -18,7 +18,6 @@
 
 constexpr double kMaxSyncRequestShare = 0.25;                     ///< of this node's store requests
 constexpr double kMinSyncIntervalS = kClientRequestTimeoutS / 8;  ///< between two syncs
-constexpr int kPageItems = 200;
 
 }  // namespace
 
@@ -150,7 +149,8 @@
 
 // Returns the revision at which the page was read, or the status of the failed read.
 Task<base::Result<std::uint64_t, Status>> StatusCache::read_next_page() {
-  auto reading = store_.read_page(kJobsPrefix, *next_page_, kPageItems, kClientRequestTimeoutS);
+  auto reading =
+      store_.read_page(kJobsPrefix, *next_page_, store::kPageItems, kClientRequestTimeoutS);
   const auto read = co_await reading;
   if (read.status != Status::ok) co_return Failure(read.status);
   const auto& values = read.page.items;
--- a/src/defrag/plan_search.cpp
+++ b/src/defrag/plan_search.cpp
@@ -73,9 +73,7 @@
 
 bool waits_only_for_capacity(const sched::ClusterState& cluster, const sched::Job& job,
                              double now) {
-  if (job.cancelled() || job.complete() || !job.dependencies_met || job.retry.backoff_until > now)
-    return false;
-  if (job.pending_count() == 0) return false;
+  if (!job.placeable(now) || job.pending_count() == 0) return false;
   // All tasks of a gang's previous attempt must have ended before the next attempt starts.
   if (job.spec.kind == wire::JobKind::gang && job.live_count() > 0) return false;
   const auto tasks = static_cast<double>(tasks_placed_together(job));
--- a/src/defrag/planner.cpp
+++ b/src/defrag/planner.cpp
@@ -7,6 +7,8 @@
 #include <map>
 #include <utility>
 
+#include "sched/run_time.hpp"
+
 namespace cranklock::defrag {
 namespace {
 
@@ -24,9 +26,8 @@
 }
 
 double fetch_s(const HostedTask& hosted_task, const Host& host) {
-  constexpr double kMinFetchGbPerS = 0.01;
   if (host.images.contains(hosted_task.spec->image)) return 0;
-  return hosted_task.spec->image_gb / std::max(host.fetch_gb_per_s, kMinFetchGbPerS);
+  return sched::image_fetch_s(*hosted_task.spec, host.fetch_gb_per_s);
 }
 
 /// Hosted tasks whose moves free resources for one more task on a host.
--- a/src/regions/demand.cpp
+++ b/src/regions/demand.cpp
@@ -27,9 +27,7 @@
   std::map<std::string, TeamDemand> demands;
   const std::size_t max_live = sched::max_live_tasks(cluster.settings());
   for (const auto& [id, job] : cluster.jobs()) {
-    const bool is_waiting = !job.cancelled() && !job.complete() && job.dependencies_met &&
-                            job.retry.backoff_until <= now;
-    const std::size_t tasks = is_waiting ? placeable_tasks(job, max_live) : 0;
+    const std::size_t tasks = job.placeable(now) ? placeable_tasks(job, max_live) : 0;
     if (tasks == 0) continue;
     const auto [entry, first] = demands.try_emplace(job.spec.team);
     TeamDemand& demand = entry->second;
--- a/src/sched/best_fit.cpp
+++ b/src/sched/best_fit.cpp
@@ -4,6 +4,7 @@
 #include <limits>
 
 #include "sched/nomination.hpp"
+#include "sched/run_time.hpp"
 
 namespace cranklock::sched {
 
@@ -36,11 +37,10 @@
   // Best fit keeps whole machines free for the largest tasks. The penalty grows with the capacity
   // that the task leaves unused, up to a tenth of the boot time for a whole machine.
   constexpr double kFragmentationWeight = 0.1;
-  constexpr double kMinFetchGbPerS = 0.01;  // for machine types that state no rate
   const wire::MachineType& type = *candidate.type;
   double seconds = 0;
   if (candidate.machine != nullptr && !candidate.machine->holds_image(job.spec.image)) {
-    seconds += job.spec.image_gb / std::max(type.fetch_gb_per_s, kMinFetchGbPerS);
+    seconds += image_fetch_s(job.spec, type.fetch_gb_per_s);
   }
   seconds += kFragmentationWeight * type.ready_s *
              dominant_share(candidate.free - job.spec.resources, type.resources);
--- a/src/sched/job.hpp
+++ b/src/sched/job.hpp
@@ -205,6 +205,10 @@
   }
   bool cancelled() const { return cancelled_at_ms != 0; }
   bool complete() const { return done.size() == spec.tasks; }
+  /// Whether its tasks may run: it has not ended, and all its dependencies are done.
+  bool runnable() const { return !cancelled() && !complete() && dependencies_met; }
+  /// Whether its tasks may be placed now, apart from resources and quota.
+  bool placeable(double now) const { return runnable() && retry.backoff_until <= now; }
   /// Records that a task has completed. The tasks of a gang complete together (PROTOCOL, "Gangs"),
   /// so the completion of one is that of all.
   void mark_completed(std::uint32_t task);
--- a/src/sched/placement.cpp
+++ b/src/sched/placement.cpp
@@ -97,10 +97,7 @@
 /// A move plan grants no privileges (invariant 17): the start of a moved task passes the same
 /// checks as any other start.
 bool PlacementPass::may_reschedule(const Job& job, std::uint32_t task, const Candidate& target) {
-  if (job.cancelled() || !job.dependencies_met || job.retry.backoff_until > now_ ||
-      !job.is_pending(task)) {
-    return false;
-  }
+  if (!job.placeable(now_) || !job.is_pending(task)) return false;
   return job.live_count() < max_live_tasks(cluster_.settings()) &&
          within_quota_limit(cluster_, job.spec.team, job.spec.resources) &&
          allows(job.spec, target.kind) &&
--- a/src/sched/run_time.cpp
+++ b/src/sched/run_time.cpp
@@ -14,12 +14,15 @@
   return spec.kind == wire::JobKind::service;
 }
 
-double max_run_s(const wire::JobSpec& spec, const wire::MachineType& type) {
-  constexpr double kEstimateMargin = 1.5;   // estimates are often wrong by half (PROTOCOL)
+double image_fetch_s(const wire::JobSpec& spec, double fetch_gb_per_s) {
   constexpr double kMinFetchGbPerS = 0.01;  // for machine types that state no rate
+  return spec.image_gb / std::max(fetch_gb_per_s, kMinFetchGbPerS);
+}
+
+double max_run_s(const wire::JobSpec& spec, const wire::MachineType& type) {
+  constexpr double kEstimateMargin = 1.5;  // estimates are often wrong by half (PROTOCOL)
   if (stands(spec) || spec.estimate_s <= 0) return kForever;
-  const double fetch_s = spec.image_gb / std::max(type.fetch_gb_per_s, kMinFetchGbPerS);
-  return kEstimateMargin * (spec.estimate_s + fetch_s);
+  return kEstimateMargin * (spec.estimate_s + image_fetch_s(spec, type.fetch_gb_per_s));
 }
 
 double remaining_run_s(const wire::JobSpec& spec, const Placement& placement, double now) {
--- a/src/sched/run_time.hpp
+++ b/src/sched/run_time.hpp
@@ -9,6 +9,9 @@
 /// Whether the job's tasks run until they are stopped.
 bool stands(const wire::JobSpec& spec);
 
+/// Seconds that a machine with this rate takes to fetch the job's image.
+double image_fetch_s(const wire::JobSpec& spec, double fetch_gb_per_s);
+
 /// Seconds within which a task that is placed now on a machine of the type will probably have
 /// ended, including the fetch of its image; infinite if it stands or its owner gave no estimate.
 double max_run_s(const wire::JobSpec& spec, const wire::MachineType& type);
--- a/src/sched/waiting_queue.cpp
+++ b/src/sched/waiting_queue.cpp
@@ -23,7 +23,7 @@
 std::vector<Job*> runnable_jobs_by_age(ClusterState& cluster) {
   std::vector<Job*> runnable;
   for (auto& [id, job] : cluster.jobs()) {
-    if (!job.cancelled() && !job.complete() && job.dependencies_met) runnable.push_back(&job);
+    if (job.runnable()) runnable.push_back(&job);
   }
   std::sort(runnable.begin(), runnable.end(), [](const Job* a, const Job* b) {
     return std::tie(a->ready_ms, a->spec.id) < std::tie(b->ready_ms, b->spec.id);
@@ -58,7 +58,7 @@
   WaitingQueue queue;
   for (Job* job : jobs_by_age) {
     if (job->live_count() > 0) queue.placed.add(*job);
-    if (job->retry.backoff_until > now || job->pending_count() == 0) continue;
+    if (!job->placeable(now) || job->pending_count() == 0) continue;
     queue.jobs.push_back(job);
   }
   std::stable_sort(queue.jobs.begin(), queue.jobs.end(), [](const Job* a, const Job* b) {
--- a/src/store/client.hpp
+++ b/src/store/client.hpp
@@ -43,6 +43,9 @@
   wire::RangePage page;  ///< if ok
 };
 
+/// Values in one page of a longer read.
+inline constexpr int kPageItems = 200;
+
 /// Sends requests to the key-value store. The clients of all controllers together stay within the
 /// rate limits of the settings: a request waits for its controller's share, and is rejected unsent
 /// if the wait would exceed its timeout. Timeouts are in seconds from the call and include the
--- a/src/store/range_reader.cpp
+++ b/src/store/range_reader.cpp
@@ -3,7 +3,6 @@
 namespace cranklock::store {
 
 net::Task<RangeResult> RangeReader::next() {
-  constexpr int kPageItems = 200;
   auto reading = client_.read_page(prefix_, after_, kPageItems, timeout_s_);
   auto read = co_await reading;
   if (read.status != Status::ok) co_return read;
