--- a/lab/run.hpp
+++ b/lab/run.hpp
@@ -30,8 +30,8 @@
   /// those of real machines.
   std::string report() const;
   /// True if the plan and all faults were executed, every submission was accepted, no controller
-  /// exited by itself, the quotas add up, the fragmentation scenario succeeded and no rule was
-  /// violated. Quotas are checked with several regions only.
+  /// exited by itself or held more memory than its limit, the quotas add up, the fragmentation
+  /// scenario succeeded and no rule was violated. Quotas are checked with several regions only.
   bool passed() const;
 
   /// Human-readable reason why the run did not pass; empty if it passed.
@@ -86,6 +86,8 @@
   std::string submit(const ClassPlan& plan, int region);
   std::unique_ptr<FragmentationScenario> make_fragmentation_scenario();
   void finish();
+  /// Whether no controller held more than its memory limit at any time.
+  bool is_memory_within_limit() const;
   /// The factor of the plan's submission rates now: 0 before and after the submissions.
   double submission_rate_factor() const;
   /// Passes the tasks held by all machines with a valid lease to the rule checker.
--- a/lab/run_report.cpp
+++ b/lab/run_report.cpp
@@ -38,9 +38,15 @@
   }
   std::string fragments = fragmentation_ ? fragmentation_->failure_reason() : "";
   if (!fragments.empty() || passed()) return fragments;
+  if (!is_memory_within_limit()) return "a controller held more memory than ram_mb";
   return "a submission was not accepted, a controller ended, or shares don't add up";
 }
 
+bool Run::is_memory_within_limit() const {
+  return std::all_of(controller_usage_.begin(), controller_usage_.end(),
+                     [this](const auto& usage) { return usage.memory_mb <= plan_.ram_mb; });
+}
+
 bool Run::passed() const {
   if (fragmentation_ && !fragmentation_->failure_reason().empty()) return false;
   const bool all_accepted = std::all_of(
@@ -49,7 +55,8 @@
   const bool all_alive = std::all_of(controller_usage_.begin(), controller_usage_.end(),
                                      [](const auto& usage) { return usage.alive; });
   return finished_ && quota_audit_.teams_with_wrong_sums == 0 && all_accepted && all_alive &&
-         rules_.violations.empty() && faults_injected_ == static_cast<int>(plan_.faults.size());
+         is_memory_within_limit() && rules_.violations.empty() &&
+         faults_injected_ == static_cast<int>(plan_.faults.size());
 }
 
 std::string Run::summary() const {
--- a/lab/settings.cpp
+++ b/lab/settings.cpp
@@ -58,7 +58,8 @@
   spec.priority = read_enum<Priority>(in, "rank",
                                       {{"production", Priority::production},
                                        {"high", Priority::high},
-                                       {"standard", Priority::standard}});
+                                       {"standard", Priority::standard},
+                                       {"best_effort", Priority::best_effort}});
   spec.tasks = static_cast<std::uint32_t>(in.count("tasks", 1));
   const double gpus = in.number("gpus", 0, true);
   spec.resources = {gpus, gpus, 8 * gpus};
