--- a/tests/nomination_test.cpp
+++ b/tests/nomination_test.cpp
@@ -15,8 +15,7 @@
 using testing::make_job;
 using wire::JobKind;
 
-constexpr double kBootS = 45;  ///< of testing::machine_type()
-constexpr double kNow = 100;   ///< all large jobs have waited for a boot time
+constexpr double kNow = 100;  ///< all large jobs have waited for a boot time
 
 std::string kind_name(JobKind kind) {
   return kind == JobKind::job_array ? "Array" : kind == JobKind::service ? "Service" : "Gang";
--- a/tests/waiting_jobs_benchmark.cpp
+++ b/tests/waiting_jobs_benchmark.cpp
@@ -52,7 +52,7 @@
 /// The key-value store's contents and the fleet; what a leader holds is created by each run.
 struct Queue {
   testing::TermFixture fixture;
-  control::RecordReloader reloader{fixture.context, [](sched::Job) {}};
+  control::RecordReloader reloader{fixture.context, [](const sched::Job&) {}};
 
   struct Size {
     int machines, jobs;
