Deferred jobs: reading leaves a small processor its time; a job larger than the window takes its turn

Cause: pages of deferred jobs were read at a fixed pace, whatever a page cost; and a job that alone exceeds the window (an eighth of ram_mb, so only with less than about 1 MB) would have held up all behind it in every round. Change: ten times the time of the last page passes before the next; such a job is held when nothing else waits beside it. DeferredJobs.AJobLargerThanTheWindowIsHeldNowAndThen fails without it. 177 tests of the modules concerned pass.

--- a/src/control/job_pager.cpp
+++ b/src/control/job_pager.cpp
@@ -17,9 +17,11 @@
     : context_(context), reloader_(reloader), window_(window), upsert_job_(std::move(upsert_job)) {}
 
 Task<void> JobPager::run() {
-  const double min_interval_s = context_.services.settings.heartbeat_interval_s / 4;
+  // Leaves most of a small processor's time to heartbeats and placement passes.
+  constexpr double kPausePerPageTime = 10;  ///< multiple of the time that the last page took
+  const double min_pause_s = context_.services.settings.heartbeat_interval_s / 4;
   for (;;) {
-    Sleep pause(context_.services.reactor, min_interval_s);
+    Sleep pause(context_.services.reactor, std::max(min_pause_s, kPausePerPageTime * page_took_s_));
     co_await pause;
     if (window_.is_complete()) continue;
     auto reading = read_page();
@@ -40,16 +42,22 @@
   reading_ = false;
   const auto changed = std::exchange(changed_while_reading_, {});
   if (read.status != Status::ok) co_return;
-  for (const auto& value : read.page.items) {
+  const double began_at = context_.now();
+  hold_page(read.page, changed);
+  page_took_s_ = context_.now() - began_at;
+}
+
+void JobPager::hold_page(const wire::RangePage& page, const std::set<std::string>& changed) {
+  for (const auto& value : page.items) {
     const bool is_stale = changed.contains(job_id_from_key(value.key));
     if (!is_stale && !hold(value)) {
       window_.request_rotation();
       context_.state_changed.set();
-      co_return;  // the next page begins with this job
+      return;  // the next page begins with this job
     }
     after_ = value.key;
   }
-  if (read.page.more && !read.page.items.empty()) co_return;
+  if (page.more && !page.items.empty()) return;
   after_.clear();
   window_.mark_complete(change_count_at_round_start_);
 }
--- a/src/control/job_pager.hpp
+++ b/src/control/job_pager.hpp
@@ -10,6 +10,7 @@
 #include "control/leader_context.hpp"
 #include "control/record_reloader.hpp"
 #include "net/task.hpp"
+#include "wire/store_api.hpp"
 
 namespace cranklock::control {
 
@@ -30,6 +31,9 @@
 
  private:
   net::Task<void> read_page();
+  /// Holds the jobs of a page, except those that have changed since it was read, until the window
+  /// is full.
+  void hold_page(const wire::RangePage& page, const std::set<std::string>& changed);
   /// Returns false if the window has no room for the job.
   bool hold(const wire::StoredValue& value);
 
@@ -39,6 +43,7 @@
   std::function<void(sched::Job)> upsert_job_;
   std::string after_;  ///< key of the last job considered in this round; empty: none
   std::uint64_t change_count_at_round_start_ = 0;
+  double page_took_s_ = 0;  ///< to parse and hold the last page
   bool reading_ = false;
   std::set<std::string> changed_while_reading_;  ///< ids of jobs
 };
--- a/src/control/job_window.cpp
+++ b/src/control/job_window.cpp
@@ -79,6 +79,7 @@
 }
 
 bool JobWindow::has_capacity_for(std::size_t bytes) {
+  bytes = std::min(bytes, max_bytes_);  // a job that is larger than the window is held alone
   // Cheaper than a count of the waiting jobs, and enough unless there are very many jobs.
   if (context_.cluster.job_memory_bytes() + bytes <= max_bytes_) return true;
   return waiting_bytes() + bytes <= max_bytes_;
--- a/tests/waiting_jobs_test.cpp
+++ b/tests/waiting_jobs_test.cpp
@@ -161,12 +161,16 @@
     const double end = reactor_.now() + seconds;
     while (reactor_.now() < end) {
       run(0.05);
+      note_held_jobs();
       watcher_.apply_changes();
       sched::place_waiting_jobs(cluster_, {}, reactor_.now());
-      for (const auto& [id, job] : cluster_.jobs()) seen_.insert(id);
+      note_held_jobs();
       EXPECT_LE(waiting_bytes(), max_bytes_);
     }
   }
+  void note_held_jobs() {
+    for (const auto& [id, job] : cluster_.jobs()) seen_.insert(id);
+  }
   std::size_t waiting_bytes() {
     std::size_t bytes = 0;
     for (const auto& [id, job] : cluster_.jobs()) {
@@ -216,6 +220,21 @@
   EXPECT_NE(cluster_.job("j-999999"), nullptr);
 }
 
+// Guards against a job larger than the window, which the others would wait behind for ever.
+TEST_F(DeferredJobs, AJobLargerThanTheWindowIsHeldNowAndThen) {
+  store_jobs();
+  Job large = make_service("j-100200");
+  for (std::size_t i = 0; i < wire::kMaxDependencies; ++i) {
+    large.spec.dependencies.push_back("j-" + std::to_string(700'000 + i));
+  }
+  ASSERT_GT(sched::job_memory_bytes(large), max_bytes_);
+  max_bytes_ = sched::job_memory_bytes(large);
+  store_job(large);
+  ASSERT_TRUE(await(watcher_.load()));
+  follow(60);
+  EXPECT_EQ(seen_.size(), static_cast<std::size_t>(kJobs));
+}
+
 // Guards against tasks on machines whose job the leader does not know.
 TEST_F(DeferredJobs, JobsWithPlacementsAreAlwaysHeld) {
   store_jobs();
