--- a/src/control/job_watcher.hpp
+++ b/src/control/job_watcher.hpp
@@ -1,6 +1,7 @@
 // Watches the job records that all nodes write, and applies changes to the leader's cluster state.
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <deque>
 #include <functional>
@@ -47,6 +48,8 @@
   /// Adds or replaces a job in the cluster state with its stored record, unless the job is new and
   /// has to be deferred.
   void upsert_job(sched::Job job);
+  /// The number of changes that apply_changes() has yet to apply.
+  std::size_t queued_changes() const { return pending_.size(); }
   /// All changes up to this revision have been received.
   std::uint64_t revision() const { return revision_; }
 
--- a/tests/waiting_jobs_test.cpp
+++ b/tests/waiting_jobs_test.cpp
@@ -162,6 +162,7 @@
     while (reactor_.now() < end) {
       run(0.05);
       note_held_jobs();
+      max_queued_ = std::max(max_queued_, watcher_.queued_changes());
       watcher_.apply_changes();
       sched::place_waiting_jobs(cluster_, {}, reactor_.now());
       note_held_jobs();
@@ -180,6 +181,7 @@
   }
 
   std::size_t max_bytes_ = static_cast<std::size_t>(base::memory_bytes(settings_, 1.0 / 8));
+  std::size_t max_queued_ = 0;  ///< changes
   std::set<std::string> seen_;  ///< ids of the jobs that were held at some time
   control::RecordReloader reloader_{context_,
                                     [this](Job job) { watcher_.upsert_job(std::move(job)); }};
@@ -289,11 +291,14 @@
 // Guards against all records in memory at once after a gap in the changes.
 TEST_F(DeferredJobs, AGapInTheChangesQueuesFewRecords) {
   constexpr int kWritesBeyondHistory = 10'500;
+  constexpr int kManyJobs = 1500;
+  constexpr std::size_t kPages = 2;  // one that is queued and one that is received
   ASSERT_TRUE(await(watcher_.load()));
-  store_jobs();
+  store_jobs(kManyJobs);
   for (int i = 0; i < kWritesBeyondHistory; ++i) write({{"other", "1", 0}});
-  follow(60);
-  EXPECT_EQ(seen_.size(), static_cast<std::size_t>(kJobs));
+  follow(120);
+  EXPECT_EQ(seen_.size(), static_cast<std::size_t>(kManyJobs));
+  EXPECT_LE(max_queued_, kPages * store::kPageItems);
 }
 
 /// Submits more jobs than a leader may hold; `jobs` are numbered from 1.
